--- /dev/null
+++ b/check.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Formatter, shape check and linter over our own files.
+#   ./check.sh           everything
+#   ./check.sh FILE...   the linter on these files alone
+set -euo pipefail
+cd "$(dirname "$0")"
+BUILD_DIR=${BUILD_DIR:-build}
+mapfile -t FILES < <(git ls-files --cached --others --exclude-standard '*.h' '*.cc' | grep -v '/generated/')
+clang-format --dry-run --Werror "${FILES[@]}"
+./cmake/check_shape.sh
+if [ $# -gt 0 ]; then SOURCES=("$@"); else
+  mapfile -t SOURCES < <(printf '%s\n' "${FILES[@]}" | grep '\.cc$'); fi
+printf '%s\n' "${SOURCES[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p "$BUILD_DIR" --quiet 2>"$BUILD_DIR/tidy.err" >"$BUILD_DIR/tidy.log" || {
+  cat "$BUILD_DIR/tidy.log"; exit 1; }
+echo "formatter, shape and linter: clean (${#SOURCES[@]} sources)"
--- /dev/null
+++ b/currantgauge/admission/queued_attempt.h
@@ -0,0 +1,44 @@
+// An attempt at its owner: waiting in a queue or running in a slot.
+//
+//   QueuedAttemptPtr Attempt(new QueuedAttempt);
+//   Queue.push_back(*Attempt);
+#ifndef CURRANTGAUGE_ADMISSION_QUEUED_ATTEMPT_H
+#define CURRANTGAUGE_ADMISSION_QUEUED_ATTEMPT_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/core/request.h"
+
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <cstdint>
+
+namespace currantgauge::admission {
+
+// QueueHook leaves its list by itself when the attempt is destroyed.
+using QueueHook = boost::intrusive::list_base_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+// QueuedAttempt is counted: the owner's table and a queue may both hold it.
+struct QueuedAttempt
+    : boost::intrusive_ref_counter<QueuedAttempt, boost::thread_unsafe_counter>,
+      QueueHook {
+  core::AttemptFacts Facts;
+  std::uint32_t RankOrder = 0;
+  base::TimePoint Arrived;
+  base::TimePoint Deadline;
+  base::TimePoint Started;  // of the exchange; zero while it waits
+  base::BackendName Server; // empty while it waits for a slot
+  bool Cancelled = false;
+};
+
+using QueuedAttemptPtr = boost::intrusive_ptr<QueuedAttempt>;
+using AttemptQueue =
+    boost::intrusive::list<QueuedAttempt,
+                           boost::intrusive::constant_time_size<false>>;
+
+} // namespace currantgauge::admission
+
+#endif // CURRANTGAUGE_ADMISSION_QUEUED_ATTEMPT_H
--- /dev/null
+++ b/currantgauge/base/ids.h
@@ -0,0 +1,102 @@
+// Identifiers as strong types: a ServiceName can't be passed for a KindName.
+//
+//   ServiceName Cutlist{"cutlist"};
+//   AttemptId Attempt{Origin, Sequence};
+#ifndef CURRANTGAUGE_BASE_IDS_H
+#define CURRANTGAUGE_BASE_IDS_H
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace currantgauge::base {
+
+// StrongName is a name that only compares with names of the same tag.
+template <typename Tag> struct StrongName {
+  std::string Value;
+
+  StrongName() = default;
+  explicit StrongName(std::string Text) : Value(std::move(Text)) {}
+  bool empty() const { return this->Value.empty(); }
+  auto operator<=>(const StrongName &) const = default;
+};
+
+// StrongNumber is a number that only compares with numbers of the same tag.
+template <typename Tag> struct StrongNumber {
+  std::uint64_t Value = 0;
+
+  constexpr StrongNumber() = default;
+  constexpr explicit StrongNumber(std::uint64_t Number) : Value(Number) {}
+  constexpr auto operator<=>(const StrongNumber &) const = default;
+};
+
+// UniqueId is unique in the fleet: a node's incarnation and a counter of it.
+template <typename Tag> struct UniqueId {
+  std::uint64_t Origin = 0;
+  std::uint64_t Sequence = 0;
+
+  constexpr auto operator<=>(const UniqueId &) const = default;
+};
+
+using ServiceName = StrongName<struct ServiceTag>;
+using KindName = StrongName<struct KindTag>;
+using RankName = StrongName<struct RankTag>;
+using WorkspaceName = StrongName<struct WorkspaceTag>;
+using BackendName = StrongName<struct BackendTag>;
+using NodeName = StrongName<struct NodeTag>;
+using RegionName = StrongName<struct RegionTag>;
+using DomainName = StrongName<struct DomainTag>; // failure domain
+using IdempotencyKey = StrongName<struct KeyTag>;
+using ActionToken = StrongName<struct ActionTag>;
+// NetAddress is "IP:port".
+using NetAddress = StrongName<struct AddressTag>;
+using ContentHash = StrongName<struct HashTag>;
+using PushId = StrongName<struct PushTag>;
+
+// Incarnation rises with every start of a process.
+using Incarnation = StrongNumber<struct IncarnationTag>;
+using ConfigVersion = StrongNumber<struct VersionTag>;
+// BodyHash is xxHash64 of a request's body.
+using BodyHash = StrongNumber<struct BodyHashTag>;
+// Fingerprint identifies a request by service, kind and body hash.
+using Fingerprint = StrongNumber<struct FingerprintTag>;
+// CallId pairs an effect that asks with the event that answers.
+using CallId = StrongNumber<struct CallTag>;
+
+using RequestId = UniqueId<struct RequestTag>;
+using AttemptId = UniqueId<struct AttemptTag>;
+
+// formatId() returns "origin-sequence" in hexadecimal, as callers and logs see.
+template <typename Tag> std::string formatId(const UniqueId<Tag> &Id) {
+  static constexpr char Digits[] = "0123456789abcdef";
+  auto Hex = [](std::uint64_t Number) {
+    std::string Text;
+    do {
+      Text.insert(Text.begin(), Digits[Number & 0xf]);
+      Number >>= 4;
+    } while (Number != 0);
+    return Text;
+  };
+  return Hex(Id.Origin) + "-" + Hex(Id.Sequence);
+}
+
+} // namespace currantgauge::base
+
+template <typename Tag> struct std::hash<currantgauge::base::StrongName<Tag>> {
+  std::size_t
+  operator()(const currantgauge::base::StrongName<Tag> &Name) const noexcept {
+    return std::hash<std::string>()(Name.Value);
+  }
+};
+
+template <typename Tag> struct std::hash<currantgauge::base::UniqueId<Tag>> {
+  std::size_t
+  operator()(const currantgauge::base::UniqueId<Tag> &Id) const noexcept {
+    return std::hash<std::uint64_t>()(Id.Origin * 0x9e3779b97f4a7c15ULL ^
+                                      Id.Sequence);
+  }
+};
+
+#endif // CURRANTGAUGE_BASE_IDS_H
--- /dev/null
+++ b/currantgauge/base/store.h
@@ -0,0 +1,87 @@
+// The platform's service as data: operations on table rows and objects, and
+// what is known after each. Decisions emit a StoreOperation in an effect and
+// take the StoreResult from an event.
+//
+//   StoreOperation Claim = WriteRows{{RowWrite{"claims", Key, Value,
+//                                              WriteCondition::IfAbsent, ""}}};
+#ifndef CURRANTGAUGE_BASE_STORE_H
+#define CURRANTGAUGE_BASE_STORE_H
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::base {
+
+// WriteCondition guards a row write (RFC 9110, If-None-Match and If-Match).
+enum class WriteCondition { Always, IfAbsent, IfMatch };
+
+// RowWrite writes one row; ETag is used with IfMatch alone.
+struct RowWrite {
+  std::string Table;
+  std::string Key;
+  std::string Value;
+  WriteCondition Condition = WriteCondition::Always;
+  std::string ETag;
+  bool Remove = false;
+};
+
+// ReadRow reads one row.
+struct ReadRow {
+  std::string Table;
+  std::string Key;
+};
+
+// ScanRows reads up to Limit rows of a table whose keys follow After.
+struct ScanRows {
+  std::string Table;
+  std::string After;
+  std::uint32_t Limit = 100;
+};
+
+// WriteRows writes all rows in one transaction, or none.
+struct WriteRows {
+  std::vector<RowWrite> Rows;
+};
+
+// GetObject reads an object by name.
+struct GetObject {
+  std::string Name;
+};
+
+// PutObject writes an object by name.
+struct PutObject {
+  std::string Name;
+  std::string Bytes;
+};
+
+using StoreOperation =
+    std::variant<ReadRow, ScanRows, WriteRows, GetObject, PutObject>;
+
+// StoreStatus is what is known after an operation.
+enum class StoreStatus {
+  Done,
+  NotFound,
+  ConditionFailed, // not applied; Rows holds the present rows where known
+  Unavailable,     // certainly not applied
+  Unknown,         // may have been applied: settle it by a read
+};
+
+// StoreRow is a row as read.
+struct StoreRow {
+  std::string Key;
+  std::string Value;
+  std::string ETag;
+};
+
+// StoreResult answers a StoreOperation.
+struct StoreResult {
+  StoreStatus Status = StoreStatus::Unavailable;
+  std::vector<StoreRow> Rows;
+  std::string Bytes; // of GetObject
+};
+
+} // namespace currantgauge::base
+
+#endif // CURRANTGAUGE_BASE_STORE_H
--- /dev/null
+++ b/currantgauge/config/node_settings.h
@@ -0,0 +1,66 @@
+// A node's own settings, read from one YAML file at its start.
+//
+//   SettingsErrors Errors;
+//   NodeSettings Settings = parseNodeSettings(Text, "node.yaml", Errors);
+//   for (const SettingsError &Error : Errors) print(formatError(Error));
+#ifndef CURRANTGAUGE_CONFIG_NODE_SETTINGS_H
+#define CURRANTGAUGE_CONFIG_NODE_SETTINGS_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace currantgauge::config {
+
+// SettingsError is one mistake and where it is. Line and Column count from 1.
+struct SettingsError {
+  std::string File;
+  int Line = 0;
+  int Column = 0;
+  std::string Text;
+};
+
+using SettingsErrors = std::vector<SettingsError>;
+
+// formatError() returns "file:line:column: text".
+std::string formatError(const SettingsError &Error);
+
+// NodeSettings is what one process needs to know of itself.
+struct NodeSettings {
+  base::NodeName Name;
+  base::RegionName Region;
+  base::DomainName Domain;
+  base::NetAddress CallerAddress{"127.0.0.1:8080"};   // HTTP, callers
+  base::NetAddress PeerAddress{"127.0.0.1:8081"};     // gRPC, other nodes
+  base::NetAddress OperatorAddress{"127.0.0.1:8082"}; // HTTP, operators
+  // Backend servers announce themselves here; metrics and health as well.
+  base::NetAddress AnnounceAddress{"127.0.0.1:8083"};
+  std::vector<base::NetAddress> Seeds;
+  bool Embedded = true;            // platform: embedded
+  base::NetAddress Platform;       // platform: IP:port of the service
+  std::string OperatorToken;       // empty: callers on loopback alone
+  std::string OperatorCertificate; // PEM files; empty: no TLS
+  std::string OperatorKey;
+  std::string ActionSecret; // signs action ids; empty: none are issued
+  base::ByteCount HeaderLimit{16 * 1024};
+  base::ByteCount BodyLimit{1024 * 1024};
+  base::ByteCount AnswerBuffer{64 * 1024}; // before an answer is committed
+  base::Duration CallerIdle = base::seconds(60);
+  base::Duration CallerRead = base::seconds(15); // to read one request
+  base::Duration StopLimit = base::seconds(30);  // of a graceful shutdown
+  std::uint32_t TrafficThreads = 2;
+  std::string LogLevel = "info"; // debug, info, warn, error
+  std::string ConfigFolder; // embedded alone: loaded at the start; else empty
+};
+
+// parseNodeSettings() reads the text of a settings file. All mistakes are
+// appended to Errors; the result counts only when there are none.
+NodeSettings parseNodeSettings(const std::string &Text, const std::string &File,
+                               SettingsErrors &Errors);
+
+} // namespace currantgauge::config
+
+#endif // CURRANTGAUGE_CONFIG_NODE_SETTINGS_H
--- /dev/null
+++ b/currantgauge/core/effect.h
@@ -0,0 +1,177 @@
+// Everything a node does, as data: the reducer returns effects, the runtime
+// carries them out.
+//
+//   Effects.push_back(StartAttempt{Facts, Owner, OwnerAddress});
+#ifndef CURRANTGAUGE_CORE_EFFECT_H
+#define CURRANTGAUGE_CORE_EFFECT_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/store.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/base/verdict.h"
+#include "currantgauge/config/state.h"
+#include "currantgauge/core/operator.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/membership/message.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::core {
+
+// WakeAt asks for a TimerFired at that time; the latest one counts.
+struct WakeAt {
+  base::TimePoint At;
+};
+
+// StartAttempt sends an attempt to its owner, which may be this node.
+struct StartAttempt {
+  AttemptFacts Facts;
+  base::NodeName Owner;
+  base::NetAddress OwnerAddress;
+};
+// CancelAttempt tells the owner that the entry no longer wants it.
+struct CancelAttempt {
+  base::AttemptId Attempt;
+};
+// DeliverAnswer passes an attempt's answer, buffered and later bytes, on to
+// the caller.
+struct DeliverAnswer {
+  base::RequestId Request;
+  base::AttemptId Attempt;
+  base::BackendName Server;
+  base::Verdict What = base::Verdict::Ran;
+};
+// RefuseRequest answers the caller without a backend server's answer.
+struct RefuseRequest {
+  base::RequestId Request;
+  base::Verdict What = base::Verdict::NotRun;
+  base::Reason Why = base::Reason::None;
+  base::Duration RetryAfter; // zero: none
+};
+
+// SendToBackend starts the exchange with a backend server.
+struct SendToBackend {
+  base::AttemptId Attempt;
+  base::BackendName Server;
+  base::NetAddress Address;
+  base::Duration TimeLeft;
+  bool NewConnection = false; // do not use a pooled one
+};
+// CancelBackend ends the exchange and closes its connection.
+struct CancelBackend {
+  base::AttemptId Attempt;
+  base::Reason Why = base::Reason::CallerGone;
+};
+// EndAttempt tells the entry how the attempt ended.
+struct EndAttempt {
+  base::AttemptId Attempt;
+  AttemptOutcome Outcome;
+};
+// KeepAnswer keeps the answer of an ended attempt for later asks.
+struct KeepAnswer {
+  base::AttemptId Attempt;
+};
+// ForgetAnswer drops a kept answer.
+struct ForgetAnswer {
+  base::AttemptId Attempt;
+};
+// RepeatAnswer gives the kept answer of From to Attempt; EndAttempt follows.
+struct RepeatAnswer {
+  base::AttemptId Attempt;
+  base::AttemptId From;
+};
+
+// SendPeerMessage hands a message to another node, without an answer.
+struct SendPeerMessage {
+  base::NodeName To;
+  base::NetAddress Address;
+  membership::PeerMessage Message;
+};
+
+// CallStore asks the platform's service; StoreAnswered follows.
+struct CallStore {
+  base::CallId Call;
+  base::StoreOperation Operation;
+  base::Duration TimeLimit;
+};
+
+// ParseConfig asks for a document to be parsed; ConfigParsed follows.
+struct ParseConfig {
+  base::CallId Call;
+  std::string Text;
+};
+// FetchConfig asks a peer for its configuration; ConfigFetched follows.
+struct FetchConfig {
+  base::CallId Call;
+  base::NodeName From;
+  base::NetAddress Address;
+};
+// ServeConfig makes a document available to peers that fetch it.
+struct ServeConfig {
+  config::ConfigDocument Document;
+};
+
+// AnswerOperator answers an OperatorAsked.
+struct AnswerOperator {
+  base::CallId Call;
+  OperatorReply Reply;
+};
+
+// Metric names a counter or histogram of the node.
+enum class Metric {
+  Requests,       // labels: kind, verdict
+  Refusals,       // labels: reason, rank
+  Retries,        // labels: reason, service
+  RequestSeconds, // histogram; labels: rank, service
+  Ejections,      // labels: service, server
+  PeerMessages,   // labels: kind, direction
+  StoreCalls,     // labels: operation, status
+  LinkBytes,      // labels: region, direction
+  QueueLength,    // gauge; labels: service, rank
+  ConfigInForce,  // gauge: the version in force
+};
+
+// Measure adds Amount to a counter, observes it in a histogram or sets a gauge.
+struct Measure {
+  Metric Which = Metric::Requests;
+  std::string LabelA;
+  std::string LabelB;
+  double Amount = 1;
+};
+
+// LogLevel is the severity of a log line.
+enum class LogLevel { Debug, Info, Warn, Error };
+
+// LogLine writes one JSON line.
+struct LogLine {
+  LogLevel Level = LogLevel::Info;
+  std::string What;
+  std::vector<std::pair<std::string, std::string>> Fields;
+};
+
+// BecomeReady says whether this node takes callers' work.
+struct BecomeReady {
+  bool Ready = false;
+};
+
+// StopProcess ends the process: nothing is in flight any more.
+struct StopProcess {
+  int ExitCode = 0;
+};
+
+using Effect =
+    std::variant<WakeAt, StartAttempt, CancelAttempt, DeliverAnswer,
+                 RefuseRequest, SendToBackend, CancelBackend, EndAttempt,
+                 KeepAnswer, ForgetAnswer, RepeatAnswer, SendPeerMessage,
+                 CallStore, ParseConfig, FetchConfig, ServeConfig,
+                 AnswerOperator, Measure, LogLine, BecomeReady, StopProcess>;
+
+using EffectList = std::vector<Effect>;
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_EFFECT_H
--- /dev/null
+++ b/currantgauge/core/entry.h
@@ -0,0 +1,26 @@
+// The entry's side of a request: from a caller's arrival to its answer.
+//
+//   onRequestArrived(Node, RequestArrived{Facts}, Effects);
+#ifndef CURRANTGAUGE_CORE_ENTRY_H
+#define CURRANTGAUGE_CORE_ENTRY_H
+
+#include "currantgauge/core/effect.h"
+#include "currantgauge/core/event.h"
+#include "currantgauge/core/state.h"
+
+namespace currantgauge::core {
+
+void onRequestArrived(State &Node, const RequestArrived &Arrival,
+                      EffectList &Effects);
+void onCallerGone(State &Node, const CallerGone &Gone, EffectList &Effects);
+void onAnswerBuffered(State &Node, const AnswerBuffered &Buffered,
+                      EffectList &Effects);
+void onAttemptEnded(State &Node, const AttemptEnded &Ended,
+                    EffectList &Effects);
+void onRequestDeadline(State &Node, const RequestDeadline &Due,
+                       EffectList &Effects);
+void onRetryDue(State &Node, const RetryDue &Due, EffectList &Effects);
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_ENTRY_H
--- /dev/null
+++ b/currantgauge/core/operations.cc
@@ -0,0 +1,184 @@
+#include "currantgauge/core/operations.h"
+
+#include "currantgauge/core/entry.h"
+#include "currantgauge/core/owner.h"
+#include "currantgauge/membership/gossip.h"
+#include "currantgauge/routing/registry.h"
+
+#include <string>
+
+namespace currantgauge::core {
+namespace {
+
+constexpr base::Duration LeaseCheckInterval = base::milliseconds(500);
+
+void onTimer(State &Node, const LeaseCheck &, EffectList &Effects) {
+  for (const routing::BackendRecord &Gone :
+       routing::expireLeases(Node.Routing, Node.Now))
+    Effects.push_back(LogLine{
+        LogLevel::Warn,
+        "lease_expired",
+        {{"server", Gone.Name.Value}, {"service", Gone.Service.Value}}});
+  setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
+}
+
+void onTimer(State &Node, const GossipRound &, EffectList &Effects) {
+  membership::startRound(Node.Membership, Node.Routing, Node.Source, Node.Now,
+                         Effects);
+  setTimer(Node.Timers, Node.Now + membership::GossipInterval, GossipRound{});
+}
+
+void onTimer(State &Node, const HealthRound &, EffectList &Effects) {}
+void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
+void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
+
+void onTimer(State &Node, const RequestDeadline &Due, EffectList &Effects) {
+  onRequestDeadline(Node, Due, Effects);
+}
+
+void onTimer(State &Node, const RetryDue &Due, EffectList &Effects) {
+  onRetryDue(Node, Due, Effects);
+}
+
+void onTimer(State &Node, const AttemptDeadline &Due, EffectList &Effects) {
+  onAttemptDeadline(Node, Due, Effects);
+}
+
+std::string phaseName(routing::BackendPhase Phase) {
+  switch (Phase) {
+  case routing::BackendPhase::Ready:
+    return "ready";
+  case routing::BackendPhase::Leaving:
+    return "leaving";
+  case routing::BackendPhase::Gone:
+    return "gone";
+  }
+  return "";
+}
+
+OperatorReply answer(State &Node, const AskStatus &) {
+  OperatorReply Reply;
+  Reply.Fields = {
+      {"node", Node.Self.Name.Value},
+      {"region", Node.Self.Region.Value},
+      {"failure_domain", Node.Self.Domain.Value},
+      {"config_version", std::to_string(Node.Config.Document.Version.Value)},
+      {"stopping", Node.Stopping ? "true" : "false"},
+  };
+  OperatorTable Servers{
+      "servers",
+      {"server", "service", "owner", "phase", "slots", "running"},
+      {}};
+  for (const auto &[Name, Server] : Node.Routing.Servers)
+    Servers.Rows.push_back(
+        {Name.Value, Server.Record.Service.Value, Server.Record.Owner.Value,
+         phaseName(Server.Record.Phase), std::to_string(Server.Record.Slots),
+         std::to_string(Server.Running)});
+  OperatorTable Nodes{"nodes", {"node", "region", "failure_domain"}, {}};
+  for (const auto &[Name, Member] : Node.Membership.Members)
+    Nodes.Rows.push_back(
+        {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value});
+  Reply.Tables = {std::move(Servers), std::move(Nodes)};
+  return Reply;
+}
+
+OperatorReply answer(State &Node, const AskDrain &Asked) {
+  OperatorReply Reply;
+  auto Found = Node.Routing.Servers.find(Asked.Server);
+  if (Found == Node.Routing.Servers.end()) {
+    Reply.Error = "no backend server named " + Asked.Server.Value;
+    return Reply;
+  }
+  Found->second.Drained = !Asked.Undo;
+  Reply.Fields = {{"server", Asked.Server.Value},
+                  {"drained", Asked.Undo ? "false" : "true"}};
+  return Reply;
+}
+
+OperatorReply answer(State &Node, const AskConfig &) {
+  OperatorReply Reply;
+  Reply.Fields = {
+      {"version", std::to_string(Node.Config.Document.Version.Value)},
+      {"author", Node.Config.Document.Author}};
+  Reply.Text = Node.Config.Document.Text;
+  return Reply;
+}
+
+template <typename Query> OperatorReply answer(State &, const Query &) {
+  OperatorReply Reply;
+  Reply.Error = "this node does not answer that yet";
+  return Reply;
+}
+
+} // namespace
+
+void onStarted(State &Node, const Started &, EffectList &Effects) {
+  setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
+  setTimer(Node.Timers, Node.Now, GossipRound{});
+  Effects.push_back(LogLine{LogLevel::Info,
+                            "started",
+                            {{"node", Node.Self.Name.Value},
+                             {"region", Node.Self.Region.Value},
+                             {"failure_domain", Node.Self.Domain.Value}}});
+}
+
+void onStopRequested(State &Node, const StopRequested &, EffectList &Effects) {
+  Node.Stopping = true;
+  Effects.push_back(BecomeReady{false});
+  Effects.push_back(LogLine{LogLevel::Info, "stopping", {}});
+}
+
+void stopWhenIdle(State &Node, EffectList &Effects) {
+  if (Node.Stopping && Node.Entry.Requests.empty() &&
+      Node.Owner.Attempts.empty())
+    Effects.push_back(StopProcess{0});
+}
+
+// All due timers run in one event, so that a late wake-up costs no more.
+void onTimerFired(State &Node, const TimerFired &, EffectList &Effects) {
+  while (auto Due = takeDue(Node.Timers, Node.Now))
+    std::visit([&](const auto &What) { onTimer(Node, What, Effects); }, *Due);
+}
+
+void onBackendAnnounced(State &Node, const BackendAnnounced &Announced,
+                        EffectList &Effects) {
+  if (!routing::announce(Node.Routing, Announced.Word, Node.Now))
+    return;
+  Effects.push_back(LogLine{LogLevel::Info,
+                            "backend_server",
+                            {{"server", Announced.Word.Name.Value},
+                             {"service", Announced.Word.Service.Value},
+                             {"phase", phaseName(Announced.Word.Phase)}}});
+  runQueued(Node, Announced.Word.Service, Effects);
+}
+
+void onOperatorAsked(State &Node, const OperatorAsked &Asked,
+                     EffectList &Effects) {
+  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query)) {
+    Node.Config.Document = config::ConfigDocument{Push->BaseVersion, Push->Push,
+                                                  Push->Author, Push->Text};
+    Effects.push_back(ParseConfig{Asked.Call, Push->Text});
+    return;
+  }
+  OperatorReply Reply = std::visit(
+      [&](const auto &Query) { return answer(Node, Query); }, Asked.Query);
+  Effects.push_back(AnswerOperator{Asked.Call, std::move(Reply)});
+}
+
+void onConfigParsed(State &Node, const ConfigParsed &Parsed,
+                    EffectList &Effects) {
+  OperatorReply Reply;
+  Reply.Error = Parsed.Error;
+  if (Parsed.Error.empty()) {
+    Node.Config.Current = Parsed.Config;
+    ++Node.Config.Document.Version.Value;
+    Node.Membership.Self.Version = Node.Config.Document.Version;
+    Effects.push_back(BecomeReady{true});
+    Effects.push_back(ServeConfig{Node.Config.Document});
+    Reply.Fields = {
+        {"version", std::to_string(Node.Config.Document.Version.Value)}};
+  }
+  Effects.push_back(AnswerOperator{Parsed.Call, std::move(Reply)});
+}
+
+} // namespace currantgauge::core
--- /dev/null
+++ b/currantgauge/core/operator.h
@@ -0,0 +1,68 @@
+// What operators ask of a node and what it answers, apart from any encoding.
+//
+//   OperatorQuery Query = AskStatus{};
+#ifndef CURRANTGAUGE_CORE_OPERATOR_H
+#define CURRANTGAUGE_CORE_OPERATOR_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::core {
+
+// AskStatus asks for the node's view of the fleet.
+struct AskStatus {};
+// AskExplain asks for what a node decided on a request.
+struct AskExplain {
+  base::RequestId Request;
+};
+// AskDrain takes a backend server out of traffic, or puts it back.
+struct AskDrain {
+  base::BackendName Server;
+  bool Undo = false;
+};
+// AskQuarantine lists quarantined requests.
+struct AskQuarantine {};
+// AskQuarantineClear ends a quarantine.
+struct AskQuarantineClear {
+  base::Fingerprint Print;
+};
+// AskConfig asks for the configuration in force.
+struct AskConfig {};
+// AskConfigHistory asks for the accepted versions.
+struct AskConfigHistory {};
+// AskConfigPush submits a merged document, valid on top of BaseVersion.
+struct AskConfigPush {
+  std::string Text;
+  base::ConfigVersion BaseVersion;
+  base::PushId Push;
+  std::string Author;
+};
+
+using OperatorQuery = std::variant<AskStatus, AskExplain, AskDrain,
+                                   AskQuarantine, AskQuarantineClear, AskConfig,
+                                   AskConfigHistory, AskConfigPush>;
+
+// OperatorTable is one table of an answer: a title, columns and rows.
+struct OperatorTable {
+  std::string Title;
+  std::vector<std::string> Columns;
+  std::vector<std::vector<std::string>> Rows;
+};
+
+// OperatorReply answers a query. Error is empty on success, else a sentence.
+struct OperatorReply {
+  std::string Error;
+  std::vector<std::pair<std::string, std::string>> Fields;
+  std::vector<OperatorTable> Tables;
+  std::string Text; // a document, of AskConfig
+};
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_OPERATOR_H
--- /dev/null
+++ b/currantgauge/core/owner.cc
@@ -0,0 +1,192 @@
+#include "currantgauge/core/owner.h"
+
+#include "currantgauge/actions/guard.h"
+#include "currantgauge/admission/queue.h"
+#include "currantgauge/routing/choose.h"
+
+#include <utility>
+
+namespace currantgauge::core {
+namespace {
+
+constexpr std::uint32_t HttpTooManyRequests = 429;
+constexpr std::uint32_t HttpServerErrors = 500;
+constexpr std::uint32_t HttpServiceUnavailable = 503;
+
+AttemptOutcome refusal(base::Reason Why, base::Duration RetryAfter) {
+  AttemptOutcome Outcome;
+  Outcome.What = base::Verdict::NotRun;
+  Outcome.Why = Why;
+  Outcome.RetryAfter = RetryAfter;
+  return Outcome;
+}
+
+std::uint32_t rankOrder(const State &Node, const base::RankName &Rank) {
+  const auto &Ranks = Node.Config.Current->Ranks;
+  auto Found = Ranks.find(Rank);
+  return Found == Ranks.end() ? 0 : Found->second.Order;
+}
+
+void releaseSlot(State &Node, const admission::QueuedAttempt &Attempt) {
+  auto Server = Node.Routing.Servers.find(Attempt.Server);
+  if (Server != Node.Routing.Servers.end() && Server->second.Running > 0)
+    --Server->second.Running;
+}
+
+// A whole answer proves that the request ran; no byte sent proves that it did
+// not; anything between may have run.
+AttemptOutcome outcomeOf(const BackendOutcome &Seen) {
+  AttemptOutcome Outcome;
+  Outcome.Why = Seen.Why;
+  Outcome.Status = Seen.Status;
+  Outcome.RetryAfter = Seen.RetryAfter;
+  Outcome.What = !Seen.AnyByteSent  ? base::Verdict::NotRun
+                 : Seen.AnswerWhole ? base::Verdict::Ran
+                                    : base::Verdict::MayHaveRun;
+  if (!Seen.AnswerWhole)
+    return Outcome;
+  bool Sheds = Seen.Status == HttpTooManyRequests ||
+               (Seen.Status == HttpServiceUnavailable &&
+                Seen.RetryAfter > base::Duration{});
+  if (Sheds)
+    Outcome.Why = base::Reason::BackendShed;
+  else if (Seen.Status >= HttpServerErrors)
+    Outcome.Why = base::Reason::BackendError;
+  return Outcome;
+}
+
+} // namespace
+
+void onAttemptArrived(State &Node, const AttemptArrived &Arrival,
+                      EffectList &Effects) {
+  admission::QueuedAttemptPtr Attempt(new admission::QueuedAttempt);
+  Attempt->Facts = Arrival.Facts;
+  Attempt->Arrived = Node.Now;
+  Attempt->Deadline = Node.Now + Arrival.Facts.TimeLeft;
+  Node.Owner.Attempts[Arrival.Facts.Attempt] = Attempt;
+  if (Node.Stopping && Arrival.Facts.Entry != Node.Self.Name)
+    return endAttempt(Node, Arrival.Facts.Attempt,
+                      refusal(base::Reason::NodeStopping, base::Duration{}),
+                      Effects);
+  if (!Node.Config.Current)
+    return endAttempt(Node, Arrival.Facts.Attempt,
+                      refusal(base::Reason::NoConfiguration, base::seconds(1)),
+                      Effects);
+  Attempt->RankOrder = rankOrder(Node, Arrival.Facts.Rank);
+  base::Reason Why = admission::enqueue(Node.Admission, *Node.Config.Current,
+                                        *Attempt, Node.Now);
+  if (Why != base::Reason::None)
+    return endAttempt(Node, Arrival.Facts.Attempt,
+                      refusal(Why, base::seconds(1)), Effects);
+  setTimer(Node.Timers, Attempt->Deadline,
+           AttemptDeadline{Arrival.Facts.Attempt});
+  runQueued(Node, Arrival.Facts.Service, Effects);
+}
+
+void runQueued(State &Node, const base::ServiceName &Service,
+               EffectList &Effects) {
+  if (!Node.Config.Current)
+    return;
+  while (admission::QueuedAttempt *Next = admission::nextToRun(
+             Node.Admission, *Node.Config.Current, Service, Node.Now)) {
+    routing::ChoiceQuery Query;
+    Query.Service = Service;
+    Query.Now = Node.Now;
+    routing::BackendServer *Server =
+        routing::chooseOwnServer(Node.Routing, Query, Next->Facts.Preferred);
+    if (!Server)
+      return;
+    admission::QueuedAttemptPtr Attempt(Next);
+    admission::dequeue(Node.Admission, *Attempt);
+    Attempt->Server = Server->Record.Name;
+    ++Server->Running;
+    actions::GuardAnswer Guard = actions::beforeRun(
+        Node.Actions, *Attempt, Node.Now, Node.Wall, Effects);
+    if (Guard.What == actions::GuardDecision::Refuse)
+      endAttempt(Node, Attempt->Facts.Attempt,
+                 refusal(Guard.Why, base::Duration{}), Effects);
+    else if (Guard.What == actions::GuardDecision::Run)
+      startExchange(Node, *Attempt, Effects);
+  }
+}
+
+void startExchange(State &Node, admission::QueuedAttempt &Attempt,
+                   EffectList &Effects) {
+  const routing::BackendServer &Server =
+      Node.Routing.Servers.at(Attempt.Server);
+  Attempt.Started = Node.Now;
+  SendToBackend Send;
+  Send.Attempt = Attempt.Facts.Attempt;
+  Send.Server = Attempt.Server;
+  Send.Address = Server.Record.Address;
+  Send.TimeLeft = Attempt.Deadline - Node.Now;
+  Send.NewConnection = Attempt.Facts.Number > 1;
+  Effects.push_back(std::move(Send));
+}
+
+void endAttempt(State &Node, base::AttemptId Id, AttemptOutcome Outcome,
+                EffectList &Effects) {
+  auto Found = Node.Owner.Attempts.find(Id);
+  if (Found == Node.Owner.Attempts.end())
+    return;
+  admission::QueuedAttemptPtr Attempt = Found->second;
+  Node.Owner.Attempts.erase(Found);
+  admission::dequeue(Node.Admission, *Attempt);
+  Outcome.Server = Attempt->Server;
+  if (Node.Config.Current) {
+    Outcome.Load = admission::pressureOf(Node.Admission, *Node.Config.Current,
+                                         Attempt->Facts.Service);
+    Outcome.Load.Owner = Node.Self.Name;
+  }
+  if (!Attempt->Server.empty()) {
+    releaseSlot(Node, *Attempt);
+    actions::afterRun(Node.Actions, *Attempt, Outcome, Node.Now, Node.Wall,
+                      Effects);
+  }
+  Effects.push_back(EndAttempt{Id, Outcome});
+}
+
+void onAttemptCancelled(State &Node, const AttemptCancelled &Cancelled,
+                        EffectList &Effects) {
+  auto Found = Node.Owner.Attempts.find(Cancelled.Attempt);
+  if (Found == Node.Owner.Attempts.end())
+    return;
+  admission::QueuedAttemptPtr Attempt = Found->second;
+  Attempt->Cancelled = true;
+  // A running exchange ends by BackendEnded: the slot is taken until then.
+  if (Attempt->Started > base::TimePoint{}) {
+    Effects.push_back(
+        CancelBackend{Cancelled.Attempt, base::Reason::CallerGone});
+    return;
+  }
+  endAttempt(Node, Cancelled.Attempt,
+             refusal(base::Reason::CallerGone, base::Duration{}), Effects);
+  runQueued(Node, Attempt->Facts.Service, Effects);
+}
+
+void onBackendEnded(State &Node, const BackendEnded &Ended,
+                    EffectList &Effects) {
+  auto Found = Node.Owner.Attempts.find(Ended.Attempt);
+  if (Found == Node.Owner.Attempts.end())
+    return;
+  base::ServiceName Service = Found->second->Facts.Service;
+  endAttempt(Node, Ended.Attempt, outcomeOf(Ended.Outcome), Effects);
+  runQueued(Node, Service, Effects);
+}
+
+void onAttemptDeadline(State &Node, const AttemptDeadline &Due,
+                       EffectList &Effects) {
+  auto Found = Node.Owner.Attempts.find(Due.Attempt);
+  if (Found == Node.Owner.Attempts.end())
+    return;
+  if (Found->second->Started > base::TimePoint{}) {
+    Effects.push_back(CancelBackend{Due.Attempt, base::Reason::BackendTimeout});
+    return;
+  }
+  base::ServiceName Service = Found->second->Facts.Service;
+  endAttempt(Node, Due.Attempt,
+             refusal(base::Reason::DeadlinePassed, base::Duration{}), Effects);
+  runQueued(Node, Service, Effects);
+}
+
+} // namespace currantgauge::core
--- /dev/null
+++ b/currantgauge/core/reduce.cc
@@ -0,0 +1,87 @@
+#include "currantgauge/core/reduce.h"
+
+#include "currantgauge/core/entry.h"
+#include "currantgauge/core/operations.h"
+#include "currantgauge/core/owner.h"
+#include "currantgauge/membership/gossip.h"
+
+namespace currantgauge::core {
+namespace {
+
+// One overload an event: each calls one function of the component that owns
+// the decision.
+struct Dispatch {
+  State &Node;
+  EffectList &Effects;
+
+  void operator()(const Started &E) { onStarted(Node, E, Effects); }
+  void operator()(const StopRequested &E) { onStopRequested(Node, E, Effects); }
+  void operator()(const TimerFired &E) { onTimerFired(Node, E, Effects); }
+  void operator()(const RequestArrived &E) {
+    onRequestArrived(Node, E, Effects);
+  }
+  void operator()(const CallerGone &E) { onCallerGone(Node, E, Effects); }
+  void operator()(const AnswerBuffered &E) {
+    onAnswerBuffered(Node, E, Effects);
+  }
+  void operator()(const AttemptEnded &E) { onAttemptEnded(Node, E, Effects); }
+  void operator()(const AttemptArrived &E) {
+    onAttemptArrived(Node, E, Effects);
+  }
+  void operator()(const AttemptCancelled &E) {
+    onAttemptCancelled(Node, E, Effects);
+  }
+  void operator()(const BackendEnded &E) { onBackendEnded(Node, E, Effects); }
+  void operator()(const BackendAnnounced &E) {
+    onBackendAnnounced(Node, E, Effects);
+  }
+  void operator()(const PeerMessageArrived &E) {
+    membership::onMessage(Node.Membership, Node.Routing, E.Message, Node.Now,
+                          Effects);
+  }
+  void operator()(const PeerSendFailed &) {}
+  void operator()(const StoreAnswered &) {}
+  void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
+  void operator()(const ConfigFetched &) {}
+  void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
+};
+
+void announceWakeUp(TimerQueue &Timers, EffectList &Effects) {
+  base::TimePoint Next =
+      Timers.Due.empty() ? base::Never : Timers.Due.begin()->first;
+  if (Next == Timers.Announced)
+    return;
+  Timers.Announced = Next;
+  Effects.push_back(WakeAt{Next});
+}
+
+} // namespace
+
+State makeState(const NodeIdentity &Self, std::uint64_t Seed) {
+  State Node;
+  Node.Self = Self;
+  Node.Source.seed(Seed);
+  Node.Routing.Self = Self.Name;
+  Node.Routing.Region = Self.Region;
+  Node.Routing.Domain = Self.Domain;
+  membership::MemberRecord &Record = Node.Membership.Self;
+  Record.Name = Self.Name;
+  Record.PeerAddress = Self.PeerAddress;
+  Record.Region = Self.Region;
+  Record.Domain = Self.Domain;
+  Record.Life = Self.Life;
+  Node.Membership.Seeds = Self.Seeds;
+  return Node;
+}
+
+void reduce(State &Node, const Event &Happened, EffectList &Effects) {
+  Node.Now = Happened.Now;
+  Node.Wall = Happened.Wall;
+  if (std::holds_alternative<TimerFired>(Happened.Body))
+    Node.Timers.Announced = base::Never;
+  std::visit(Dispatch{Node, Effects}, Happened.Body);
+  announceWakeUp(Node.Timers, Effects);
+  stopWhenIdle(Node, Effects);
+}
+
+} // namespace currantgauge::core
--- /dev/null
+++ b/currantgauge/core/reduce_test.cc
@@ -0,0 +1,109 @@
+#include "currantgauge/core/reduce.h"
+
+#include <doctest/doctest.h>
+
+#include <variant>
+
+namespace currantgauge::core {
+namespace {
+
+config::ConfigurationPtr sampleConfig() {
+  auto *Config = new config::Configuration;
+  Config->Services[base::ServiceName("cutlist")].Name =
+      base::ServiceName("cutlist");
+  config::KindSettings &Read = Config->Kinds[base::KindName("read")];
+  Read.Name = base::KindName("read");
+  Read.Service = base::ServiceName("cutlist");
+  Read.Rank = base::RankName("normal");
+  Read.Deadline = base::milliseconds(500);
+  Config->Ranks[base::RankName("normal")].Name = base::RankName("normal");
+  Config->Routes["all"] =
+      config::RouteSettings{"all", "", "/", base::KindName("read")};
+  config::indexRoutes(*Config);
+  return config::ConfigurationPtr(Config);
+}
+
+State nodeWithServer() {
+  NodeIdentity Self;
+  Self.Name = base::NodeName("a");
+  Self.Life = base::Incarnation(1);
+  State Node = makeState(Self, 7);
+  Node.Config.Current = sampleConfig();
+  EffectList Effects;
+  BackendAnnounced Word;
+  Word.Word.Name = base::BackendName("cutlist-1");
+  Word.Word.Service = base::ServiceName("cutlist");
+  Word.Word.Address = base::NetAddress("127.0.0.1:1");
+  Word.Word.Life = base::Incarnation(1);
+  reduce(Node, Event{base::TimePoint{1000}, {}, Word}, Effects);
+  return Node;
+}
+
+template <typename What> const What *find(const EffectList &Effects) {
+  for (const Effect &Item : Effects)
+    if (const What *Found = std::get_if<What>(&Item))
+      return Found;
+  return nullptr;
+}
+
+RequestArrived arrival(std::uint64_t Sequence) {
+  RequestArrived Arrival;
+  Arrival.Facts.Request = base::RequestId{1, Sequence};
+  Arrival.Facts.Method = "GET";
+  Arrival.Facts.Path = "/lists/7";
+  return Arrival;
+}
+
+} // namespace
+
+TEST_CASE("a request goes to its owner, into a slot and back to its caller") {
+  State Node = nodeWithServer();
+  EffectList Effects;
+  reduce(Node, Event{base::TimePoint{2000}, {}, arrival(1)}, Effects);
+  const StartAttempt *Start = find<StartAttempt>(Effects);
+  REQUIRE(Start);
+  AttemptArrived AtOwner{Start->Facts};
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{3000}, {}, AtOwner}, Effects);
+  REQUIRE(find<SendToBackend>(Effects));
+  BackendEnded Ended;
+  Ended.Attempt = AtOwner.Facts.Attempt;
+  Ended.Outcome.AnyByteSent = true;
+  Ended.Outcome.AnswerWhole = true;
+  Ended.Outcome.Status = 200;
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{4000}, {}, Ended}, Effects);
+  const EndAttempt *End = find<EndAttempt>(Effects);
+  REQUIRE(End);
+  CHECK(End->Outcome.What == base::Verdict::Ran);
+  AttemptEnded AtEntry{End->Attempt, End->Outcome};
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{5000}, {}, AtEntry}, Effects);
+  CHECK(find<DeliverAnswer>(Effects));
+  CHECK(Node.Entry.Requests.empty());
+  CHECK(Node.Owner.Attempts.empty());
+}
+
+TEST_CASE("a request that no server can take is refused as not run") {
+  State Node = nodeWithServer();
+  Node.Routing.Servers.begin()->second.Drained = true;
+  EffectList Effects;
+  reduce(Node, Event{base::TimePoint{2000}, {}, arrival(1)}, Effects);
+  const RefuseRequest *Refusal = find<RefuseRequest>(Effects);
+  REQUIRE(Refusal);
+  CHECK(Refusal->What == base::Verdict::NotRun);
+  CHECK(Refusal->Why == base::Reason::NoBackend);
+}
+
+TEST_CASE("a stopping node ends only when nothing is in flight") {
+  State Node = nodeWithServer();
+  EffectList Effects;
+  reduce(Node, Event{base::TimePoint{2000}, {}, arrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{2500}, {}, StopRequested{}}, Effects);
+  CHECK_FALSE(find<StopProcess>(Effects));
+  CallerGone Gone{base::RequestId{1, 1}};
+  reduce(Node, Event{base::TimePoint{3000}, {}, Gone}, Effects);
+  CHECK(find<StopProcess>(Effects));
+}
+
+} // namespace currantgauge::core
--- /dev/null
+++ b/currantgauge/core/request.h
@@ -0,0 +1,86 @@
+// Requests and attempts as the decisions see them: never their bytes. A request
+// is a caller's; an attempt is one try of it at the owner of a backend server.
+//
+//   AttemptFacts Facts{.Attempt = newAttempt(State), .Kind =
+//   KindName{"commit"}};
+#ifndef CURRANTGAUGE_CORE_REQUEST_H
+#define CURRANTGAUGE_CORE_REQUEST_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/base/verdict.h"
+
+#include <cstdint>
+#include <string>
+
+namespace currantgauge::core {
+
+// RequestFacts is what the entry knows of a caller's request.
+struct RequestFacts {
+  base::RequestId Request;
+  std::string Method;
+  std::string Path;
+  base::WorkspaceName Workspace; // empty: none named
+  base::IdempotencyKey Key;      // empty: none given
+  base::ActionToken Action;      // empty: none given
+  base::Duration TimeLeft;       // zero: the caller set no deadline
+  base::ByteCount BodyBytes;
+  base::BodyHash Body;
+};
+
+// AttemptFacts is what travels from the entry to the owner.
+struct AttemptFacts {
+  base::AttemptId Attempt;
+  base::RequestId Request;
+  base::NodeName Entry;
+  base::ServiceName Service;
+  base::KindName Kind;
+  base::RankName Rank;
+  base::WorkspaceName Workspace;
+  base::BackendName Preferred;
+  base::IdempotencyKey Key;
+  base::ActionToken Action;
+  base::Fingerprint Print;
+  base::BodyHash Body;
+  base::ByteCount BodyBytes;
+  base::Duration TimeLeft;
+  double Worth = 1;
+  bool Idempotent = true;
+  std::uint32_t Number = 1; // 1 for the first attempt of a request
+};
+
+// Pressure is what an owner tells entries of a service's queue.
+struct Pressure {
+  base::NodeName Owner;
+  base::ServiceName Service;
+  std::uint32_t RefusedOrder = UINT32_MAX; // ranks of this order and later ...
+  double RefusedShare = 0;                 // ... are refused in this share
+  base::Duration QueueDelay;
+};
+
+// BackendOutcome is what a traffic thread saw of one exchange.
+struct BackendOutcome {
+  base::Reason Why = base::Reason::None;
+  bool AnyByteSent = false; // to the backend server
+  bool AnswerWhole = false; // every announced byte arrived
+  bool FreshConnection = true;
+  std::uint32_t Status = 0;  // HTTP status, 0 when none arrived
+  base::Duration RetryAfter; // zero: none given
+  base::ByteCount AnswerBytes;
+  bool ProcessDied = false; // reset or refusal that hints at a crash
+};
+
+// AttemptOutcome is how an attempt ended, as the entry learns it.
+struct AttemptOutcome {
+  base::Verdict What = base::Verdict::MayHaveRun;
+  base::Reason Why = base::Reason::None;
+  std::uint32_t Status = 0; // of the backend server's answer, 0: none
+  base::Duration RetryAfter;
+  base::BackendName Server;
+  Pressure Load;
+  base::NodeName Elsewhere; // owner that holds the action's answer; else empty
+};
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_REQUEST_H
--- /dev/null
+++ b/currantgauge/core/state.h
@@ -0,0 +1,94 @@
+// The whole state of a node: plain structs, changed by reduce() alone.
+//
+//   State Node = makeState(Identity, Seed);
+#ifndef CURRANTGAUGE_CORE_STATE_H
+#define CURRANTGAUGE_CORE_STATE_H
+
+#include "currantgauge/actions/state.h"
+#include "currantgauge/admission/queued_attempt.h"
+#include "currantgauge/admission/state.h"
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/random.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/config/state.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/core/timer.h"
+#include "currantgauge/membership/state.h"
+#include "currantgauge/routing/state.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace currantgauge::core {
+
+// NodeIdentity is what a node's settings say of it.
+struct NodeIdentity {
+  base::NodeName Name;
+  base::RegionName Region;
+  base::DomainName Domain;
+  base::NetAddress PeerAddress;
+  base::Incarnation Life; // rises with every start
+  std::vector<base::NetAddress> Seeds;
+  bool Embedded = false;    // no platform: everything stays in memory
+  std::string ActionSecret; // signs action ids; empty: none are issued
+};
+
+// EntryRequest is a caller's request in flight at its entry.
+struct EntryRequest {
+  RequestFacts Facts;
+  config::KindSettings Kind;
+  base::TimePoint Arrived;
+  base::TimePoint Deadline;
+  base::AttemptId Current; // Sequence 0: none is running
+  std::uint32_t Attempts = 0;
+  std::vector<base::BackendName> Tried;
+  base::BackendName CurrentServer;
+  bool Committed = false;  // bytes of an answer went to the caller
+  bool MayHaveRun = false; // some attempt may have run
+  base::Reason LastWhy = base::Reason::None;
+};
+
+// EntryState is the entry's side of a node.
+struct EntryState {
+  std::map<base::RequestId, EntryRequest> Requests;
+  std::map<base::AttemptId, base::RequestId> ByAttempt;
+  std::uint64_t LastAttempt = 0;
+};
+
+// OwnerState is the owner's side of a node.
+struct OwnerState {
+  std::map<base::AttemptId, admission::QueuedAttemptPtr> Attempts;
+};
+
+// State is a node.
+struct State {
+  NodeIdentity Self;
+  base::Random Source;
+  base::TimePoint Now;
+  base::UnixTime Wall;
+  bool Stopping = false;
+  bool Ready = false;
+  std::uint64_t LastCall = 0; // of CallId
+  TimerQueue Timers;
+  config::ConfigState Config;
+  routing::RoutingState Routing;
+  admission::AdmissionState Admission;
+  actions::ActionState Actions;
+  membership::MembershipState Membership;
+  EntryState Entry;
+  OwnerState Owner;
+};
+
+// makeState() returns a node that has seen no event yet.
+State makeState(const NodeIdentity &Self, std::uint64_t Seed);
+
+// nextCall() returns a fresh id for an effect that expects an answer.
+inline base::CallId nextCall(State &Node) {
+  return base::CallId(++Node.LastCall);
+}
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_STATE_H
--- /dev/null
+++ b/currantgauge/core/timer.h
@@ -0,0 +1,66 @@
+// Timers of the reducer: due ones come back as one TimerFired event.
+//
+//   setTimer(State.Timers, Now + seconds(1), LeaseCheck{});
+#ifndef CURRANTGAUGE_CORE_TIMER_H
+#define CURRANTGAUGE_CORE_TIMER_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace currantgauge::core {
+
+// LeaseCheck takes out backend servers whose lease has passed.
+struct LeaseCheck {};
+// GossipRound starts the next round of talk between nodes.
+struct GossipRound {};
+// HealthRound looks at running requests and ejected servers.
+struct HealthRound {};
+// ConfigRound looks for a newer configuration.
+struct ConfigRound {};
+// ActionRound flushes claims and forgets old answers.
+struct ActionRound {};
+// RequestDeadline ends a request at its entry.
+struct RequestDeadline {
+  base::RequestId Request;
+};
+// RetryDue starts the next attempt of a request after its backoff.
+struct RetryDue {
+  base::RequestId Request;
+};
+// AttemptDeadline ends an attempt at its owner.
+struct AttemptDeadline {
+  base::AttemptId Attempt;
+};
+
+using Timer =
+    std::variant<LeaseCheck, GossipRound, HealthRound, ConfigRound, ActionRound,
+                 RequestDeadline, RetryDue, AttemptDeadline>;
+
+// TimerQueue orders timers by time, then by the order in which they were set.
+struct TimerQueue {
+  std::multimap<base::TimePoint, Timer> Due;
+  base::TimePoint Announced = base::Never; // of the last WakeAt effect
+};
+
+inline void setTimer(TimerQueue &Queue, base::TimePoint At, Timer What) {
+  Queue.Due.emplace(At, std::move(What));
+}
+
+// takeDue() removes and returns the next timer due by Now, if there is one.
+inline std::optional<Timer> takeDue(TimerQueue &Queue, base::TimePoint Now) {
+  auto First = Queue.Due.begin();
+  if (First == Queue.Due.end() || First->first > Now)
+    return std::nullopt;
+  Timer What = std::move(First->second);
+  Queue.Due.erase(First);
+  return What;
+}
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_TIMER_H
--- /dev/null
+++ b/currantgauge/routing/backend_server.h
@@ -0,0 +1,47 @@
+// A backend server as it announces itself and as nodes tell each other of it.
+//
+//   BackendRecord Record = ...;
+//   if (Record.Phase == BackendPhase::Leaving) ...
+#ifndef CURRANTGAUGE_ROUTING_BACKEND_SERVER_H
+#define CURRANTGAUGE_ROUTING_BACKEND_SERVER_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+
+#include <cstdint>
+
+namespace currantgauge::routing {
+
+// BackendPhase is what a backend server says of itself.
+enum class BackendPhase { Ready, Leaving, Gone };
+
+// Announcement is a backend server's word to the node that owns it.
+struct Announcement {
+  base::BackendName Name;
+  base::ServiceName Service;
+  base::NetAddress Address;
+  base::Incarnation Life;
+  std::uint32_t Slots = 1;
+  BackendPhase Phase = BackendPhase::Ready;
+  base::Duration ColdStart; // time to full speed after a start
+};
+
+// BackendRecord is what nodes tell each other of a backend server.
+struct BackendRecord {
+  base::BackendName Name;
+  base::ServiceName Service;
+  base::NodeName Owner;
+  base::RegionName Region;
+  base::DomainName Domain;
+  base::NetAddress Address;
+  base::Incarnation Life;
+  std::uint64_t Revision = 0; // rises with each change at the owner
+  std::uint32_t Slots = 1;
+  BackendPhase Phase = BackendPhase::Ready;
+  base::Duration ColdStart;
+  double Suspicion = 0; // owner's evidence, 0 (well) to 1 (sick)
+};
+
+} // namespace currantgauge::routing
+
+#endif // CURRANTGAUGE_ROUTING_BACKEND_SERVER_H
--- /dev/null
+++ b/currantgauge/routing/registry.h
@@ -0,0 +1,36 @@
+// Backend servers come, renew, leave and go.
+//
+//   if (announce(State, Word, Now)) tellPeers(State.Servers[Word.Name].Record);
+#ifndef CURRANTGAUGE_ROUTING_REGISTRY_H
+#define CURRANTGAUGE_ROUTING_REGISTRY_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/routing/backend_server.h"
+#include "currantgauge/routing/state.h"
+
+#include <vector>
+
+namespace currantgauge::routing {
+
+// announce() takes a backend server's word; this node becomes its owner.
+// Returns true when its record changed. An older incarnation is ignored.
+bool announce(RoutingState &State, const Announcement &Word,
+              base::TimePoint Now);
+
+// expireLeases() marks owned servers gone whose lease has passed and returns
+// their records.
+std::vector<BackendRecord> expireLeases(RoutingState &State,
+                                        base::TimePoint Now);
+
+// mergeRecord() takes a peer's word of a server that the peer owns. Returns
+// true when it was newer than what was known.
+bool mergeRecord(RoutingState &State, const BackendRecord &Record,
+                 base::TimePoint Now);
+
+// forgetOwner() drops every server of a node that is gone.
+void forgetOwner(RoutingState &State, const base::NodeName &Owner);
+
+} // namespace currantgauge::routing
+
+#endif // CURRANTGAUGE_ROUTING_REGISTRY_H
--- /dev/null
+++ b/currantgauge/routing/state.h
@@ -0,0 +1,41 @@
+// What a node knows of backend servers: those it owns and those of its peers.
+//
+//   for (const base::BackendName &Name : serversOf(State, Service)) ...
+#ifndef CURRANTGAUGE_ROUTING_STATE_H
+#define CURRANTGAUGE_ROUTING_STATE_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/routing/backend_server.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace currantgauge::routing {
+
+// LeaseTime is how long a backend server lives without a renewal.
+constexpr base::Duration LeaseTime = base::milliseconds(3000);
+
+// BackendServer is one backend server as this node sees it.
+struct BackendServer {
+  BackendRecord Record;
+  base::TimePoint LeaseEnds = base::Never; // at the owner alone
+  base::TimePoint ReadySince;
+  std::uint32_t Running = 0; // owner: slots in use; entry: own attempts there
+  bool Drained = false;      // by an operator
+};
+
+// RoutingState holds every known backend server, indexed by service.
+struct RoutingState {
+  base::NodeName Self;
+  base::RegionName Region;
+  base::DomainName Domain;
+  std::map<base::BackendName, BackendServer> Servers;
+  std::map<base::ServiceName, std::set<base::BackendName>> ByService;
+  std::set<base::BackendName> Owned;
+};
+
+} // namespace currantgauge::routing
+
+#endif // CURRANTGAUGE_ROUTING_STATE_H
