ready: peer proto

Texts are bytes: a name that is not UTF-8 would make a string field refuse the whole message. Enumerations travel as position plus one, so that an absent one is an error. PeerMessage gets the fields of anti-entropy by bucket hashes.

--- a/currantgauge/membership/message.h
+++ b/currantgauge/membership/message.h
@@ -52,7 +52,12 @@
   std::vector<routing::BackendRecord> Backends;
   std::vector<QuarantineRecord> Quarantine;
   base::ConfigVersion Version; // highest accepted version the sender knows
+  // Of Sync alone: one hash over everything or one a bucket, then the hashes of
+  // every record of the buckets that differ, then those that the sender lacks.
   std::vector<std::uint64_t> BucketHashes;
+  std::vector<std::uint32_t> Buckets;
+  std::vector<std::uint64_t> RecordHashes;
+  std::vector<std::uint64_t> Wanted;
 };
 
 } // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/peer/codec.cc
@@ -0,0 +1,262 @@
+#include "currantgauge/peer/codec.h"
+
+#include "currantgauge/peer/generated/peer.pb.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace currantgauge::peer {
+namespace {
+
+using membership::MemberPhase;
+using membership::MessageKind;
+using routing::BackendPhase;
+
+// Enumerations travel as their position plus one, so that an absent field is
+// told from the first value.
+template <typename Enum> std::uint32_t enumToWire(Enum Value) {
+  return static_cast<std::uint32_t>(Value) + 1;
+}
+
+template <typename Enum>
+bool enumFromWire(std::uint32_t Wire, Enum Last, Enum &Value) {
+  if (Wire == 0 || Wire > enumToWire(Last))
+    return false;
+  Value = static_cast<Enum>(Wire - 1);
+  return true;
+}
+
+template <typename Tag>
+void idToWire(const base::UniqueId<Tag> &From, v1::Id &To) {
+  To.set_origin(From.Origin);
+  To.set_sequence(From.Sequence);
+}
+
+template <typename Tag>
+void idFromWire(const v1::Id &From, base::UniqueId<Tag> &To) {
+  To.Origin = From.origin();
+  To.Sequence = From.sequence();
+}
+
+void toWire(const membership::MemberRecord &From, v1::MemberRecord &To) {
+  To.set_name(From.Name.Value);
+  To.set_peer_address(From.PeerAddress.Value);
+  To.set_region(From.Region.Value);
+  To.set_domain(From.Domain.Value);
+  To.set_life(From.Life.Value);
+  To.set_phase(enumToWire(From.Phase));
+  To.set_version(From.Version.Value);
+}
+
+bool fromWire(const v1::MemberRecord &From, membership::MemberRecord &To) {
+  To.Name.Value = From.name();
+  To.PeerAddress.Value = From.peer_address();
+  To.Region.Value = From.region();
+  To.Domain.Value = From.domain();
+  To.Life.Value = From.life();
+  To.Version.Value = From.version();
+  return enumFromWire(From.phase(), MemberPhase::Left, To.Phase);
+}
+
+void toWire(const routing::BackendRecord &From, v1::BackendRecord &To) {
+  To.set_name(From.Name.Value);
+  To.set_service(From.Service.Value);
+  To.set_owner(From.Owner.Value);
+  To.set_region(From.Region.Value);
+  To.set_domain(From.Domain.Value);
+  To.set_address(From.Address.Value);
+  To.set_life(From.Life.Value);
+  To.set_revision(From.Revision);
+  To.set_slots(From.Slots);
+  To.set_phase(enumToWire(From.Phase));
+  To.set_cold_start_micros(From.ColdStart.Micros);
+  To.set_suspicion(From.Suspicion);
+}
+
+bool fromWire(const v1::BackendRecord &From, routing::BackendRecord &To) {
+  To.Name.Value = From.name();
+  To.Service.Value = From.service();
+  To.Owner.Value = From.owner();
+  To.Region.Value = From.region();
+  To.Domain.Value = From.domain();
+  To.Address.Value = From.address();
+  To.Life.Value = From.life();
+  To.Revision = From.revision();
+  To.Slots = From.slots();
+  To.ColdStart.Micros = From.cold_start_micros();
+  To.Suspicion = From.suspicion();
+  return enumFromWire(From.phase(), BackendPhase::Gone, To.Phase);
+}
+
+void toWire(const membership::QuarantineRecord &From,
+            v1::QuarantineRecord &To) {
+  To.set_fingerprint(From.Print.Value);
+  To.set_service(From.Service.Value);
+  To.set_kind(From.Kind.Value);
+  for (const base::BackendName &Name : From.Crashed)
+    To.add_crashed(Name.Value);
+  To.set_since_millis(From.Since.Millis);
+  To.set_cleared(From.Cleared);
+}
+
+bool fromWire(const v1::QuarantineRecord &From,
+              membership::QuarantineRecord &To) {
+  To.Print.Value = From.fingerprint();
+  To.Service.Value = From.service();
+  To.Kind.Value = From.kind();
+  for (const std::string &Name : From.crashed())
+    To.Crashed.emplace_back(Name);
+  To.Since.Millis = From.since_millis();
+  To.Cleared = From.cleared();
+  return true;
+}
+
+void toWire(const core::Pressure &From, v1::Pressure &To) {
+  To.set_owner(From.Owner.Value);
+  To.set_service(From.Service.Value);
+  To.set_refused_order(From.RefusedOrder);
+  To.set_refused_share(From.RefusedShare);
+  To.set_queue_delay_micros(From.QueueDelay.Micros);
+}
+
+void fromWire(const v1::Pressure &From, core::Pressure &To) {
+  To.Owner.Value = From.owner();
+  To.Service.Value = From.service();
+  To.RefusedOrder = From.refused_order();
+  To.RefusedShare = From.refused_share();
+  To.QueueDelay.Micros = From.queue_delay_micros();
+}
+
+template <typename Wire, typename Record>
+bool listFromWire(const Wire &From, std::vector<Record> &To) {
+  for (const auto &Item : From)
+    if (!fromWire(Item, To.emplace_back()))
+      return false;
+  return true;
+}
+
+} // namespace
+
+void toWire(const membership::PeerMessage &From, v1::PeerMessage &To) {
+  To.set_from(From.From.Value);
+  To.set_from_address(From.FromAddress.Value);
+  To.set_kind(enumToWire(From.Kind));
+  To.set_sequence(From.Sequence);
+  To.set_target(From.Target.Value);
+  To.set_target_address(From.TargetAddress.Value);
+  for (const membership::MemberRecord &Record : From.Members)
+    toWire(Record, *To.add_members());
+  for (const routing::BackendRecord &Record : From.Backends)
+    toWire(Record, *To.add_backends());
+  for (const membership::QuarantineRecord &Record : From.Quarantine)
+    toWire(Record, *To.add_quarantine());
+  To.set_version(From.Version.Value);
+  To.mutable_bucket_hashes()->Add(From.BucketHashes.begin(),
+                                  From.BucketHashes.end());
+  To.mutable_buckets()->Add(From.Buckets.begin(), From.Buckets.end());
+  To.mutable_record_hashes()->Add(From.RecordHashes.begin(),
+                                  From.RecordHashes.end());
+  To.mutable_wanted()->Add(From.Wanted.begin(), From.Wanted.end());
+}
+
+bool fromWire(const v1::PeerMessage &From, membership::PeerMessage &To) {
+  To = membership::PeerMessage();
+  To.From.Value = From.from();
+  To.FromAddress.Value = From.from_address();
+  To.Sequence = From.sequence();
+  To.Target.Value = From.target();
+  To.TargetAddress.Value = From.target_address();
+  To.Version.Value = From.version();
+  To.BucketHashes.assign(From.bucket_hashes().begin(),
+                         From.bucket_hashes().end());
+  To.Buckets.assign(From.buckets().begin(), From.buckets().end());
+  To.RecordHashes.assign(From.record_hashes().begin(),
+                         From.record_hashes().end());
+  To.Wanted.assign(From.wanted().begin(), From.wanted().end());
+  return enumFromWire(From.kind(), MessageKind::Sync, To.Kind) &&
+         listFromWire(From.members(), To.Members) &&
+         listFromWire(From.backends(), To.Backends) &&
+         listFromWire(From.quarantine(), To.Quarantine);
+}
+
+void toWire(const core::AttemptFacts &From, v1::AttemptFacts &To) {
+  idToWire(From.Attempt, *To.mutable_attempt());
+  idToWire(From.Request, *To.mutable_request());
+  To.set_entry(From.Entry.Value);
+  To.set_service(From.Service.Value);
+  To.set_kind(From.Kind.Value);
+  To.set_rank(From.Rank.Value);
+  To.set_workspace(From.Workspace.Value);
+  To.set_preferred(From.Preferred.Value);
+  To.set_key(From.Key.Value);
+  To.set_action(From.Action.Value);
+  To.set_fingerprint(From.Print.Value);
+  To.set_body_hash(From.Body.Value);
+  To.set_body_bytes(From.BodyBytes.Bytes);
+  To.set_time_left_micros(From.TimeLeft.Micros);
+  To.set_worth(From.Worth);
+  To.set_idempotent(From.Idempotent);
+  To.set_number(From.Number);
+}
+
+bool fromWire(const v1::AttemptFacts &From, core::AttemptFacts &To) {
+  To = core::AttemptFacts();
+  idFromWire(From.attempt(), To.Attempt);
+  idFromWire(From.request(), To.Request);
+  To.Entry.Value = From.entry();
+  To.Service.Value = From.service();
+  To.Kind.Value = From.kind();
+  To.Rank.Value = From.rank();
+  To.Workspace.Value = From.workspace();
+  To.Preferred.Value = From.preferred();
+  To.Key.Value = From.key();
+  To.Action.Value = From.action();
+  To.Print.Value = From.fingerprint();
+  To.Body.Value = From.body_hash();
+  To.BodyBytes.Bytes = From.body_bytes();
+  To.TimeLeft.Micros = From.time_left_micros();
+  To.Worth = From.worth();
+  To.Idempotent = From.idempotent();
+  To.Number = From.number();
+  return true;
+}
+
+void toWire(const core::AttemptOutcome &From, v1::AttemptOutcome &To) {
+  To.set_verdict(enumToWire(From.What));
+  To.set_reason(enumToWire(From.Why));
+  To.set_status(From.Status);
+  To.set_retry_after_micros(From.RetryAfter.Micros);
+  To.set_server(From.Server.Value);
+  toWire(From.Load, *To.mutable_load());
+  To.set_elsewhere(From.Elsewhere.Value);
+}
+
+bool fromWire(const v1::AttemptOutcome &From, core::AttemptOutcome &To) {
+  To = core::AttemptOutcome();
+  To.Status = From.status();
+  To.RetryAfter.Micros = From.retry_after_micros();
+  To.Server.Value = From.server();
+  if (From.has_load())
+    fromWire(From.load(), To.Load);
+  To.Elsewhere.Value = From.elsewhere();
+  return enumFromWire(From.verdict(), base::Verdict::Ran, To.What) &&
+         enumFromWire(From.reason(), base::LastReason, To.Why);
+}
+
+void toWire(const config::ConfigDocument &From, v1::ConfigDocument &To) {
+  To.set_version(From.Version.Value);
+  To.set_push(From.Push.Value);
+  To.set_author(From.Author);
+  To.set_text(From.Text);
+}
+
+bool fromWire(const v1::ConfigDocument &From, config::ConfigDocument &To) {
+  To.Version.Value = From.version();
+  To.Push.Value = From.push();
+  To.Author = From.author();
+  To.Text = From.text();
+  return true;
+}
+
+} // namespace currantgauge::peer
--- /dev/null
+++ b/currantgauge/peer/codec.h
@@ -0,0 +1,39 @@
+// Core structs to and from protobuf messages. fromWire() returns false, and
+// leaves the result unspecified, when an enumeration holds no known value.
+//
+//   v1::PeerMessage Wire;
+//   toWire(Message, Wire);
+//   if (!fromWire(Wire, Message)) refuse();
+#ifndef CURRANTGAUGE_PEER_CODEC_H
+#define CURRANTGAUGE_PEER_CODEC_H
+
+#include "currantgauge/config/state.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/membership/message.h"
+
+namespace currantgauge::peer {
+
+// Generated classes, in currantgauge/peer/generated/peer.pb.h; only sources of
+// this folder include that file.
+namespace v1 {
+class AttemptFacts;
+class AttemptOutcome;
+class ConfigDocument;
+class PeerMessage;
+} // namespace v1
+
+void toWire(const membership::PeerMessage &From, v1::PeerMessage &To);
+bool fromWire(const v1::PeerMessage &From, membership::PeerMessage &To);
+
+void toWire(const core::AttemptFacts &From, v1::AttemptFacts &To);
+bool fromWire(const v1::AttemptFacts &From, core::AttemptFacts &To);
+
+void toWire(const core::AttemptOutcome &From, v1::AttemptOutcome &To);
+bool fromWire(const v1::AttemptOutcome &From, core::AttemptOutcome &To);
+
+void toWire(const config::ConfigDocument &From, v1::ConfigDocument &To);
+bool fromWire(const v1::ConfigDocument &From, config::ConfigDocument &To);
+
+} // namespace currantgauge::peer
+
+#endif // CURRANTGAUGE_PEER_CODEC_H
--- /dev/null
+++ b/currantgauge/peer/codec_test.cc
@@ -0,0 +1,121 @@
+#include "currantgauge/peer/codec.h"
+
+#include "currantgauge/peer/generated/peer.pb.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <string>
+
+namespace currantgauge::peer {
+namespace {
+
+membership::PeerMessage sampleMessage() {
+  membership::PeerMessage Message;
+  Message.From = base::NodeName("a");
+  Message.FromAddress = base::NetAddress("127.0.0.1:1");
+  Message.Kind = membership::MessageKind::PingRequest;
+  Message.Sequence = 9;
+  Message.Target = base::NodeName("b");
+  Message.TargetAddress = base::NetAddress("127.0.0.1:2");
+  Message.Version = base::ConfigVersion(4);
+  Message.BucketHashes = {1, ~0ULL};
+  Message.Buckets = {3};
+  Message.RecordHashes = {5, 6};
+  Message.Wanted = {7};
+  membership::MemberRecord &Member = Message.Members.emplace_back();
+  Member.Name = base::NodeName("\xff not UTF-8");
+  Member.Life = base::Incarnation(8);
+  Member.Phase = membership::MemberPhase::Left;
+  Member.Version = base::ConfigVersion(3);
+  routing::BackendRecord &Backend = Message.Backends.emplace_back();
+  Backend.Name = base::BackendName("cutlist-1");
+  Backend.Owner = base::NodeName("a");
+  Backend.Revision = 12;
+  Backend.Phase = routing::BackendPhase::Leaving;
+  Backend.ColdStart = base::milliseconds(1500);
+  Backend.Suspicion = 0.25;
+  membership::QuarantineRecord &Quarantine = Message.Quarantine.emplace_back();
+  Quarantine.Print = base::Fingerprint(77);
+  Quarantine.Crashed = {base::BackendName("cutlist-1")};
+  Quarantine.Since = base::UnixTime{1234};
+  Quarantine.Cleared = true;
+  return Message;
+}
+
+template <typename Wire, typename Core> std::string bytesOf(const Core &From) {
+  Wire Message;
+  toWire(From, Message);
+  return Message.SerializeAsString();
+}
+
+// A round trip is whole when the second encoding equals the first.
+template <typename Wire, typename Core> void checkRoundTrip(const Core &From) {
+  Wire Message;
+  REQUIRE(Message.ParseFromString(bytesOf<Wire>(From)));
+  Core Back;
+  REQUIRE(fromWire(Message, Back));
+  CHECK(bytesOf<Wire>(Back) == bytesOf<Wire>(From));
+}
+
+} // namespace
+
+TEST_CASE("a peer message comes back whole") {
+  checkRoundTrip<v1::PeerMessage>(sampleMessage());
+  v1::PeerMessage Wire;
+  toWire(sampleMessage(), Wire);
+  membership::PeerMessage Back;
+  REQUIRE(fromWire(Wire, Back));
+  CHECK(Back.Kind == membership::MessageKind::PingRequest);
+  CHECK(Back.Members.at(0).Name.Value == "\xff not UTF-8");
+  CHECK(Back.Backends.at(0).Suspicion == 0.25);
+  CHECK(Back.Quarantine.at(0).Crashed.size() == 1);
+  CHECK(Back.BucketHashes.at(1) == ~0ULL);
+}
+
+TEST_CASE("facts, outcome and configuration come back whole") {
+  core::AttemptFacts Facts;
+  Facts.Attempt = base::AttemptId{1, 2};
+  Facts.Request = base::RequestId{3, 4};
+  Facts.Key = base::IdempotencyKey("key");
+  Facts.TimeLeft = base::milliseconds(-3);
+  Facts.Print = base::Fingerprint(5);
+  Facts.Idempotent = false;
+  checkRoundTrip<v1::AttemptFacts>(Facts);
+  core::AttemptOutcome Outcome;
+  Outcome.What = base::Verdict::NotRun;
+  Outcome.Why = base::LastReason;
+  Outcome.Load.RefusedShare = 0.5;
+  Outcome.Elsewhere = base::NodeName("c");
+  checkRoundTrip<v1::AttemptOutcome>(Outcome);
+  config::ConfigDocument Document;
+  Document.Version = base::ConfigVersion(6);
+  Document.Text = std::string("kinds:\n\0", 8);
+  checkRoundTrip<v1::ConfigDocument>(Document);
+}
+
+TEST_CASE("an unknown enumeration value is refused") {
+  v1::AttemptOutcome Outcome;
+  core::AttemptOutcome ToOutcome;
+  CHECK_FALSE(fromWire(Outcome, ToOutcome));
+  toWire(ToOutcome, Outcome);
+  Outcome.set_verdict(4);
+  CHECK_FALSE(fromWire(Outcome, ToOutcome));
+  Outcome.set_verdict(3);
+  Outcome.set_reason(static_cast<std::uint32_t>(base::LastReason) + 2);
+  CHECK_FALSE(fromWire(Outcome, ToOutcome));
+
+  membership::PeerMessage ToMessage;
+  v1::PeerMessage Message;
+  toWire(sampleMessage(), Message);
+  Message.set_kind(5);
+  CHECK_FALSE(fromWire(Message, ToMessage));
+  toWire(sampleMessage(), Message);
+  Message.mutable_members(0)->set_phase(0);
+  CHECK_FALSE(fromWire(Message, ToMessage));
+  Message.mutable_members(0)->set_phase(1);
+  Message.mutable_backends(0)->set_phase(99);
+  CHECK_FALSE(fromWire(Message, ToMessage));
+}
+
+} // namespace currantgauge::peer
