config, http: read node settings and configuration documents, encode operators' queries

Every mistake is noted with file, line and column, and reading goes on. An entry's fields merge by key; null removes what an earlier file set.

--- /dev/null
+++ b/currantgauge/config/build.cc
@@ -0,0 +1,244 @@
+#include "currantgauge/config/build.h"
+
+#include "currantgauge/config/field_map.h"
+#include "currantgauge/config/quantity.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::config {
+namespace {
+
+FieldMap openEntry(const DocumentEntry &Entry, const std::string &Path,
+                   SettingsErrors &Errors) {
+  return FieldMap{&Errors, Path, Entry.Where, Entry.Fields, {}, {}};
+}
+
+void readEntry(FieldMap &Map, const std::string &Name, RankSettings &Rank) {
+  Rank.Name = base::RankName(Name);
+  requireField(Map, "order");
+  readValue(Map, "order", Rank.Order);
+  readValue(Map, "share", Rank.Share);
+  readValue(Map, "deadline", Rank.Deadline);
+  readValue(Map, "worth", Rank.Worth);
+}
+
+void readEntry(FieldMap &Map, const std::string &Name,
+               ServiceSettings &Service) {
+  Service.Name = base::ServiceName(Name);
+  readValue(Map, "floor", Service.Floor);
+  readValue(Map, "hold_off", Service.HoldOff);
+  readValue(Map, "hold_off_limit", Service.HoldOffLimit);
+  readValue(Map, "queue_length", Service.QueueLength);
+  readValue(Map, "queue_bytes", Service.QueueBytes);
+  readValue(Map, "retry_budget", Service.RetryBudget);
+  if (Service.Floor.Value >= 100)
+    noteField(Map, "floor",
+              ": 100% can't hold, one sick backend server would break it");
+  if (Service.HoldOff > Service.HoldOffLimit)
+    noteField(Map, "hold_off", " is above hold_off_limit");
+}
+
+void readEntry(FieldMap &Map, const std::string &Name, KindSettings &Kind) {
+  Kind.Name = base::KindName(Name);
+  requireField(Map, "service");
+  requireField(Map, "rank");
+  readName(Map, "service", Kind.Service);
+  readName(Map, "rank", Kind.Rank);
+  readValue(Map, "deadline", Kind.Deadline);
+  readValue(Map, "worth", Kind.Worth);
+  readValue(Map, "idempotent", Kind.Idempotent);
+  readValue(Map, "hedge", Kind.Hedge);
+  readValue(Map, "limit", Kind.Limit);
+  if (Map.Fields.contains("deadline") && Kind.Deadline == base::Duration{})
+    noteField(Map, "deadline", " must be above 0s");
+  if (Kind.Hedge && !Kind.Idempotent)
+    noteField(Map, "hedge", ": a non-idempotent kind is never hedged");
+}
+
+void readEntry(FieldMap &Map, const std::string &Name, RouteSettings &Route) {
+  Route.Name = Name;
+  requireField(Map, "prefix");
+  requireField(Map, "kind");
+  readValue(Map, "method", Route.Method);
+  readValue(Map, "prefix", Route.Prefix);
+  readName(Map, "kind", Route.Kind);
+  auto IsUpper = [](char Symbol) { return Symbol >= 'A' && Symbol <= 'Z'; };
+  if (!std::all_of(Route.Method.begin(), Route.Method.end(), IsUpper))
+    noteField(Map, "method", " must be in capitals, such as GET");
+  if (!Route.Prefix.starts_with('/') ||
+      Route.Prefix.find_first_of("?#") != std::string::npos ||
+      (Route.Prefix.size() > 1 && Route.Prefix.ends_with('/')))
+    noteField(Map, "prefix",
+              ": \"" + Route.Prefix +
+                  "\" must start with a slash and not end with one");
+}
+
+void readEntry(FieldMap &Map, const std::string &Name,
+               WorkspaceSettings &Workspace) {
+  Workspace.Name = base::WorkspaceName(Name);
+  readValue(Map, "limit", Workspace.Limit);
+  readValue(Map, "burst", Workspace.Burst);
+  readValue(Map, "weight", Workspace.Weight);
+  if (Workspace.Burst > 0 && Workspace.Limit == base::PerSecond{})
+    noteField(Map, "burst", " needs a limit beside it");
+  if (Workspace.Weight <= 0)
+    noteField(Map, "weight", " must be above 0");
+}
+
+void readFleet(FieldMap &Map, Configuration &Config) {
+  readValue(Map, "link_bytes_per_second", Config.Link.BytesPerSecond);
+  std::string Unlisted = "accept";
+  readValue(Map, "unlisted_workspaces", Unlisted);
+  Config.AnyWorkspace = Unlisted == "accept";
+  if (Unlisted != "accept" && Unlisted != "refuse")
+    noteField(Map, "unlisted_workspaces",
+              ": \"" + Unlisted + "\" is not accept or refuse");
+}
+
+const DocumentSection &sectionOf(const Document &Merged,
+                                 std::string_view Name) {
+  static const DocumentSection Empty;
+  auto Found = Merged.Sections.find(Name);
+  return Found == Merged.Sections.end() ? Empty : Found->second;
+}
+
+template <typename Settings, typename Target>
+void readSection(const Document &Merged, std::string_view Section,
+                 Target &Entries, SettingsErrors &Errors) {
+  for (const auto &[Name, Entry] : sectionOf(Merged, Section)) {
+    FieldMap Map = openEntry(Entry, std::string(Section) + "." + Name, Errors);
+    Settings Read;
+    readEntry(Map, Name, Read);
+    closeMap(Map);
+    Entries.insert_or_assign(typename Target::key_type(Name), std::move(Read));
+  }
+}
+
+// Checker finds the place of a value that is well-formed but can't hold.
+struct Checker {
+  const Document &Merged;
+  SettingsErrors &Errors;
+
+  void note(std::string_view Section, const std::string &Name,
+            const std::string &Key, const std::string &Text) const {
+    const DocumentSection &Entries = sectionOf(this->Merged, Section);
+    std::string Path = std::string(Section) + "." + Name;
+    auto Entry = Entries.find(Name);
+    if (Entry == Entries.end())
+      return noteError(this->Errors, Place{}, Path + "." + Key + Text);
+    noteField(openEntry(Entry->second, Path, this->Errors), Key, Text);
+  }
+};
+
+template <typename Map> std::vector<std::string> namesOf(const Map &Entries) {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Settings] : Entries)
+    Names.push_back(Name.Value);
+  return Names;
+}
+
+template <typename Map, typename Name>
+void checkReference(const Checker &Check, const std::string &Section,
+                    const std::string &Entry, const std::string &Key,
+                    const Name &Wanted, const Map &Entries) {
+  if (Wanted.empty() || Entries.contains(Wanted))
+    return;
+  std::string Nearest = nearestName(Wanted.Value, namesOf(Entries));
+  Check.note(Section, Entry, Key,
+             ": there is no " + Key + " " + Wanted.Value +
+                 (Nearest.empty() ? "" : "; did you mean " + Nearest + "?"));
+}
+
+void checkRanks(const Checker &Check, const Configuration &Config) {
+  double Sum = 0;
+  std::map<std::uint32_t, std::string> ByOrder;
+  for (const auto &[Name, Rank] : Config.Ranks) {
+    Sum += Rank.Share.Value;
+    auto [Same, IsNew] = ByOrder.emplace(Rank.Order, Name.Value);
+    if (!IsNew)
+      Check.note("ranks", Name.Value, "order",
+                 " is the same as of rank " + Same->second);
+  }
+  if (Sum > 100)
+    for (const auto &[Name, Rank] : Config.Ranks)
+      Check.note("ranks", Name.Value, "share",
+                 ": the shares of all ranks add up to more than 100%");
+}
+
+void checkKinds(const Checker &Check, const Configuration &Config) {
+  for (const auto &[Name, Kind] : Config.Kinds) {
+    checkReference(Check, "kinds", Name.Value, "service", Kind.Service,
+                   Config.Services);
+    checkReference(Check, "kinds", Name.Value, "rank", Kind.Rank, Config.Ranks);
+    auto Rank = Config.Ranks.find(Kind.Rank);
+    if (Rank != Config.Ranks.end() && Kind.Deadline == base::Duration{} &&
+        Rank->second.Deadline == base::Duration{})
+      Check.note("kinds", Name.Value, "deadline",
+                 " is missing, and rank " + Kind.Rank.Value + " has none");
+  }
+}
+
+void checkRoutes(const Checker &Check, const Configuration &Config) {
+  std::map<std::pair<std::string_view, std::string_view>, std::string_view>
+      Seen;
+  for (const auto &[Name, Route] : Config.Routes) {
+    checkReference(Check, "routes", Name, "kind", Route.Kind, Config.Kinds);
+    auto [Same, IsNew] =
+        Seen.emplace(std::pair<std::string_view, std::string_view>(
+                         Route.Method, Route.Prefix),
+                     Name);
+    if (!IsNew)
+      Check.note("routes", Name, "prefix",
+                 ": route " + std::string(Same->second) +
+                     " has the same method and prefix");
+  }
+}
+
+// Kinds inherit what they leave out from their rank.
+void inheritFromRanks(const Document &Merged, Configuration &Config) {
+  const DocumentSection &Kinds = sectionOf(Merged, "kinds");
+  for (auto &[Name, Kind] : Config.Kinds) {
+    auto Rank = Config.Ranks.find(Kind.Rank);
+    auto Entry = Kinds.find(Name.Value);
+    if (Rank == Config.Ranks.end() || Entry == Kinds.end())
+      continue;
+    if (!Entry->second.Fields.contains("deadline"))
+      Kind.Deadline = Rank->second.Deadline;
+    if (!Entry->second.Fields.contains("worth"))
+      Kind.Worth = Rank->second.Worth;
+  }
+}
+
+} // namespace
+
+void buildConfiguration(const Document &Merged, Configuration &Config,
+                        SettingsErrors &Errors) {
+  for (const auto &[Name, Entry] : sectionOf(Merged, FleetSection)) {
+    FieldMap Map = openEntry(Entry, std::string(FleetSection), Errors);
+    readFleet(Map, Config);
+    closeMap(Map);
+  }
+  readSection<RankSettings>(Merged, "ranks", Config.Ranks, Errors);
+  readSection<ServiceSettings>(Merged, "services", Config.Services, Errors);
+  readSection<KindSettings>(Merged, "kinds", Config.Kinds, Errors);
+  readSection<RouteSettings>(Merged, "routes", Config.Routes, Errors);
+  readSection<WorkspaceSettings>(Merged, "workspaces", Config.Workspaces,
+                                 Errors);
+  inheritFromRanks(Merged, Config);
+}
+
+void checkConfiguration(const Document &Merged, const Configuration &Config,
+                        SettingsErrors &Errors) {
+  Checker Check{Merged, Errors};
+  checkRanks(Check, Config);
+  checkKinds(Check, Config);
+  checkRoutes(Check, Config);
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/merge.cc
@@ -0,0 +1,163 @@
+#include "currantgauge/config/merge.h"
+
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::size_t MaxNameLength = 128;
+constexpr std::string_view NameSymbols =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-/@";
+
+bool isName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         Text.find_first_not_of(NameSymbols) == std::string_view::npos &&
+         Text.front() != '-' && Text.front() != '@';
+}
+
+bool isPlain(std::string_view Text) {
+  return !Text.empty() && Text.front() != '-' && Text.front() != '@' &&
+         Text.find_first_not_of(NameSymbols) == std::string_view::npos &&
+         Text != "null" && Text != "Null" && Text != "NULL";
+}
+
+// Plain words stay as they are; everything else is double-quoted, in JSON's
+// escapes, which YAML shares.
+std::string quoted(std::string_view Text) {
+  if (isPlain(Text))
+    return std::string(Text);
+  static constexpr char Digits[] = "0123456789abcdef";
+  std::string Result = "\"";
+  for (char Symbol : Text) {
+    auto Code = static_cast<unsigned char>(Symbol);
+    if (Symbol == '"' || Symbol == '\\') {
+      Result += '\\';
+      Result += Symbol;
+    } else if (Code < 0x20 || Code == 0x7f) {
+      Result += "\\x";
+      Result += Digits[Code >> 4];
+      Result += Digits[Code & 0xf];
+    } else {
+      Result += Symbol;
+    }
+  }
+  return Result + "\"";
+}
+
+// removeOrNote() erases what a null names; a null that names nothing is a
+// mistake, most likely of spelling.
+template <typename Map>
+void removeOrNote(Map &From, const std::string &Key, const std::string &Path,
+                  const Place &Where, SettingsErrors &Errors) {
+  if (From.erase(Key) == 0)
+    noteError(Errors, Where,
+              "null removes " + Path + ", which no earlier file sets");
+}
+
+void mergeFields(DocumentEntry &Entry, FieldMap &Map) {
+  for (auto &[Key, Value] : Map.Fields)
+    Entry.Fields[Key] = std::move(Value);
+  for (const auto &[Key, Node] : Map.Nested) {
+    Place Where = placeOf({Map.Where.File, Map.Errors}, Node.Mark());
+    if (Node.IsNull())
+      removeOrNote(Entry.Fields, Key, pathOf(Map, Key), Where, *Map.Errors);
+    else
+      noteError(*Map.Errors, Where, pathOf(Map, Key) + " must be one value");
+  }
+}
+
+void mergeEntry(DocumentSection &Section, const YamlSource &Source,
+                const std::string &Name, const YAML::Node &Node,
+                const std::string &Path) {
+  Place Where = placeOf(Source, Node.Mark());
+  if (Node.IsNull())
+    return removeOrNote(Section, Name, Path, Where, *Source.Errors);
+  if (!Name.empty() && !isName(Name))
+    return noteError(*Source.Errors, Where,
+                     Path + ": a name is 1 to 128 letters, digits and ._-/@");
+  FieldMap Map = openMap(Source, Node, Path);
+  DocumentEntry &Entry = Section[Name];
+  if (!Entry.Where.File)
+    Entry.Where = Where;
+  mergeFields(Entry, Map);
+}
+
+void mergeSection(Document &Merged, const YamlSource &Source,
+                  const std::string &Name, const YAML::Node &Node) {
+  DocumentSection &Section = Merged.Sections[Name];
+  if (Name == FleetSection)
+    return mergeEntry(Section, Source, "", Node, Name);
+  FieldMap Map = openMap(Source, Node, Name);
+  for (const auto &[Key, Value] : Map.Fields)
+    noteError(*Source.Errors, Value.Where,
+              pathOf(Map, Key) + " must be a map of keys");
+  for (const auto &[Key, Entry] : Map.Nested)
+    mergeEntry(Section, Source, Key, Entry, pathOf(Map, Key));
+}
+
+std::string formatPlace(const Place &Where) {
+  return (Where.File ? *Where.File : "") + ":" + std::to_string(Where.Line);
+}
+
+} // namespace
+
+void mergeInto(Document &Merged, const std::string &FileName,
+               const std::string &Text, SettingsErrors &Errors) {
+  const std::string &File = Merged.FileNames.emplace_back(FileName);
+  YamlSource Source{&File, &Errors};
+  std::optional<YAML::Node> Loaded = loadYaml(Source, Text);
+  if (!Loaded)
+    return;
+  FieldMap Root = openMap(Source, *Loaded, "");
+  for (std::string_view Name : SectionNames)
+    if (const YAML::Node *Node = findNested(Root, std::string(Name)))
+      mergeSection(Merged, Source, std::string(Name), *Node);
+  closeMap(Root);
+}
+
+std::string formatEntry(const std::string &Name, const DocumentEntry &Entry) {
+  std::string Line = "  " + quoted(Name) + ": {";
+  const char *Separator = "";
+  for (const auto &[Key, Value] : Entry.Fields) {
+    Line += Separator + quoted(Key) + ": " + quoted(Value.Text);
+    Separator = ", ";
+  }
+  return Line + "}\n";
+}
+
+std::string formatDocument(const Document &Merged) {
+  std::string Text;
+  for (std::string_view Name : SectionNames) {
+    auto Section = Merged.Sections.find(Name);
+    if (Section == Merged.Sections.end() || Section->second.empty())
+      continue;
+    Text += std::string(Name) + ":\n";
+    for (const auto &[Key, Entry] : Section->second) {
+      if (Name != FleetSection)
+        Text += formatEntry(Key, Entry);
+      else
+        for (const auto &[Field, Value] : Entry.Fields)
+          Text += "  " + quoted(Field) + ": " + quoted(Value.Text) + "\n";
+    }
+  }
+  return Text;
+}
+
+std::string formatOrigins(const Document &Merged) {
+  std::string Text;
+  for (std::string_view Name : SectionNames) {
+    auto Section = Merged.Sections.find(Name);
+    if (Section == Merged.Sections.end())
+      continue;
+    for (const auto &[Key, Entry] : Section->second)
+      for (const auto &[Field, Value] : Entry.Fields)
+        Text += std::string(Name) + (Key.empty() ? "" : ".") + Key + "." +
+                Field + ": " + quoted(Value.Text) + "  # " +
+                formatPlace(Value.Where) + "\n";
+  }
+  return Text;
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/node_settings.cc
@@ -0,0 +1,157 @@
+#include "currantgauge/config/node_settings.h"
+
+#include "currantgauge/config/field_map.h"
+#include "currantgauge/config/quantity.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::uint32_t MaxTrafficThreads = 64;
+constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info", "warn",
+                                                       "error"};
+
+// A section that is absent reads as an empty map, which leaves its defaults.
+FieldMap openSection(FieldMap &Root, const std::string &Key) {
+  const YAML::Node *Found = findNested(Root, Key);
+  if (Found)
+    return openMap({Root.Where.File, Root.Errors}, *Found, Key);
+  return FieldMap{Root.Errors, Key, Root.Where, {}, {}, {}};
+}
+
+void readIdentity(FieldMap &Root, NodeSettings &Settings) {
+  for (const char *Key : {"name", "region", "failure_domain"})
+    requireField(Root, Key);
+  readName(Root, "name", Settings.Name);
+  readName(Root, "region", Settings.Region);
+  readName(Root, "failure_domain", Settings.Domain);
+}
+
+void readListeners(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Listen = openSection(Root, "listen");
+  readValue(Listen, "callers", Settings.CallerAddress);
+  readValue(Listen, "peers", Settings.PeerAddress);
+  readValue(Listen, "operators", Settings.OperatorAddress);
+  readValue(Listen, "announcements", Settings.AnnounceAddress);
+  closeMap(Listen);
+}
+
+void readSeeds(FieldMap &Root, NodeSettings &Settings) {
+  const YAML::Node *Seeds = findNested(Root, "seeds");
+  if (!Seeds)
+    return;
+  YamlSource Source{Root.Where.File, Root.Errors};
+  if (!Seeds->IsSequence())
+    return noteError(*Root.Errors, placeOf(Source, Seeds->Mark()),
+                     "seeds must be a list of IP:port");
+  for (const YAML::Node &Seed : *Seeds) {
+    if (Seed.IsScalar() && isNetAddress(Seed.Scalar()))
+      Settings.Seeds.emplace_back(Seed.Scalar());
+    else
+      noteError(*Root.Errors, placeOf(Source, Seed.Mark()),
+                "seeds: each must be an IP:port, such as 10.0.0.7:8081");
+  }
+}
+
+void readPlatform(FieldMap &Root, NodeSettings &Settings) {
+  std::string Platform = "embedded";
+  readValue(Root, "platform", Platform);
+  Settings.Embedded = Platform == "embedded";
+  if (Settings.Embedded)
+    return;
+  Settings.Platform = base::NetAddress(Platform);
+  if (!isNetAddress(Platform))
+    noteField(Root, "platform",
+              ": \"" + Platform + "\" is neither embedded nor IP:port");
+}
+
+// The listener that can change the fleet is never open to other VMs by
+// default: from outside loopback it takes a token.
+void checkOperators(const FieldMap &Operators, const NodeSettings &Settings) {
+  if (Settings.OperatorCertificate.empty() != Settings.OperatorKey.empty())
+    noteField(Operators, "", ": certificate and key go together");
+  if (!isLoopback(Settings.OperatorAddress.Value) &&
+      Settings.OperatorToken.empty())
+    noteField(Operators, "token",
+              " is missing: listen.operators is open to other VMs");
+}
+
+void readOperators(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Operators = openSection(Root, "operators");
+  readValue(Operators, "token", Settings.OperatorToken);
+  readValue(Operators, "certificate", Settings.OperatorCertificate);
+  readValue(Operators, "key", Settings.OperatorKey);
+  checkOperators(Operators, Settings);
+  closeMap(Operators);
+}
+
+void readActions(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Actions = openSection(Root, "actions");
+  readValue(Actions, "secret", Settings.ActionSecret);
+  closeMap(Actions);
+}
+
+void checkLimits(const FieldMap &Limits, const NodeSettings &Settings) {
+  if (Settings.HeaderLimit.Bytes == 0)
+    noteField(Limits, "header", " must be above 0B");
+  if (Settings.BodyLimit.Bytes == 0)
+    noteField(Limits, "body", " must be above 0B");
+  if (Settings.CallerRead == base::Duration{})
+    noteField(Limits, "caller_read", " must be above 0s");
+}
+
+void readLimits(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Limits = openSection(Root, "limits");
+  readValue(Limits, "header", Settings.HeaderLimit);
+  readValue(Limits, "body", Settings.BodyLimit);
+  readValue(Limits, "answer_buffer", Settings.AnswerBuffer);
+  readValue(Limits, "caller_idle", Settings.CallerIdle);
+  readValue(Limits, "caller_read", Settings.CallerRead);
+  readValue(Limits, "stop", Settings.StopLimit);
+  checkLimits(Limits, Settings);
+  closeMap(Limits);
+}
+
+void readProcess(FieldMap &Root, NodeSettings &Settings) {
+  readValue(Root, "traffic_threads", Settings.TrafficThreads);
+  if (Settings.TrafficThreads == 0 ||
+      Settings.TrafficThreads > MaxTrafficThreads)
+    noteField(Root, "traffic_threads",
+              " must be from 1 to " + std::to_string(MaxTrafficThreads));
+  readValue(Root, "log_level", Settings.LogLevel);
+  if (std::find(LogLevels.begin(), LogLevels.end(), Settings.LogLevel) ==
+      LogLevels.end())
+    noteField(Root, "log_level",
+              ": \"" + Settings.LogLevel +
+                  "\" is not debug, info, warn or error");
+  readValue(Root, "config_folder", Settings.ConfigFolder);
+  if (!Settings.ConfigFolder.empty() && !Settings.Embedded)
+    noteField(Root, "config_folder", " goes with platform: embedded alone");
+}
+
+} // namespace
+
+NodeSettings parseNodeSettings(const std::string &Text, const std::string &File,
+                               SettingsErrors &Errors) {
+  NodeSettings Settings;
+  YamlSource Source{&File, &Errors};
+  std::optional<YAML::Node> Loaded = loadYaml(Source, Text);
+  if (!Loaded)
+    return Settings;
+  FieldMap Root = openMap(Source, *Loaded, "");
+  readIdentity(Root, Settings);
+  readListeners(Root, Settings);
+  readSeeds(Root, Settings);
+  readPlatform(Root, Settings);
+  readOperators(Root, Settings);
+  readActions(Root, Settings);
+  readLimits(Root, Settings);
+  readProcess(Root, Settings);
+  closeMap(Root);
+  return Settings;
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/node_settings_test.cc
@@ -0,0 +1,80 @@
+#include "currantgauge/config/node_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace currantgauge::config {
+namespace {
+
+const std::string Identity =
+    "name: a-1\nregion: north\nfailure_domain: north-a\n";
+
+bool mentions(const SettingsErrors &Errors, const std::string &Text) {
+  for (const SettingsError &Error : Errors)
+    if (formatError(Error).find(Text) != std::string::npos)
+      return true;
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("a node's settings with every key") {
+  SettingsErrors Errors;
+  NodeSettings Settings =
+      parseNodeSettings(Identity + "listen:\n"
+                                   "  callers: 10.0.0.7:80\n"
+                                   "  peers: 10.0.0.7:81\n"
+                                   "  operators: 10.0.0.7:82\n"
+                                   "  announcements: '[::1]:83'\n"
+                                   "seeds: [10.0.0.8:81]\n"
+                                   "platform: 10.0.0.9:90\n"
+                                   "operators: {token: t, certificate: c.pem, "
+                                   "key: k.pem}\n"
+                                   "actions: {secret: s}\n"
+                                   "limits: {header: 8KiB, body: 2MiB, "
+                                   "answer_buffer: 1KiB, caller_idle: 1m, "
+                                   "caller_read: 250ms, stop: 5s}\n"
+                                   "traffic_threads: 3\n"
+                                   "log_level: debug\n",
+                        "node.yaml", Errors);
+  for (const SettingsError &Error : Errors)
+    MESSAGE(formatError(Error));
+  CHECK(Errors.empty());
+  CHECK(Settings.Seeds.size() == 1);
+  CHECK_FALSE(Settings.Embedded);
+  CHECK(Settings.HeaderLimit.Bytes == 8192);
+  CHECK(Settings.CallerRead == base::milliseconds(250));
+  CHECK(Settings.OperatorToken == "t");
+}
+
+TEST_CASE("every mistake of a node's settings is found at once") {
+  SettingsErrors Errors;
+  parseNodeSettings("name: a\n"
+                    "region: [north]\n"
+                    "listen:\n"
+                    "  caller: 1.2.3.4:80\n"
+                    "  peers: localhost:81\n"
+                    "limits: {body: 64}\n"
+                    "traffic_threads: 0\n"
+                    "log_level: loud\n",
+                    "node.yaml", Errors);
+  CHECK(mentions(Errors, "node.yaml:1:1: failure_domain is missing"));
+  CHECK(mentions(Errors, "node.yaml:2:9: region must be one value"));
+  CHECK(mentions(Errors, "node.yaml:4:3: unknown key listen.caller; did you "
+                         "mean callers?"));
+  CHECK(mentions(Errors, "node.yaml:5:3: listen.peers: \"localhost:81\""));
+  CHECK(mentions(Errors, "node.yaml:6:10: limits.body: \"64\""));
+  CHECK(mentions(Errors, "node.yaml:7:1: traffic_threads must be"));
+  CHECK(mentions(Errors, "node.yaml:8:1: log_level"));
+  CHECK(Errors.size() == 7);
+}
+
+TEST_CASE("an operators' listener that other VMs reach needs a token") {
+  SettingsErrors Errors;
+  parseNodeSettings(Identity + "listen: {operators: 0.0.0.0:82}\n", "n.yaml",
+                    Errors);
+  CHECK(mentions(Errors, "operators.token is missing"));
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/http/operator_codec.cc
@@ -0,0 +1,193 @@
+#include "currantgauge/http/operator_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::http {
+namespace {
+
+using Json = nlohmann::ordered_json;
+using core::OperatorQuery;
+
+constexpr int HexBase = 16;
+
+bool parseHex(std::string_view Text, std::uint64_t &Number) {
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Failure] = std::from_chars(Text.data(), End, Number, HexBase);
+  return Failure == std::errc() && Rest == End;
+}
+
+bool parseRequestId(std::string_view Text, base::RequestId &Id) {
+  std::size_t Dash = Text.find('-');
+  return Dash != std::string_view::npos &&
+         parseHex(Text.substr(0, Dash), Id.Origin) &&
+         parseHex(Text.substr(Dash + 1), Id.Sequence);
+}
+
+std::string formatHex(std::uint64_t Number) {
+  char Digits[HexBase];
+  auto [End, Failure] =
+      std::to_chars(Digits, Digits + sizeof Digits, Number, HexBase);
+  return std::string(Digits, End);
+}
+
+// Strings that are not UTF-8 are shown with replacement characters: a reply
+// must never fail to encode.
+std::string dump(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<OperatorQuery> parseExplain(const Json &Body,
+                                          std::string &Error) {
+  core::AskExplain Query;
+  if (parseRequestId(Body.at("request").get<std::string>(), Query.Request))
+    return Query;
+  Error = "request must be an id such as 1f-2a";
+  return std::nullopt;
+}
+
+std::optional<OperatorQuery> parseDrain(const Json &Body, std::string &) {
+  return core::AskDrain{base::BackendName(Body.at("server").get<std::string>()),
+                        Body.value("undo", false)};
+}
+
+std::optional<OperatorQuery> parseClear(const Json &Body, std::string &Error) {
+  std::uint64_t Print = 0;
+  if (parseHex(Body.at("fingerprint").get<std::string>(), Print))
+    return core::AskQuarantineClear{base::Fingerprint(Print)};
+  Error = "fingerprint must be hexadecimal";
+  return std::nullopt;
+}
+
+std::optional<OperatorQuery> parsePush(const Json &Body, std::string &) {
+  core::AskConfigPush Query;
+  Query.Text = Body.at("text").get<std::string>();
+  Query.BaseVersion =
+      base::ConfigVersion(Body.at("base_version").get<std::uint64_t>());
+  Query.Push = base::PushId(Body.at("push").get<std::string>());
+  Query.Author = Body.at("author").get<std::string>();
+  return Query;
+}
+
+template <typename Query>
+std::optional<OperatorQuery> parsePlain(const Json &, std::string &) {
+  return Query{};
+}
+
+using QueryParser = std::optional<OperatorQuery> (*)(const Json &,
+                                                     std::string &);
+
+const std::map<std::string, QueryParser> &queryParsers() {
+  static const std::map<std::string, QueryParser> Parsers = {
+      {"status", parsePlain<core::AskStatus>},
+      {"explain", parseExplain},
+      {"drain", parseDrain},
+      {"quarantine", parsePlain<core::AskQuarantine>},
+      {"quarantine_clear", parseClear},
+      {"config", parsePlain<core::AskConfig>},
+      {"config_history", parsePlain<core::AskConfigHistory>},
+      {"config_push", parsePush}};
+  return Parsers;
+}
+
+Json toJson(const core::AskStatus &) { return {{"query", "status"}}; }
+Json toJson(const core::AskExplain &Query) {
+  return {{"query", "explain"}, {"request", base::formatId(Query.Request)}};
+}
+Json toJson(const core::AskDrain &Query) {
+  return {
+      {"query", "drain"}, {"server", Query.Server.Value}, {"undo", Query.Undo}};
+}
+Json toJson(const core::AskQuarantine &) { return {{"query", "quarantine"}}; }
+Json toJson(const core::AskQuarantineClear &Query) {
+  return {{"query", "quarantine_clear"},
+          {"fingerprint", formatHex(Query.Print.Value)}};
+}
+Json toJson(const core::AskConfig &) { return {{"query", "config"}}; }
+Json toJson(const core::AskConfigHistory &) {
+  return {{"query", "config_history"}};
+}
+Json toJson(const core::AskConfigPush &Query) {
+  return {{"query", "config_push"},
+          {"text", Query.Text},
+          {"base_version", Query.BaseVersion.Value},
+          {"push", Query.Push.Value},
+          {"author", Query.Author}};
+}
+
+Json toJson(const core::OperatorTable &Table) {
+  return {
+      {"title", Table.Title}, {"columns", Table.Columns}, {"rows", Table.Rows}};
+}
+
+core::OperatorReply replyFrom(const Json &Body) {
+  core::OperatorReply Reply;
+  Reply.Error = Body.value("error", "");
+  Reply.Text = Body.value("text", "");
+  // items() refers to its object, which must outlive the loop.
+  const Json Fields = Body.value("fields", Json::object());
+  for (const auto &[Key, Value] : Fields.items())
+    Reply.Fields.emplace_back(Key, Value.get<std::string>());
+  for (const Json &Table : Body.value("tables", Json::array()))
+    Reply.Tables.push_back(core::OperatorTable{
+        Table.at("title").get<std::string>(),
+        Table.at("columns").get<std::vector<std::string>>(),
+        Table.at("rows").get<std::vector<std::vector<std::string>>>()});
+  return Reply;
+}
+
+} // namespace
+
+std::optional<core::OperatorQuery> parseQuery(const std::string &Text,
+                                              std::string &Error) {
+  try {
+    Json Body = Json::parse(Text);
+    auto Name = Body.at("query").get<std::string>();
+    auto Found = queryParsers().find(Name);
+    if (Found != queryParsers().end())
+      return Found->second(Body, Error);
+    Error = "unknown query " + Name;
+  } catch (const Json::exception &Failure) {
+    Error = std::string("malformed query: ") + Failure.what();
+  }
+  return std::nullopt;
+}
+
+std::string encodeQuery(const core::OperatorQuery &Query) {
+  return dump(std::visit([](const auto &Q) { return toJson(Q); }, Query));
+}
+
+std::string encodeReply(const core::OperatorReply &Reply) {
+  Json Body = Json::object();
+  if (!Reply.Error.empty())
+    Body["error"] = Reply.Error;
+  Body["fields"] = Json::object();
+  for (const auto &[Key, Value] : Reply.Fields)
+    Body["fields"][Key] = Value;
+  Body["tables"] = Json::array();
+  for (const core::OperatorTable &Table : Reply.Tables)
+    Body["tables"].push_back(toJson(Table));
+  if (!Reply.Text.empty())
+    Body["text"] = Reply.Text;
+  return dump(Body);
+}
+
+core::OperatorReply parseReply(const std::string &Text) {
+  try {
+    return replyFrom(Json::parse(Text));
+  } catch (const Json::exception &Failure) {
+    core::OperatorReply Reply;
+    Reply.Error = std::string("malformed reply: ") + Failure.what();
+    return Reply;
+  }
+}
+
+} // namespace currantgauge::http
--- a/currantgauge/http/operator_codec.h
+++ b/currantgauge/http/operator_codec.h
@@ -14,7 +14,7 @@
 
 // parseQuery() returns the query of a JSON text; none and a sentence in Error
 // when it is malformed.
-std::optional<core::OperatorQuery> parseQuery(const std::string &Json,
+std::optional<core::OperatorQuery> parseQuery(const std::string &Text,
                                               std::string &Error);
 
 // encodeQuery() is the inverse of parseQuery().
@@ -25,7 +25,7 @@
 
 // parseReply() is the inverse of encodeReply(); malformed text gives a reply
 // with an Error.
-core::OperatorReply parseReply(const std::string &Json);
+core::OperatorReply parseReply(const std::string &Text);
 
 } // namespace currantgauge::http
 
--- /dev/null
+++ b/currantgauge/http/operator_codec_test.cc
@@ -0,0 +1,60 @@
+#include "currantgauge/http/operator_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+
+namespace currantgauge::http {
+
+TEST_CASE("every query survives its encoding") {
+  core::AskConfigPush Push;
+  Push.Text = "ranks:\n  \"a\": {order: 0}\n";
+  Push.BaseVersion = base::ConfigVersion(7);
+  Push.Push = base::PushId("p-1");
+  Push.Author = "ana";
+  const core::OperatorQuery Queries[] = {
+      core::AskStatus{},
+      core::AskExplain{base::RequestId{0x1f, 0x2a}},
+      core::AskDrain{base::BackendName("cutlist-1"), true},
+      core::AskQuarantine{},
+      core::AskQuarantineClear{base::Fingerprint(0xffffffffffffffff)},
+      core::AskConfig{},
+      core::AskConfigHistory{},
+      Push};
+  for (const core::OperatorQuery &Query : Queries) {
+    std::string Error;
+    std::string Text = encodeQuery(Query);
+    auto Parsed = parseQuery(Text, Error);
+    REQUIRE_MESSAGE(Parsed, Error);
+    CHECK(encodeQuery(*Parsed) == Text);
+    CHECK(Parsed->index() == Query.index());
+  }
+}
+
+TEST_CASE("a malformed query is refused with a sentence") {
+  for (const char *Text :
+       {"", "[]", "{}", R"({"query":"nothing"})", R"({"query":"explain"})",
+        R"({"query":"explain","request":"zz"})", R"({"query":7})",
+        R"({"query":"config_push","text":"","base_version":"x"})"}) {
+    std::string Error;
+    CHECK_FALSE(parseQuery(Text, Error));
+    CHECK_FALSE(Error.empty());
+  }
+}
+
+TEST_CASE("a reply survives its encoding, also with bytes that are no UTF-8") {
+  core::OperatorReply Reply;
+  Reply.Fields = {{"version", "3"}, {"author", "\xff"}};
+  Reply.Tables = {{"nodes", {"node"}, {{"a"}, {"b"}}}};
+  Reply.Text = "ranks:\n";
+  core::OperatorReply Parsed = parseReply(encodeReply(Reply));
+  CHECK(Parsed.Error.empty());
+  CHECK(Parsed.Fields.front().second == "3");
+  REQUIRE(Parsed.Tables.size() == 1);
+  CHECK(Parsed.Tables.front().Rows == Reply.Tables.front().Rows);
+  CHECK(Parsed.Text == Reply.Text);
+  CHECK_FALSE(parseReply("<html>").Error.empty());
+}
+
+} // namespace currantgauge::http
