--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -235,6 +235,12 @@
   forget(Node, Gone.Request);
 }
 
+void onInputRefused(State &Node, const InputRefused &Refused,
+                    EffectList &Effects) {
+  Effects.push_back(Measure{Metric::Refusals,
+                            std::string(base::reasonName(Refused.Why)), "", 1});
+}
+
 // From here on the caller has part of the answer: no other attempt may follow.
 void onAnswerBuffered(State &Node, const AnswerBuffered &Buffered,
                       EffectList &Effects) {
--- a/currantgauge/core/entry.h
+++ b/currantgauge/core/entry.h
@@ -13,6 +13,8 @@
 void onRequestArrived(State &Node, const RequestArrived &Arrival,
                       EffectList &Effects);
 void onCallerGone(State &Node, const CallerGone &Gone, EffectList &Effects);
+void onInputRefused(State &Node, const InputRefused &Refused,
+                    EffectList &Effects);
 void onAnswerBuffered(State &Node, const AnswerBuffered &Buffered,
                       EffectList &Effects);
 void onAttemptEnded(State &Node, const AttemptEnded &Ended,
--- a/currantgauge/core/event.h
+++ b/currantgauge/core/event.h
@@ -9,6 +9,7 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/store.h"
 #include "currantgauge/base/units.h"
+#include "currantgauge/base/verdict.h"
 #include "currantgauge/config/model.h"
 #include "currantgauge/config/state.h"
 #include "currantgauge/core/operator.h"
@@ -37,6 +38,10 @@
 struct CallerGone {
   base::RequestId Request;
 };
+// InputRefused: a connection sent what is no request.
+struct InputRefused {
+  base::Reason Why = base::Reason::BadRequest;
+};
 // AnswerBuffered: the entry's buffer for an attempt's answer is full.
 struct AnswerBuffered {
   base::AttemptId Attempt;
@@ -104,10 +109,10 @@
 
 using EventBody =
     std::variant<Started, StopRequested, TimerFired, RequestArrived, CallerGone,
-                 AnswerBuffered, AttemptEnded, AttemptArrived, AttemptCancelled,
-                 BackendEnded, BackendAnnounced, PeerMessageArrived,
-                 PeerSendFailed, StoreAnswered, ConfigParsed, ConfigFetched,
-                 OperatorAsked>;
+                 InputRefused, AnswerBuffered, AttemptEnded, AttemptArrived,
+                 AttemptCancelled, BackendEnded, BackendAnnounced,
+                 PeerMessageArrived, PeerSendFailed, StoreAnswered,
+                 ConfigParsed, ConfigFetched, OperatorAsked>;
 
 // Event is what happened and when.
 struct Event {
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -21,6 +21,7 @@
     onRequestArrived(Node, E, Effects);
   }
   void operator()(const CallerGone &E) { onCallerGone(Node, E, Effects); }
+  void operator()(const InputRefused &E) { onInputRefused(Node, E, Effects); }
   void operator()(const AnswerBuffered &E) {
     onAnswerBuffered(Node, E, Effects);
   }
--- /dev/null
+++ b/currantgauge/http/announce_codec.h
@@ -0,0 +1,23 @@
+// Backend servers' announcements as JSON.
+//
+//   std::string Error;
+//   auto Word = parseAnnouncement("cutlist-1", Body, Error);
+#ifndef CURRANTGAUGE_HTTP_ANNOUNCE_CODEC_H
+#define CURRANTGAUGE_HTTP_ANNOUNCE_CODEC_H
+
+#include "currantgauge/routing/backend_server.h"
+
+#include <optional>
+#include <string>
+
+namespace currantgauge::http {
+
+// parseAnnouncement() reads the body of PUT /v1/servers/NAME; none and a plain
+// sentence in Error when it is malformed.
+std::optional<routing::Announcement> parseAnnouncement(const std::string &Name,
+                                                       const std::string &Json,
+                                                       std::string &Error);
+
+} // namespace currantgauge::http
+
+#endif // CURRANTGAUGE_HTTP_ANNOUNCE_CODEC_H
--- /dev/null
+++ b/currantgauge/http/backend_client.cc
@@ -0,0 +1,300 @@
+#include "currantgauge/http/backend_client.h"
+
+#include "currantgauge/http/fields.h"
+#include "currantgauge/http/listener.h"
+#include "currantgauge/http/wake.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+
+namespace currantgauge::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
+
+constexpr std::chrono::seconds ConnectionAgeLimit{60};
+constexpr std::chrono::seconds IdleLimit{15};
+constexpr std::chrono::milliseconds ConnectLimit{1000};
+constexpr unsigned UserTimeoutMillis = 5000; // TCP_USER_TIMEOUT
+constexpr std::size_t IdlePerServer = 16;    // connections
+constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::uint32_t AnswerHeaderLimit = 64 * 1024; // bytes
+
+auto into(ErrorCode &Error) {
+  return asio::redirect_error(asio::use_awaitable, Error);
+}
+
+// Exchange is the coroutine's own side.
+struct Exchange {
+  BackendPool &Pool;
+  asio::io_context &Io;
+  ExchangeRequest What;
+  BackendExchangePtr Handle;
+  boost::intrusive_ptr<runtime::AnswerPipe> Pipe;
+  std::shared_ptr<Wake> Room;
+  std::unique_ptr<BackendConnection> Connection;
+  Clock::time_point Deadline;
+  core::BackendOutcome Outcome;
+};
+
+// A server that closed an idle connection shows as readable with no bytes.
+bool isUsable(BackendConnection &Idle, Clock::time_point Now) {
+  if (Now - Idle.Born > ConnectionAgeLimit || Now - Idle.IdleSince > IdleLimit)
+    return false;
+  char Byte = 0;
+  ssize_t Got = ::recv(Idle.Stream.socket().native_handle(), &Byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+  return Got < 0 && errno == EAGAIN;
+}
+
+std::unique_ptr<BackendConnection> takeIdle(Exchange &E) {
+  auto &Idle = E.Pool.Idle[E.What.Address];
+  while (!Idle.empty()) {
+    std::unique_ptr<BackendConnection> Last = std::move(Idle.back());
+    Idle.pop_back();
+    if (isUsable(*Last, Clock::now()))
+      return Last;
+  }
+  return nullptr;
+}
+
+void keepIdle(Exchange &E) {
+  auto &Idle = E.Pool.Idle[E.What.Address];
+  if (Idle.size() >= IdlePerServer)
+    return;
+  E.Connection->IdleSince = Clock::now();
+  E.Connection->Stream.expires_never();
+  Idle.push_back(std::move(E.Connection));
+}
+
+void setSocketOptions(tcp::socket &Socket) {
+  ErrorCode Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &UserTimeoutMillis, sizeof(UserTimeoutMillis));
+}
+
+asio::awaitable<bool> connect(Exchange &E) {
+  auto Endpoint = parseEndpoint(E.What.Address);
+  if (!Endpoint) {
+    E.Outcome.Why = base::Reason::BackendRefusedConnection;
+    co_return false;
+  }
+  E.Connection = std::make_unique<BackendConnection>(E.Io);
+  E.Handle->Connection = E.Connection.get();
+  E.Connection->Born = Clock::now();
+  E.Connection->Stream.expires_at(
+      std::min(E.Deadline, Clock::now() + ConnectLimit));
+  ErrorCode Error;
+  co_await E.Connection->Stream.async_connect(*Endpoint, into(Error));
+  if (Error) {
+    E.Outcome.Why = base::Reason::BackendRefusedConnection;
+    E.Outcome.ProcessDied = Error == asio::error::connection_refused;
+    co_return false;
+  }
+  setSocketOptions(E.Connection->Stream.socket());
+  co_return true;
+}
+
+asio::awaitable<bool> openConnection(Exchange &E) {
+  if (!E.What.NewConnection)
+    E.Connection = takeIdle(E);
+  E.Outcome.FreshConnection = !E.Connection;
+  if (!E.Connection)
+    co_return co_await connect(E);
+  E.Handle->Connection = E.Connection.get();
+  co_return true;
+}
+
+beast::http::request<beast::http::string_body> buildRequest(const Exchange &E) {
+  beast::http::request<beast::http::string_body> Request;
+  Request.version(11);
+  Request.method_string(E.What.Message->Method);
+  Request.target(E.What.Message->Target);
+  for (const auto &[Name, Value] : E.What.Message->Headers)
+    Request.insert(Name, Value);
+  auto Set = [&Request](std::string_view Name, const std::string &Value) {
+    Request.set(beast::string_view(Name.data(), Name.size()), Value);
+  };
+  auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      E.Deadline - Clock::now());
+  Set(RequestIdField, base::formatId(E.What.Request));
+  Set(AttemptIdField, base::formatId(E.What.Attempt));
+  Set(TimeoutField, std::to_string(std::max<std::int64_t>(Left.count(), 1)));
+  Request.body() = E.What.Message->Body;
+  Request.prepare_payload();
+  return Request;
+}
+
+base::Reason reasonOf(const Exchange &E, ErrorCode Error, bool AnyAnswer) {
+  if (E.Handle->CancelWhy != base::Reason::None)
+    return E.Handle->CancelWhy;
+  if (Error == beast::error::timeout)
+    return base::Reason::BackendTimeout;
+  return AnyAnswer ? base::Reason::AnswerCutShort : base::Reason::BackendReset;
+}
+
+void fail(Exchange &E, ErrorCode Error, bool AnyAnswer) {
+  E.Outcome.Why = reasonOf(E, Error, AnyAnswer);
+  E.Outcome.ProcessDied = E.Outcome.Why == base::Reason::BackendReset ||
+                          E.Outcome.Why == base::Reason::AnswerCutShort;
+}
+
+// From the first byte on it can't be proved that the server did not run it.
+asio::awaitable<bool> sendRequest(Exchange &E) {
+  auto Request = buildRequest(E);
+  ErrorCode Error;
+  E.Connection->Stream.expires_at(E.Deadline);
+  E.Outcome.AnyByteSent = true;
+  co_await beast::http::async_write(E.Connection->Stream, Request, into(Error));
+  if (Error)
+    fail(E, Error, false);
+  co_return !Error;
+}
+
+void readRetryAfter(const AnswerParser &Parser, core::BackendOutcome &Outcome) {
+  auto Field = Parser.get()[beast::http::field::retry_after];
+  std::int64_t Seconds = 0;
+  auto Read =
+      std::from_chars(Field.data(), Field.data() + Field.size(), Seconds);
+  if (!Field.empty() && Read.ec == std::errc() && Seconds >= 0)
+    Outcome.RetryAfter = base::seconds(std::max<std::int64_t>(Seconds, 1));
+}
+
+void pushHead(Exchange &E, const AnswerParser &Parser) {
+  runtime::AnswerHead Head;
+  Head.Status = Parser.get().result_int();
+  for (const auto &Field : Parser.get()) {
+    std::string Name(Field.name_string());
+    if (!isHopByHop(Name) || beast::iequals(Name, "content-length"))
+      Head.Headers.emplace_back(std::move(Name), std::string(Field.value()));
+  }
+  runtime::pushPart(*E.Pipe, std::move(Head));
+}
+
+asio::awaitable<bool> readBody(Exchange &E, AnswerParser &Parser) {
+  std::string Chunk;
+  ErrorCode Error;
+  while (!Parser.is_done()) {
+    while (!runtime::hasRoom(*E.Pipe) &&
+           E.Handle->CancelWhy == base::Reason::None)
+      co_await waitFor(*E.Room);
+    Chunk.resize(ChunkBytes);
+    Parser.get().body().data = Chunk.data();
+    Parser.get().body().size = Chunk.size();
+    co_await beast::http::async_read_some(
+        E.Connection->Stream, E.Connection->Input, Parser, into(Error));
+    if (Error == beast::http::error::need_buffer)
+      Error = {};
+    Chunk.resize(ChunkBytes - Parser.get().body().size);
+    E.Outcome.AnswerBytes.Bytes += Chunk.size();
+    if (!Chunk.empty())
+      runtime::pushPart(*E.Pipe, runtime::AnswerChunk{std::move(Chunk)});
+    if (Error) {
+      fail(E, Error, true);
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// An answer that ends with its connection can't be told from one cut short, so
+// it does not count as whole.
+asio::awaitable<void> readAnswer(Exchange &E) {
+  bool Head = E.What.Message->Method == "HEAD";
+  while (true) {
+    AnswerParser Parser;
+    Parser.header_limit(AnswerHeaderLimit);
+    Parser.body_limit(boost::none);
+    Parser.skip(Head);
+    ErrorCode Error;
+    co_await beast::http::async_read_header(
+        E.Connection->Stream, E.Connection->Input, Parser, into(Error));
+    if (Error) {
+      fail(E, Error, Error == beast::http::error::partial_message);
+      co_return;
+    }
+    E.Outcome.Status = Parser.get().result_int();
+    if (E.Outcome.Status < 200)
+      continue;
+    readRetryAfter(Parser, E.Outcome);
+    bool Framed = !Parser.need_eof();
+    pushHead(E, Parser);
+    if (!co_await readBody(E, Parser))
+      co_return;
+    E.Outcome.AnswerWhole = Framed;
+    if (!Framed)
+      E.Outcome.Why = base::Reason::AnswerCutShort;
+    if (Parser.keep_alive() && E.Connection->Input.size() == 0)
+      keepIdle(E);
+    co_return;
+  }
+}
+
+asio::awaitable<void> run(std::shared_ptr<Exchange> E,
+                          std::function<void(core::BackendOutcome)> Done) {
+  if (E->Handle->CancelWhy != base::Reason::None)
+    E->Outcome.Why = E->Handle->CancelWhy;
+  else if (co_await openConnection(*E) && co_await sendRequest(*E))
+    co_await readAnswer(*E);
+  if (!E->Outcome.AnyByteSent && E->Handle->CancelWhy != base::Reason::None)
+    E->Outcome.Why = E->Handle->CancelWhy;
+  E->Handle->Connection = nullptr;
+  E->Handle->WakeWaiting = nullptr;
+  runtime::setWriter(*E->Pipe, nullptr);
+  E->Connection.reset();
+  Done(E->Outcome);
+}
+
+} // namespace
+
+BackendExchangePtr
+startExchange(BackendPool &Pool, asio::io_context &Io, ExchangeRequest What,
+              std::function<void(core::BackendOutcome)> Done) {
+  BackendExchangePtr Handle(new BackendExchange);
+  Handle->Io = &Io;
+  auto Room = std::make_shared<Wake>(Io.get_executor());
+  auto WakeRoom = [Room, &Io] { asio::post(Io, [Room] { raise(*Room); }); };
+  runtime::setWriter(*What.Pipe, WakeRoom);
+  Handle->WakeWaiting = WakeRoom;
+  auto Deadline =
+      Clock::now() + std::chrono::microseconds(What.TimeLeft.Micros);
+  auto Pipe = What.Pipe;
+  auto E = std::make_shared<Exchange>(Exchange{
+      Pool, Io, std::move(What), Handle, Pipe, Room, nullptr, Deadline, {}});
+  asio::co_spawn(Io, run(E, std::move(Done)), asio::detached);
+  return Handle;
+}
+
+void cancelExchange(const BackendExchangePtr &Exchange, base::Reason Why) {
+  asio::post(*Exchange->Io, [Exchange, Why] {
+    if (Exchange->CancelWhy == base::Reason::None)
+      Exchange->CancelWhy = Why;
+    if (Exchange->Connection)
+      Exchange->Connection->Stream.close();
+    if (Exchange->WakeWaiting)
+      Exchange->WakeWaiting();
+  });
+}
+
+} // namespace currantgauge::http
--- /dev/null
+++ b/currantgauge/http/backend_client.h
@@ -0,0 +1,84 @@
+// Exchanges with backend servers over pooled HTTP/1.1 connections. A connection
+// whose exchange was given up is closed, never used again, so that a late
+// answer can't reach another caller.
+//
+//   BackendPool Pool;
+//   auto Exchange = startExchange(Pool, Io, What, [](core::BackendOutcome) {});
+//   cancelExchange(*Exchange, base::Reason::CallerGone);
+#ifndef CURRANTGAUGE_HTTP_BACKEND_CLIENT_H
+#define CURRANTGAUGE_HTTP_BACKEND_CLIENT_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/runtime/answer_pipe.h"
+#include "currantgauge/runtime/message.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace currantgauge::http {
+
+// BackendConnection is one connection to a backend server.
+struct BackendConnection {
+  boost::beast::tcp_stream Stream;
+  boost::beast::flat_buffer Input;
+  std::chrono::steady_clock::time_point Born;
+  std::chrono::steady_clock::time_point IdleSince;
+
+  explicit BackendConnection(boost::asio::io_context &Io) : Stream(Io) {}
+};
+
+// BackendPool holds idle connections of one io_context thread.
+struct BackendPool {
+  std::map<base::NetAddress, std::vector<std::unique_ptr<BackendConnection>>>
+      Idle;
+};
+
+// ExchangeRequest is what an exchange needs.
+struct ExchangeRequest {
+  base::AttemptId Attempt;
+  base::RequestId Request;
+  base::NetAddress Address;
+  base::Duration TimeLeft;
+  bool NewConnection = false;
+  runtime::RequestMessagePtr Message;
+  runtime::AnswerPipePtr Pipe;
+};
+
+// BackendExchange is an exchange in flight.
+struct BackendExchange
+    : boost::intrusive_ref_counter<BackendExchange,
+                                   boost::thread_safe_counter> {
+  boost::asio::io_context *Io = nullptr;
+  BackendConnection *Connection = nullptr; // of the io_context thread alone
+  base::Reason CancelWhy = base::Reason::None;
+  std::function<void()> WakeWaiting;
+};
+
+using BackendExchangePtr = boost::intrusive_ptr<BackendExchange>;
+
+// startExchange() sends the request and copies the answer into the pipe. Done
+// runs once, on the io_context's thread; the pipe gets no AnswerEnd here.
+BackendExchangePtr
+startExchange(BackendPool &Pool, boost::asio::io_context &Io,
+              ExchangeRequest What,
+              std::function<void(core::BackendOutcome)> Done);
+
+// cancelExchange() gives an exchange up and closes its connection.
+void cancelExchange(const BackendExchangePtr &Exchange, base::Reason Why);
+
+} // namespace currantgauge::http
+
+#endif // CURRANTGAUGE_HTTP_BACKEND_CLIENT_H
--- /dev/null
+++ b/currantgauge/http/caller_answer.cc
@@ -0,0 +1,158 @@
+#include "currantgauge/http/caller_answer.h"
+
+#include "currantgauge/http/fields.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/status.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string_view>
+
+namespace currantgauge::http {
+namespace {
+
+namespace beast = boost::beast;
+
+beast::string_view view(std::string_view Text) {
+  return beast::string_view(Text.data(), Text.size());
+}
+
+template <typename Message>
+void setFields(Message &Answer, const runtime::AnswerHead &Head,
+               const AnswerMark &Mark) {
+  Answer.result(Head.Status);
+  for (const auto &[Name, Value] : Head.Headers)
+    if (!isHopByHop(Name))
+      Answer.insert(Name, Value);
+  Answer.set(view(RequestIdField), base::formatId(Mark.Request));
+  Answer.set(view(VerdictField), view(base::verdictName(Mark.Delivery.What)));
+  Answer.set(view(ServerField), Mark.Delivery.Server.Value);
+}
+
+std::string lengthOf(const runtime::AnswerHead &Head) {
+  for (const auto &[Name, Value] : Head.Headers)
+    if (beast::iequals(Name, "Content-Length"))
+      return Value;
+  return "";
+}
+
+TextResponse errorMessage(std::uint32_t Status, base::Verdict What,
+                          base::Reason Why, const std::string &Detail) {
+  TextResponse Answer;
+  Answer.version(11);
+  Answer.result(Status);
+  Answer.set(beast::http::field::content_type, "application/json");
+  Answer.set(view(VerdictField), view(base::verdictName(What)));
+  Answer.set(view(ReasonField), view(base::reasonName(Why)));
+  nlohmann::ordered_json Body = {{"verdict", base::verdictName(What)},
+                                 {"reason", base::reasonName(Why)},
+                                 {"message", Detail}};
+  Answer.body() =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      "\n";
+  return Answer;
+}
+
+} // namespace
+
+std::uint32_t statusOf(base::Reason Why, base::Verdict What) {
+  switch (Why) {
+  case base::Reason::BadRequest:
+    return 400;
+  case base::Reason::BodyTooLarge:
+    return 413;
+  case base::Reason::HeaderTooLarge:
+    return 431;
+  case base::Reason::CallerTimeout:
+    return 408;
+  case base::Reason::NoRoute:
+    return 404;
+  case base::Reason::UnknownWorkspace:
+    return 403;
+  case base::Reason::WorkspaceLimit:
+  case base::Reason::KindLimit:
+    return 429;
+  case base::Reason::ActionRunning:
+  case base::Reason::ActionMismatch:
+    return 409;
+  case base::Reason::ActionExpired:
+  case base::Reason::ActionForged:
+    return 403;
+  case base::Reason::DeadlinePassed:
+  case base::Reason::BackendTimeout:
+  case base::Reason::BackendSilent:
+    return 504;
+  case base::Reason::BackendReset:
+  case base::Reason::AnswerCutShort:
+  case base::Reason::PeerLost:
+  case base::Reason::ActionForeign:
+  case base::Reason::ActionLost:
+    return 502;
+  default:
+    return What == base::Verdict::NotRun ? 503 : 502;
+  }
+}
+
+TextResponse refusalMessage(const core::RefuseRequest &Refusal,
+                            bool KeepAlive) {
+  TextResponse Answer =
+      errorMessage(statusOf(Refusal.Why, Refusal.What), Refusal.What,
+                   Refusal.Why, std::string(base::reasonText(Refusal.Why)));
+  Answer.set(view(RequestIdField), base::formatId(Refusal.Request));
+  if (Refusal.RetryAfter > base::Duration{}) {
+    constexpr std::int64_t MillisPerSecond = 1000;
+    std::int64_t Seconds =
+        (base::toMillis(Refusal.RetryAfter) + MillisPerSecond - 1) /
+        MillisPerSecond;
+    Answer.set(beast::http::field::retry_after, std::to_string(Seconds));
+  }
+  Answer.keep_alive(KeepAlive);
+  Answer.prepare_payload();
+  return Answer;
+}
+
+TextResponse badRequestMessage(base::Reason Why, const std::string &Detail) {
+  TextResponse Answer = errorMessage(statusOf(Why, base::Verdict::NotRun),
+                                     base::Verdict::NotRun, Why, Detail);
+  Answer.keep_alive(false);
+  Answer.prepare_payload();
+  return Answer;
+}
+
+TextResponse wholeMessage(const runtime::AnswerHead &Head, std::string Body,
+                          const AnswerMark &Mark, bool KeepAlive) {
+  TextResponse Answer;
+  Answer.version(11);
+  setFields(Answer, Head, Mark);
+  Answer.body() = std::move(Body);
+  Answer.keep_alive(KeepAlive);
+  // An answer to HEAD, and 304, name the length of a body that is not sent.
+  std::string Length = lengthOf(Head);
+  if (Answer.body().empty() && !Length.empty())
+    Answer.set(beast::http::field::content_length, Length);
+  else
+    Answer.prepare_payload();
+  return Answer;
+}
+
+StreamResponse streamMessage(const runtime::AnswerHead &Head,
+                             const AnswerMark &Mark, unsigned Version,
+                             bool KeepAlive) {
+  StreamResponse Answer;
+  Answer.version(Version);
+  setFields(Answer, Head, Mark);
+  std::string Length = lengthOf(Head);
+  if (!Length.empty())
+    Answer.set(beast::http::field::content_length, Length);
+  else if (Version >= 11)
+    Answer.chunked(true);
+  Answer.keep_alive(KeepAlive);
+  Answer.body().data = nullptr;
+  Answer.body().size = 0;
+  Answer.body().more = true;
+  return Answer;
+}
+
+} // namespace currantgauge::http
--- /dev/null
+++ b/currantgauge/http/caller_answer.h
@@ -0,0 +1,53 @@
+// Answers to callers as HTTP messages: refusals and backend servers' answers.
+//
+//   auto Message = refusalMessage(Refusal, KeepAlive);
+#ifndef CURRANTGAUGE_HTTP_CALLER_ANSWER_H
+#define CURRANTGAUGE_HTTP_CALLER_ANSWER_H
+
+#include "currantgauge/base/verdict.h"
+#include "currantgauge/core/effect.h"
+#include "currantgauge/runtime/answer_pipe.h"
+
+#include <utility>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace currantgauge::http {
+
+using TextResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+using StreamResponse =
+    boost::beast::http::response<boost::beast::http::buffer_body>;
+
+// statusOf() returns the HTTP status of a refusal.
+std::uint32_t statusOf(base::Reason Why, base::Verdict What);
+
+// refusalMessage() returns the answer to a refused request.
+TextResponse refusalMessage(const core::RefuseRequest &Refusal, bool KeepAlive);
+
+// badRequestMessage() returns the answer to input that is no request.
+TextResponse badRequestMessage(base::Reason Why, const std::string &Detail);
+
+// AnswerMark is what we add to a backend server's answer.
+struct AnswerMark {
+  base::RequestId Request;
+  core::DeliverAnswer Delivery;
+};
+
+// wholeMessage() returns an answer whose every byte is here.
+TextResponse wholeMessage(const runtime::AnswerHead &Head, std::string Body,
+                          const AnswerMark &Mark, bool KeepAlive);
+
+// streamMessage() returns the head of an answer that is still arriving.
+StreamResponse streamMessage(const runtime::AnswerHead &Head,
+                             const AnswerMark &Mark, unsigned Version,
+                             bool KeepAlive);
+
+} // namespace currantgauge::http
+
+#endif // CURRANTGAUGE_HTTP_CALLER_ANSWER_H
--- /dev/null
+++ b/currantgauge/http/listener.h
@@ -0,0 +1,36 @@
+// Listening TCP sockets on an io_context.
+//
+//   boost::system::error_code Error;
+//   auto Port = listen(Io, Address, Error, [](tcp::socket Socket) { ... });
+#ifndef CURRANTGAUGE_HTTP_LISTENER_H
+#define CURRANTGAUGE_HTTP_LISTENER_H
+
+#include "currantgauge/base/ids.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+namespace currantgauge::http {
+
+using AcceptHandler = std::function<void(boost::asio::ip::tcp::socket)>;
+
+// parseEndpoint() reads "IP:port"; none when it is malformed.
+std::optional<boost::asio::ip::tcp::endpoint>
+parseEndpoint(const base::NetAddress &Address);
+
+// listen() accepts connections on NextIo's io_contexts and returns the port;
+// 0 and Error when the address can't be used.
+std::uint16_t listen(boost::asio::io_context &Io,
+                     const base::NetAddress &Address,
+                     std::function<boost::asio::io_context &()> NextIo,
+                     AcceptHandler Handler, boost::system::error_code &Error);
+
+} // namespace currantgauge::http
+
+#endif // CURRANTGAUGE_HTTP_LISTENER_H
--- /dev/null
+++ b/currantgauge/http/service.cc
@@ -0,0 +1,97 @@
+#include "currantgauge/http/service.h"
+
+#include "currantgauge/http/listener.h"
+#include "currantgauge/http/wake.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace currantgauge::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::chrono::seconds ReadLimit{30};
+constexpr std::uint64_t ServiceBodyLimit = 64ULL * 1024 * 1024; // bytes
+
+auto into(ErrorCode &Error) {
+  return asio::redirect_error(asio::use_awaitable, Error);
+}
+
+struct Pending {
+  Wake Signal;
+  std::optional<ServiceAnswer> Answer;
+
+  explicit Pending(asio::any_io_executor Executor) : Signal(Executor) {}
+};
+
+asio::awaitable<ServiceAnswer> askHandler(const ServiceHandler &Handler,
+                                          const ServiceRequest &Request) {
+  auto Executor = co_await asio::this_coro::executor;
+  auto Wait = std::make_shared<Pending>(Executor);
+  Handler(Request, [Wait, Executor](ServiceAnswer Answer) {
+    asio::post(Executor, [Wait, Answer = std::move(Answer)]() mutable {
+      Wait->Answer = std::move(Answer);
+      raise(Wait->Signal);
+    });
+  });
+  co_await waitFor(Wait->Signal);
+  co_return std::move(*Wait->Answer);
+}
+
+asio::awaitable<void> serve(tcp::socket Socket, ServiceHandler Handler) {
+  beast::tcp_stream Stream(std::move(Socket));
+  beast::flat_buffer Input;
+  while (true) {
+    beast::http::request_parser<beast::http::string_body> Parser;
+    Parser.body_limit(ServiceBodyLimit);
+    Stream.expires_after(ReadLimit);
+    ErrorCode Error;
+    co_await beast::http::async_read(Stream, Input, Parser, into(Error));
+    if (Error)
+      break;
+    Stream.expires_never();
+    ServiceAnswer Answer = co_await askHandler(Handler, Parser.get());
+    beast::http::response<beast::http::string_body> Response;
+    Response.version(11);
+    Response.result(Answer.Status);
+    Response.set(beast::http::field::content_type, Answer.Type);
+    Response.keep_alive(Parser.get().keep_alive());
+    Response.body() = std::move(Answer.Body);
+    Response.prepare_payload();
+    Stream.expires_after(ReadLimit);
+    co_await beast::http::async_write(Stream, Response, into(Error));
+    if (Error || !Response.keep_alive())
+      break;
+  }
+}
+
+} // namespace
+
+std::uint16_t listenService(asio::io_context &Io,
+                            const base::NetAddress &Address,
+                            ServiceHandler Handler, ErrorCode &Error) {
+  return listen(
+      Io, Address, [&Io]() -> asio::io_context & { return Io; },
+      [Handler = std::move(Handler)](tcp::socket Socket) {
+        auto Executor = Socket.get_executor();
+        asio::co_spawn(Executor, serve(std::move(Socket), Handler),
+                       asio::detached);
+      },
+      Error);
+}
+
+} // namespace currantgauge::http
--- /dev/null
+++ b/currantgauge/http/service.h
@@ -0,0 +1,46 @@
+// Small HTTP services of a node: announcements, metrics, health, operators.
+// Messages are short and whole; a handler answers by its Reply, from any
+// thread.
+//
+//   listenService(Io, Address, Handler, Error);
+#ifndef CURRANTGAUGE_HTTP_SERVICE_H
+#define CURRANTGAUGE_HTTP_SERVICE_H
+
+#include "currantgauge/base/ids.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace currantgauge::http {
+
+using ServiceRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+// ServiceAnswer is what a handler answers.
+struct ServiceAnswer {
+  std::uint32_t Status = 200;
+  std::string Type = "application/json";
+  std::string Body;
+};
+
+using ServiceReply = std::function<void(ServiceAnswer)>;
+using ServiceHandler =
+    std::function<void(const ServiceRequest &, ServiceReply)>;
+
+// listenService() serves an address and returns its port; 0 and Error when it
+// can't be used.
+std::uint16_t listenService(boost::asio::io_context &Io,
+                            const base::NetAddress &Address,
+                            ServiceHandler Handler,
+                            boost::system::error_code &Error);
+
+} // namespace currantgauge::http
+
+#endif // CURRANTGAUGE_HTTP_SERVICE_H
--- /dev/null
+++ b/currantgauge/peer/answer_codec.h
@@ -0,0 +1,23 @@
+// Answer parts and requests to and from protobuf.
+//
+//   toWire(Part, Wire);
+#ifndef CURRANTGAUGE_PEER_ANSWER_CODEC_H
+#define CURRANTGAUGE_PEER_ANSWER_CODEC_H
+
+#include "currantgauge/peer/generated/peer.pb.h"
+#include "currantgauge/runtime/answer_pipe.h"
+#include "currantgauge/runtime/message.h"
+
+namespace currantgauge::peer {
+
+void toWire(runtime::AnswerPart From, v1::AnswerPart &To);
+
+// fromWire() returns false when the part is empty or malformed.
+bool fromWire(v1::AnswerPart &From, runtime::AnswerPart &To);
+
+void toWire(const runtime::RequestMessage &From, v1::ForwardRequest &To);
+void fromWire(const v1::ForwardRequest &From, runtime::RequestMessage &To);
+
+} // namespace currantgauge::peer
+
+#endif // CURRANTGAUGE_PEER_ANSWER_CODEC_H
--- /dev/null
+++ b/currantgauge/peer/client.cc
@@ -0,0 +1,214 @@
+#include "currantgauge/peer/client.h"
+
+#include "currantgauge/peer/answer_codec.h"
+#include "currantgauge/peer/codec.h"
+#include "currantgauge/peer/generated/peer.grpc.pb.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <grpcpp/channel.h>
+#include <grpcpp/client_context.h>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace currantgauge::peer {
+namespace {
+
+constexpr int MessageLimit = 80 * 1024 * 1024; // bytes
+constexpr int KeepaliveMillis = 2000;
+constexpr int KeepaliveTimeoutMillis = 2000;
+constexpr int FirstReconnectMillis = 100;
+constexpr int LongestReconnectMillis = 1000;
+constexpr base::Duration DeliverLimit = base::milliseconds(1000);
+constexpr base::Duration FetchLimit = base::seconds(5);
+// The owner ends an attempt at its deadline; this is for an owner that is gone.
+constexpr base::Duration ForwardAllowance = base::milliseconds(200);
+
+std::chrono::system_clock::time_point after(base::Duration Span) {
+  return std::chrono::system_clock::now() +
+         std::chrono::microseconds(Span.Micros);
+}
+
+struct Channel {
+  std::shared_ptr<grpc::Channel> Link;
+  std::unique_ptr<v1::Peer::Stub> Stub;
+};
+
+runtime::AnswerEnd endWith(base::Verdict What, base::Reason Why) {
+  runtime::AnswerEnd End;
+  End.Outcome.What = What;
+  End.Outcome.Why = Why;
+  return End;
+}
+
+// ForwardCall copies the owner's answer into a pipe. It is counted, since a
+// call of the pipe may still run on another thread when the call is done; the
+// call's own count is released in OnDone().
+struct ForwardCall
+    : grpc::ClientReadReactor<v1::AnswerPart>,
+      boost::intrusive_ref_counter<ForwardCall, boost::thread_safe_counter> {
+  grpc::ClientContext Context;
+  v1::ForwardRequest Request;
+  v1::AnswerPart Wire;
+  runtime::AnswerPipePtr Pipe;
+  std::mutex Lock;
+  bool Waiting = false; // for room in the pipe, under a hold
+
+  void readNext() {
+    if (runtime::hasRoom(*this->Pipe)) {
+      this->StartRead(&this->Wire);
+      return;
+    }
+    {
+      std::lock_guard<std::mutex> Guard(this->Lock);
+      this->Waiting = true;
+      this->AddHold();
+    }
+    // Room may have come between the look and the hold.
+    if (runtime::hasRoom(*this->Pipe))
+      this->resume();
+  }
+
+  void resume() {
+    {
+      std::lock_guard<std::mutex> Guard(this->Lock);
+      if (!std::exchange(this->Waiting, false))
+        return;
+    }
+    this->StartRead(&this->Wire);
+    this->RemoveHold();
+  }
+
+  void OnReadDone(bool Good) override {
+    if (!Good)
+      return;
+    runtime::AnswerPart Part;
+    if (!fromWire(this->Wire, Part)) {
+      this->Context.TryCancel();
+      return;
+    }
+    runtime::pushPart(*this->Pipe, std::move(Part));
+    this->readNext();
+  }
+
+  // An end that the owner said came first; this one is then dropped.
+  void OnDone(const grpc::Status &) override {
+    runtime::setWriter(*this->Pipe, nullptr);
+    runtime::setOnCancel(*this->Pipe, nullptr);
+    runtime::pushPart(*this->Pipe, endWith(base::Verdict::MayHaveRun,
+                                           base::Reason::PeerLost));
+    boost::intrusive_ptr<ForwardCall> Last(this, false);
+  }
+};
+
+} // namespace
+
+namespace detail {
+
+struct Channels {
+  std::mutex Lock;
+  std::map<base::NetAddress, Channel> ByAddress;
+};
+
+} // namespace detail
+
+PeerClient::PeerClient() : Open(std::make_unique<detail::Channels>()) {}
+PeerClient::~PeerClient() = default;
+
+namespace {
+
+// Channels are never removed, so the reference stays good without the lock.
+Channel &channelTo(PeerClient &Client, const base::NetAddress &Address) {
+  std::lock_guard<std::mutex> Guard(Client.Open->Lock);
+  Channel &Result = Client.Open->ByAddress[Address];
+  if (Result.Stub)
+    return Result;
+  grpc::ChannelArguments Arguments;
+  Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMillis);
+  Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMillis);
+  Arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, FirstReconnectMillis);
+  Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, LongestReconnectMillis);
+  Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestReconnectMillis);
+  Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  Arguments.SetMaxReceiveMessageSize(MessageLimit);
+  Result.Link = grpc::CreateCustomChannel(
+      Address.Value, grpc::InsecureChannelCredentials(), Arguments);
+  Result.Stub = v1::Peer::NewStub(Result.Link);
+  return Result;
+}
+
+} // namespace
+
+void forward(PeerClient &Client, const base::NetAddress &Address,
+             const core::AttemptFacts &Facts,
+             const runtime::RequestMessage &Message,
+             runtime::AnswerPipePtr Pipe) {
+  Channel &To = channelTo(Client, Address);
+  // The one state in which it is certain that nothing is sent: no call starts.
+  if (To.Link->GetState(true) == GRPC_CHANNEL_TRANSIENT_FAILURE) {
+    runtime::pushPart(
+        *Pipe, endWith(base::Verdict::NotRun, base::Reason::PeerUnavailable));
+    return;
+  }
+  boost::intrusive_ptr<ForwardCall> Call(new ForwardCall);
+  intrusive_ptr_add_ref(Call.get()); // released in OnDone()
+  Call->Pipe = Pipe;
+  toWire(Facts, *Call->Request.mutable_facts());
+  toWire(Message, Call->Request);
+  Call->Context.set_deadline(after(Facts.TimeLeft + ForwardAllowance));
+  runtime::setWriter(*Pipe, [Call] { Call->resume(); });
+  To.Stub->async()->Forward(&Call->Context, &Call->Request, Call.get());
+  Call->StartRead(&Call->Wire);
+  runtime::setOnCancel(*Pipe, [Call] { Call->Context.TryCancel(); });
+  Call->StartCall();
+}
+
+void deliver(PeerClient &Client, const base::NetAddress &Address,
+             const membership::PeerMessage &Message,
+             std::function<void(bool)> Done) {
+  struct Call {
+    grpc::ClientContext Context;
+    v1::PeerMessage Request;
+    v1::DeliverReply Reply;
+  };
+  auto Open = std::make_shared<Call>();
+  toWire(Message, Open->Request);
+  Open->Context.set_deadline(after(DeliverLimit));
+  channelTo(Client, Address)
+      .Stub->async()
+      ->Deliver(&Open->Context, &Open->Request, &Open->Reply,
+                [Open, Done = std::move(Done)](const grpc::Status &Status) {
+                  Done(Status.ok());
+                });
+}
+
+void fetchConfig(
+    PeerClient &Client, const base::NetAddress &Address,
+    std::function<void(std::optional<config::ConfigDocument>)> Done) {
+  struct Call {
+    grpc::ClientContext Context;
+    v1::FetchConfigRequest Request;
+    v1::FetchConfigReply Reply;
+  };
+  auto Open = std::make_shared<Call>();
+  Open->Context.set_deadline(after(FetchLimit));
+  channelTo(Client, Address)
+      .Stub->async()
+      ->FetchConfig(&Open->Context, &Open->Request, &Open->Reply,
+                    [Open, Done = std::move(Done)](const grpc::Status &Status) {
+                      config::ConfigDocument Document;
+                      bool Good = Status.ok() && Open->Reply.found() &&
+                                  fromWire(Open->Reply.document(), Document);
+                      Done(Good ? std::optional(std::move(Document))
+                                : std::nullopt);
+                    });
+}
+
+} // namespace currantgauge::peer
--- /dev/null
+++ b/currantgauge/peer/client.h
@@ -0,0 +1,57 @@
+// Calls to other nodes by gRPC: one channel an address, with keepalive.
+//
+//   PeerClient Client;
+//   forward(Client, Address, Facts, Message, Pipe);
+//   deliver(Client, Address, Message, [](bool Done) {});
+#ifndef CURRANTGAUGE_PEER_CLIENT_H
+#define CURRANTGAUGE_PEER_CLIENT_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/config/state.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/membership/message.h"
+#include "currantgauge/runtime/answer_pipe.h"
+#include "currantgauge/runtime/message.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace currantgauge::peer {
+
+namespace detail {
+struct Channels;
+} // namespace detail
+
+// PeerClient holds the channels; any thread may use it.
+struct PeerClient {
+  PeerClient();
+  ~PeerClient();
+  PeerClient(const PeerClient &) = delete;
+  PeerClient &operator=(const PeerClient &) = delete;
+
+  std::unique_ptr<detail::Channels> Open;
+};
+
+// forward() sends an attempt to its owner. The pipe gets the answer and always
+// an AnswerEnd: PeerUnavailable (not run) when nothing was sent, PeerLost (may
+// have run) when the owner's word is missing.
+void forward(PeerClient &Client, const base::NetAddress &Address,
+             const core::AttemptFacts &Facts,
+             const runtime::RequestMessage &Message,
+             runtime::AnswerPipePtr Pipe);
+
+// deliver() hands a message over; Done gets false when that failed.
+void deliver(PeerClient &Client, const base::NetAddress &Address,
+             const membership::PeerMessage &Message,
+             std::function<void(bool)> Done);
+
+// fetchConfig() asks a node for its configuration; Done gets none on failure.
+void fetchConfig(
+    PeerClient &Client, const base::NetAddress &Address,
+    std::function<void(std::optional<config::ConfigDocument>)> Done);
+
+} // namespace currantgauge::peer
+
+#endif // CURRANTGAUGE_PEER_CLIENT_H
--- /dev/null
+++ b/currantgauge/peer/server.cc
@@ -0,0 +1,184 @@
+#include "currantgauge/peer/server.h"
+
+#include "currantgauge/peer/answer_codec.h"
+#include "currantgauge/peer/codec.h"
+#include "currantgauge/peer/generated/peer.grpc.pb.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+namespace currantgauge::peer {
+namespace {
+
+constexpr int MessageLimit = 80 * 1024 * 1024; // bytes
+constexpr int KeepaliveMillis = 2000;
+constexpr int KeepaliveTimeoutMillis = 2000;
+
+// ForwardReactor copies a pipe to the entry. It is counted, since a wake-up of
+// the pipe may still run on another thread when the call is done; the call's
+// own count is released in OnDone(). The library demands the inheritance.
+struct ForwardReactor
+    : grpc::ServerWriteReactor<v1::AnswerPart>,
+      boost::intrusive_ref_counter<ForwardReactor, boost::thread_safe_counter> {
+  runtime::AnswerPipePtr Pipe{new runtime::AnswerPipe};
+  std::mutex Lock;
+  v1::AnswerPart Wire;
+  bool Writing = false;
+  bool Finished = false;
+
+  void writeNext() {
+    std::lock_guard<std::mutex> Guard(this->Lock);
+    if (this->Writing || this->Finished)
+      return;
+    auto Part = runtime::takePart(*this->Pipe);
+    if (!Part)
+      return;
+    this->Writing = true;
+    bool Last = std::holds_alternative<runtime::AnswerEnd>(*Part);
+    this->Wire.Clear();
+    toWire(std::move(*Part), this->Wire);
+    if (!Last) {
+      this->StartWrite(&this->Wire);
+      return;
+    }
+    this->Finished = true;
+    this->StartWriteAndFinish(&this->Wire, grpc::WriteOptions(),
+                              grpc::Status::OK);
+  }
+
+  void finishEarly(const grpc::Status &Status) {
+    std::lock_guard<std::mutex> Guard(this->Lock);
+    if (std::exchange(this->Finished, true))
+      return;
+    this->Finish(Status);
+  }
+
+  void OnWriteDone(bool Good) override {
+    {
+      std::lock_guard<std::mutex> Guard(this->Lock);
+      this->Writing = false;
+    }
+    if (Good)
+      this->writeNext();
+    else
+      this->finishEarly(grpc::Status::CANCELLED);
+  }
+
+  void OnCancel() override {
+    runtime::cancelPipe(*this->Pipe);
+    this->finishEarly(grpc::Status::CANCELLED);
+  }
+
+  void OnDone() override {
+    {
+      std::lock_guard<std::mutex> Guard(this->Lock);
+      this->Finished = true;
+    }
+    runtime::setReader(*this->Pipe, nullptr);
+    boost::intrusive_ptr<ForwardReactor> Last(this, false);
+  }
+};
+
+struct Service : v1::Peer::CallbackService {
+  PeerHandlers Handlers;
+
+  grpc::ServerUnaryReactor *Deliver(grpc::CallbackServerContext *Context,
+                                    const v1::PeerMessage *Request,
+                                    v1::DeliverReply *) override {
+    grpc::ServerUnaryReactor *Reactor = Context->DefaultReactor();
+    membership::PeerMessage Message;
+    if (!fromWire(*Request, Message)) {
+      Reactor->Finish(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
+                                   "the message is malformed"));
+      return Reactor;
+    }
+    this->Handlers.Deliver(std::move(Message));
+    Reactor->Finish(grpc::Status::OK);
+    return Reactor;
+  }
+
+  grpc::ServerWriteReactor<v1::AnswerPart> *
+  Forward(grpc::CallbackServerContext *,
+          const v1::ForwardRequest *Request) override {
+    boost::intrusive_ptr<ForwardReactor> Reactor(new ForwardReactor);
+    intrusive_ptr_add_ref(Reactor.get()); // released in OnDone()
+    core::AttemptFacts Facts;
+    if (!fromWire(Request->facts(), Facts)) {
+      Reactor->finishEarly(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
+                                        "the attempt is malformed"));
+      return Reactor.get();
+    }
+    runtime::RequestMessagePtr Message(new runtime::RequestMessage);
+    fromWire(*Request, *Message);
+    runtime::AnswerPipePtr Pipe = Reactor->Pipe;
+    runtime::setReader(*Pipe, [Reactor] { Reactor->writeNext(); });
+    this->Handlers.Forward(std::move(Facts), std::move(Message), Pipe);
+    return Reactor.get();
+  }
+
+  grpc::ServerUnaryReactor *FetchConfig(grpc::CallbackServerContext *Context,
+                                        const v1::FetchConfigRequest *,
+                                        v1::FetchConfigReply *Reply) override {
+    grpc::ServerUnaryReactor *Reactor = Context->DefaultReactor();
+    auto Document = this->Handlers.FetchConfig();
+    Reply->set_found(Document.has_value());
+    if (Document)
+      toWire(*Document, *Reply->mutable_document());
+    Reactor->Finish(grpc::Status::OK);
+    return Reactor;
+  }
+};
+
+} // namespace
+
+namespace detail {
+
+struct PeerService {
+  Service Calls;
+  std::unique_ptr<grpc::Server> Server;
+};
+
+} // namespace detail
+
+PeerServer::PeerServer() = default;
+PeerServer::~PeerServer() = default;
+
+std::unique_ptr<PeerServer> startPeerServer(const base::NetAddress &Address,
+                                            PeerHandlers Handlers,
+                                            std::error_code &Error) {
+  auto Result = std::make_unique<PeerServer>();
+  Result->Service = std::make_unique<detail::PeerService>();
+  Result->Service->Calls.Handlers = std::move(Handlers);
+  grpc::ServerBuilder Builder;
+  int Port = 0;
+  Builder.AddListeningPort(Address.Value, grpc::InsecureServerCredentials(),
+                           &Port);
+  Builder.SetMaxReceiveMessageSize(MessageLimit);
+  Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMillis);
+  Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                             KeepaliveTimeoutMillis);
+  Builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+      KeepaliveMillis / 2);
+  Builder.RegisterService(&Result->Service->Calls);
+  Result->Service->Server = Builder.BuildAndStart();
+  if (!Result->Service->Server || Port == 0) {
+    Error = std::make_error_code(std::errc::address_in_use);
+    return nullptr;
+  }
+  return Result;
+}
+
+void stopPeerServer(PeerServer &Server, base::Duration Limit) {
+  Server.Service->Server->Shutdown(std::chrono::system_clock::now() +
+                                   std::chrono::microseconds(Limit.Micros));
+}
+
+} // namespace currantgauge::peer
--- /dev/null
+++ b/currantgauge/peer/server.h
@@ -0,0 +1,56 @@
+// The gRPC side that other nodes call. Handlers run on gRPC's threads and only
+// hand work on.
+//
+//   std::error_code Error;
+//   auto Server = startPeerServer(Address, Handlers, Error);
+#ifndef CURRANTGAUGE_PEER_SERVER_H
+#define CURRANTGAUGE_PEER_SERVER_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/config/state.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/membership/message.h"
+#include "currantgauge/runtime/answer_pipe.h"
+#include "currantgauge/runtime/message.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <system_error>
+
+namespace currantgauge::peer {
+
+// PeerHandlers is what the server hands calls to.
+struct PeerHandlers {
+  std::function<void(membership::PeerMessage)> Deliver;
+  std::function<void(core::AttemptFacts, runtime::RequestMessagePtr,
+                     runtime::AnswerPipePtr)>
+      Forward;
+  std::function<std::optional<config::ConfigDocument>()> FetchConfig;
+};
+
+namespace detail {
+struct PeerService;
+} // namespace detail
+
+// PeerServer stops when it is destroyed.
+struct PeerServer {
+  PeerServer();
+  ~PeerServer();
+  PeerServer(const PeerServer &) = delete;
+  PeerServer &operator=(const PeerServer &) = delete;
+
+  std::unique_ptr<detail::PeerService> Service;
+};
+
+// startPeerServer() serves an address; null and Error when it can't be used.
+std::unique_ptr<PeerServer> startPeerServer(const base::NetAddress &Address,
+                                            PeerHandlers Handlers,
+                                            std::error_code &Error);
+
+// stopPeerServer() ends calls that are still open after Limit.
+void stopPeerServer(PeerServer &Server, base::Duration Limit);
+
+} // namespace currantgauge::peer
+
+#endif // CURRANTGAUGE_PEER_SERVER_H
--- /dev/null
+++ b/currantgauge/runtime/answer_pipe.cc
@@ -0,0 +1,117 @@
+#include "currantgauge/runtime/answer_pipe.h"
+
+#include <utility>
+
+namespace currantgauge::runtime {
+namespace {
+
+std::size_t sizeOf(const AnswerPart &Part) {
+  const auto *Chunk = std::get_if<AnswerChunk>(&Part);
+  return Chunk ? Chunk->Bytes.size() : 0;
+}
+
+// An answer too long to keep is not kept at all: a part of it is no answer.
+void record(AnswerPipe &Pipe, const AnswerPart &Part) {
+  if (!Pipe.Record)
+    return;
+  Pipe.RecordedBytes += sizeOf(Part);
+  if (Pipe.RecordedBytes > RecordLimit) {
+    Pipe.Record = false;
+    Pipe.Recorded.clear();
+    return;
+  }
+  Pipe.Recorded.push_back(Part);
+}
+
+void runIf(const std::function<void()> &Call) {
+  if (Call)
+    Call();
+}
+
+} // namespace
+
+// Callbacks are copied out and run without the lock, so that they may call
+// back into the pipe.
+bool pushPart(AnswerPipe &Pipe, AnswerPart Part) {
+  std::function<void()> Wake;
+  bool Room = false;
+  {
+    std::lock_guard<std::mutex> Guard(Pipe.Lock);
+    if (Pipe.Ended)
+      return true;
+    Pipe.Ended = std::holds_alternative<AnswerEnd>(Part);
+    if (!Pipe.Ended)
+      record(Pipe, Part);
+    Pipe.Bytes += sizeOf(Part);
+    Pipe.Parts.push_back(std::move(Part));
+    Room = Pipe.Bytes < PipeLimit;
+    Wake = Pipe.WakeReader;
+  }
+  runIf(Wake);
+  return Room;
+}
+
+std::optional<AnswerPart> takePart(AnswerPipe &Pipe) {
+  std::function<void()> Wake;
+  std::optional<AnswerPart> Part;
+  {
+    std::lock_guard<std::mutex> Guard(Pipe.Lock);
+    if (Pipe.Parts.empty())
+      return std::nullopt;
+    Part = std::move(Pipe.Parts.front());
+    Pipe.Parts.pop_front();
+    bool WasFull = Pipe.Bytes >= PipeLimit;
+    Pipe.Bytes -= sizeOf(*Part);
+    if (WasFull && Pipe.Bytes < PipeLimit)
+      Wake = Pipe.WakeWriter;
+  }
+  runIf(Wake);
+  return Part;
+}
+
+bool hasRoom(AnswerPipe &Pipe) {
+  std::lock_guard<std::mutex> Guard(Pipe.Lock);
+  return Pipe.Bytes < PipeLimit;
+}
+
+void setReader(AnswerPipe &Pipe, std::function<void()> Wake) {
+  bool Now = false;
+  {
+    std::lock_guard<std::mutex> Guard(Pipe.Lock);
+    Pipe.WakeReader = Wake;
+    Now = !Pipe.Parts.empty();
+  }
+  if (Now)
+    runIf(Wake);
+}
+
+void setWriter(AnswerPipe &Pipe, std::function<void()> Wake) {
+  std::lock_guard<std::mutex> Guard(Pipe.Lock);
+  Pipe.WakeWriter = std::move(Wake);
+}
+
+void setOnCancel(AnswerPipe &Pipe, std::function<void()> Call) {
+  bool Now = false;
+  {
+    std::lock_guard<std::mutex> Guard(Pipe.Lock);
+    Pipe.OnCancel = Call;
+    Now = Pipe.Cancelled;
+  }
+  if (Now)
+    runIf(Call);
+}
+
+void cancelPipe(AnswerPipe &Pipe) {
+  std::function<void()> Call;
+  {
+    std::lock_guard<std::mutex> Guard(Pipe.Lock);
+    if (Pipe.Cancelled)
+      return;
+    Pipe.Cancelled = true;
+    Call = Pipe.OnCancel;
+    Pipe.WakeReader = nullptr;
+  }
+  runIf(Call);
+}
+
+} // namespace currantgauge::runtime
--- /dev/null
+++ b/currantgauge/runtime/answer_pipe_test.cc
@@ -0,0 +1,46 @@
+#include "currantgauge/runtime/answer_pipe.h"
+
+#include <doctest/doctest.h>
+
+namespace currantgauge::runtime {
+
+TEST_CASE("a full pipe makes its writer wait until the reader has taken") {
+  AnswerPipePtr Pipe(new AnswerPipe);
+  int Woken = 0;
+  setWriter(*Pipe, [&] { ++Woken; });
+  CHECK(pushPart(*Pipe, AnswerHead{200, {}}));
+  CHECK_FALSE(pushPart(*Pipe, AnswerChunk{std::string(PipeLimit, 'x')}));
+  CHECK_FALSE(hasRoom(*Pipe));
+  takePart(*Pipe);
+  CHECK(Woken == 0);
+  takePart(*Pipe);
+  CHECK(Woken == 1);
+  CHECK(hasRoom(*Pipe));
+}
+
+TEST_CASE("nothing follows the end of an answer") {
+  AnswerPipePtr Pipe(new AnswerPipe);
+  pushPart(*Pipe, AnswerEnd{});
+  pushPart(*Pipe, AnswerChunk{"late"});
+  CHECK(std::holds_alternative<AnswerEnd>(*takePart(*Pipe)));
+  CHECK_FALSE(takePart(*Pipe).has_value());
+}
+
+TEST_CASE("an answer too long to keep is not kept in part") {
+  AnswerPipePtr Pipe(new AnswerPipe);
+  Pipe->Record = true;
+  pushPart(*Pipe, AnswerHead{200, {}});
+  CHECK(Pipe->Recorded.size() == 1);
+  pushPart(*Pipe, AnswerChunk{std::string(RecordLimit + 1, 'x')});
+  CHECK(Pipe->Recorded.empty());
+}
+
+TEST_CASE("a cancel that came first reaches a later writer") {
+  AnswerPipePtr Pipe(new AnswerPipe);
+  cancelPipe(*Pipe);
+  bool Told = false;
+  setOnCancel(*Pipe, [&] { Told = true; });
+  CHECK(Told);
+}
+
+} // namespace currantgauge::runtime
--- /dev/null
+++ b/currantgauge/runtime/caller_exchange.h
@@ -0,0 +1,31 @@
+// The control thread's handle on a caller's exchange. Each call hands its work
+// to the traffic thread of the caller's connection.
+//
+//   Exchange->Refuse(Refusal);
+#ifndef CURRANTGAUGE_RUNTIME_CALLER_EXCHANGE_H
+#define CURRANTGAUGE_RUNTIME_CALLER_EXCHANGE_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/core/effect.h"
+#include "currantgauge/runtime/answer_pipe.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <functional>
+
+namespace currantgauge::runtime {
+
+// CallerExchange is one request of a caller, until its answer is decided.
+struct CallerExchange
+    : boost::intrusive_ref_counter<CallerExchange, boost::thread_safe_counter> {
+  std::function<void(base::AttemptId, AnswerPipePtr)> Attach;
+  std::function<void(const core::DeliverAnswer &)> Deliver;
+  std::function<void(const core::RefuseRequest &)> Refuse;
+};
+
+using CallerExchangePtr = boost::intrusive_ptr<CallerExchange>;
+
+} // namespace currantgauge::runtime
+
+#endif // CURRANTGAUGE_RUNTIME_CALLER_EXCHANGE_H
--- /dev/null
+++ b/currantgauge/runtime/replay.cc
@@ -0,0 +1,26 @@
+#include "currantgauge/runtime/replay.h"
+
+#include "currantgauge/runtime/journal.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace currantgauge::runtime {
+
+int replayJournal(const std::string &Path) {
+  std::ifstream In(Path);
+  if (!In) {
+    std::cerr << Path << ": can't be read\n";
+    return 1;
+  }
+  ReplayResult Result = replay(In);
+  std::cout << "events: " << Result.Events
+            << "\ndifferent effects: " << Result.Different << "\n";
+  if (Result.Different != 0)
+    std::cout << "first difference: line " << Result.FirstDifferent << "\n";
+  if (!Result.Error.empty())
+    std::cerr << Path << ": " << Result.Error << "\n";
+  return Result.Different == 0 && Result.Error.empty() ? 0 : 1;
+}
+
+} // namespace currantgauge::runtime
