--- /dev/null
+++ b/tests/stand_ins/platform.cc
@@ -0,0 +1,278 @@
+#include "tests/stand_ins/platform.h"
+
+#include <boost/utility/string_view.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace currantgauge::stand_ins {
+namespace {
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr std::uint64_t LoseShareScale = 1000;
+
+std::string decodePercent(std::string_view Text) {
+  std::string Plain;
+  for (std::size_t At = 0; At < Text.size(); ++At) {
+    if (Text[At] != '%' || At + 2 >= Text.size()) {
+      Plain += Text[At];
+      continue;
+    }
+    std::string Hex(Text.substr(At + 1, 2));
+    Plain += static_cast<char>(std::strtol(Hex.c_str(), nullptr, 16));
+    At += 2;
+  }
+  return Plain;
+}
+
+// Target is a path split at "/" and its query, both decoded.
+struct Target {
+  std::vector<std::string> Parts;
+  std::map<std::string, std::string> Query;
+};
+
+Target parseTarget(boost::beast::string_view Raw) {
+  std::string_view Text(Raw.data(), Raw.size());
+  Target Parsed;
+  std::string_view Path = Text.substr(0, Text.find('?'));
+  std::string_view Query =
+      Path.size() < Text.size() ? Text.substr(Path.size() + 1) : "";
+  while (!Path.empty()) {
+    Path.remove_prefix(1);
+    std::string_view Part = Path.substr(0, Path.find('/'));
+    Parsed.Parts.push_back(decodePercent(Part));
+    Path.remove_prefix(Part.size());
+  }
+  while (!Query.empty()) {
+    std::string_view Pair = Query.substr(0, Query.find('&'));
+    std::size_t Equals = std::min(Pair.find('='), Pair.size());
+    std::string_view Value =
+        Equals < Pair.size() ? Pair.substr(Equals + 1) : "";
+    Parsed.Query[decodePercent(Pair.substr(0, Equals))] = decodePercent(Value);
+    Query.remove_prefix(std::min(Pair.size() + 1, Query.size()));
+  }
+  return Parsed;
+}
+
+json rowsOf(const base::StoreResult &Result) {
+  json Rows = json::array();
+  for (const base::StoreRow &Row : Result.Rows)
+    Rows.push_back(
+        {{"key", Row.Key}, {"value", Row.Value}, {"etag", Row.ETag}});
+  return Rows;
+}
+
+base::RowWrite rowWriteOf(const json &Item) {
+  base::RowWrite Write;
+  Write.Table = Item.at("table");
+  Write.Key = Item.at("key");
+  Write.Value = Item.value("value", "");
+  Write.Remove = Item.value("remove", false);
+  if (Item.value("if_none_match", "") == "*")
+    Write.Condition = base::WriteCondition::IfAbsent;
+  if (Item.contains("if_match")) {
+    Write.Condition = base::WriteCondition::IfMatch;
+    Write.ETag = Item.at("if_match");
+  }
+  return Write;
+}
+
+base::RowWrite rowWriteOf(const HttpRequest &Request, const Target &Where) {
+  base::RowWrite Write;
+  Write.Table = Where.Parts.at(1);
+  Write.Key = Where.Parts.at(3);
+  Write.Value = Request.body();
+  Write.Remove = Request.method() == http::verb::delete_;
+  if (Request[http::field::if_none_match] == "*")
+    Write.Condition = base::WriteCondition::IfAbsent;
+  if (Request.count(http::field::if_match) != 0) {
+    Write.Condition = base::WriteCondition::IfMatch;
+    Write.ETag = std::string(Request[http::field::if_match]);
+  }
+  return Write;
+}
+
+base::WriteRows transactionOf(const HttpRequest &Request) {
+  base::WriteRows Transaction;
+  json Body = json::parse(Request.body());
+  for (const json &Item : Body.at("writes"))
+    Transaction.Rows.push_back(rowWriteOf(Item));
+  return Transaction;
+}
+
+// operationOf() returns none when the request means nothing here.
+std::optional<base::StoreOperation> operationOf(const HttpRequest &Request) {
+  Target Where = parseTarget(Request.target());
+  const auto &Parts = Where.Parts;
+  bool IsGet = Request.method() == http::verb::get;
+  if (Parts.size() == 1 && Parts[0] == "transactions")
+    return transactionOf(Request);
+  if (Parts.size() == 2 && Parts[0] == "objects" && IsGet)
+    return base::GetObject{Parts[1]};
+  if (Parts.size() == 2 && Parts[0] == "objects")
+    return base::PutObject{Parts[1], Request.body()};
+  if (Parts.size() < 3 || Parts[0] != "tables" || Parts[2] != "rows")
+    return std::nullopt;
+  if (Parts.size() == 3)
+    return base::ScanRows{Parts[1], Where.Query["after"],
+                          static_cast<std::uint32_t>(std::strtoul(
+                              Where.Query["limit"].c_str(), nullptr, 10))};
+  if (IsGet)
+    return base::ReadRow{Parts[1], Parts[3]};
+  return base::WriteRows{{rowWriteOf(Request, Where)}};
+}
+
+http::status statusOf(base::StoreStatus Status) {
+  switch (Status) {
+  case base::StoreStatus::Done:
+    return http::status::ok;
+  case base::StoreStatus::NotFound:
+    return http::status::not_found;
+  case base::StoreStatus::ConditionFailed:
+    return http::status::precondition_failed;
+  default:
+    return http::status::service_unavailable;
+  }
+}
+
+HttpResponse plain(http::status Status, std::string Body = {}) {
+  HttpResponse Response{Status, 11};
+  Response.body() = std::move(Body);
+  return Response;
+}
+
+HttpResponse encode(const base::StoreOperation &Operation,
+                    const base::StoreResult &Result) {
+  HttpResponse Response = plain(statusOf(Result.Status));
+  if (std::holds_alternative<base::GetObject>(Operation)) {
+    Response.body() = Result.Bytes;
+    return Response;
+  }
+  bool IsRead = std::holds_alternative<base::ReadRow>(Operation);
+  if (IsRead && !Result.Rows.empty()) {
+    Response.set(http::field::etag, Result.Rows[0].ETag);
+    Response.body() = Result.Rows[0].Value;
+    return Response;
+  }
+  Response.set(http::field::content_type, "application/json");
+  Response.body() = json{{"rows", rowsOf(Result)}}.dump();
+  return Response;
+}
+
+bool isWrite(const base::StoreOperation &Operation) {
+  return std::holds_alternative<base::WriteRows>(Operation) ||
+         std::holds_alternative<base::PutObject>(Operation);
+}
+
+bool overRate(RateCount &Rate, double Limit,
+              std::chrono::steady_clock::time_point Now) {
+  std::int64_t Second =
+      std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch())
+          .count();
+  if (Second != Rate.Second)
+    Rate = RateCount{Second, 0};
+  if (Limit > 0 && Rate.Count >= Limit)
+    return true;
+  Rate.Count += 1;
+  return false;
+}
+
+// A fixed sequence stands for chance, so that a run can be repeated.
+bool losesAnswer(Platform &Service) {
+  PlatformFaults &Faults = Service.Faults;
+  if (Faults.LoseAnswers > 0) {
+    --Faults.LoseAnswers;
+    return true;
+  }
+  std::uint64_t Draw = (++Service.Draws * 7919) % LoseShareScale;
+  return static_cast<double>(Draw) < Faults.LoseShare * LoseShareScale;
+}
+
+json faultsJson(const Platform &Service) {
+  const PlatformFaults &Faults = Service.Faults;
+  return {{"outage", Faults.Outage},
+          {"delay_ms", Faults.DelayMillis},
+          {"lose_answers", Faults.LoseAnswers},
+          {"lose_share", Faults.LoseShare},
+          {"writes_per_second", Faults.WritesPerSecond},
+          {"reads_per_second", Faults.ReadsPerSecond},
+          {"reads", Service.Reads},
+          {"writes", Service.Writes},
+          {"rows", Service.Rows},
+          {"limited", Service.Limited},
+          {"lost", Service.Lost}};
+}
+
+HttpResponse control(Platform &Service, const HttpRequest &Request) {
+  if (Request.method() == http::verb::put) {
+    json Body = json::parse(Request.body());
+    PlatformFaults &Faults = Service.Faults;
+    Faults.Outage = Body.value("outage", "");
+    Faults.DelayMillis = Body.value("delay_ms", 0U);
+    Faults.LoseAnswers = Body.value("lose_answers", 0U);
+    Faults.LoseShare = Body.value("lose_share", 0.0);
+    Faults.WritesPerSecond = Body.value("writes_per_second", 0.0);
+    Faults.ReadsPerSecond = Body.value("reads_per_second", 0.0);
+  }
+  return plain(http::status::ok, faultsJson(Service).dump());
+}
+
+HttpResponse tooMany(Platform &Service) {
+  ++Service.Limited;
+  HttpResponse Response = plain(http::status::too_many_requests);
+  Response.set(http::field::retry_after, "1");
+  return Response;
+}
+
+PlatformAnswer answerOperation(Platform &Service,
+                               const base::StoreOperation &Operation,
+                               std::chrono::steady_clock::time_point Now) {
+  bool Write = isWrite(Operation);
+  if (overRate(Write ? Service.WriteRate : Service.ReadRate,
+               Write ? Service.Faults.WritesPerSecond
+                     : Service.Faults.ReadsPerSecond,
+               Now))
+    return {tooMany(Service), AnswerFate::Send};
+  ++(Write ? Service.Writes : Service.Reads);
+  if (const auto *Rows = std::get_if<base::WriteRows>(&Operation))
+    Service.Rows += Rows->Rows.size();
+  base::StoreResult Result = base::applyOperation(Service.Store, Operation);
+  if (Write && losesAnswer(Service)) {
+    ++Service.Lost;
+    return {{}, AnswerFate::Close};
+  }
+  return {encode(Operation, Result), AnswerFate::Send};
+}
+
+} // namespace
+
+bool isControl(const HttpRequest &Request) {
+  return Request.target() == "/control";
+}
+
+PlatformAnswer answerPlatform(Platform &Service, const HttpRequest &Request,
+                              std::chrono::steady_clock::time_point Now) {
+  try {
+    if (isControl(Request))
+      return {control(Service, Request), AnswerFate::Send};
+    if (Service.Faults.Outage == "silent")
+      return {{}, AnswerFate::Silence};
+    if (!Service.Faults.Outage.empty())
+      return {plain(http::status::service_unavailable), AnswerFate::Send};
+    auto Operation = operationOf(Request);
+    if (!Operation)
+      return {plain(http::status::bad_request), AnswerFate::Send};
+    return answerOperation(Service, *Operation, Now);
+  } catch (const std::exception &Error) {
+    return {plain(http::status::bad_request, Error.what()), AnswerFate::Send};
+  }
+}
+
+} // namespace currantgauge::stand_ins
--- /dev/null
+++ b/tests/stand_ins/platform.h
@@ -0,0 +1,72 @@
+// The platform's stand-in: table rows, transactions and objects over HTTP,
+// with faults that a test switches on.
+//
+//   Platform Service;
+//   HttpResponse Answer = answerPlatform(Service, Request, Now);
+#ifndef CURRANTGAUGE_TESTS_STAND_INS_PLATFORM_H
+#define CURRANTGAUGE_TESTS_STAND_INS_PLATFORM_H
+
+#include "currantgauge/base/memory_store.h"
+
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace currantgauge::stand_ins {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// PlatformFaults is set by PUT /control and read by GET /control.
+struct PlatformFaults {
+  std::string Outage;            // "", "refuse" (503) or "silent" (no answer)
+  std::uint32_t DelayMillis = 0; // before each answer
+  std::uint32_t LoseAnswers = 0; // of the next writes, after they are applied
+  double LoseShare = 0;          // share of writes whose answer is lost
+  double WritesPerSecond = 0;    // above: 429; zero: no limit
+  double ReadsPerSecond = 0;
+};
+
+// RateCount counts the operations of the running second.
+struct RateCount {
+  std::int64_t Second = 0;
+  double Count = 0;
+};
+
+// Platform is the service's state.
+struct Platform {
+  base::MemoryStore Store;
+  PlatformFaults Faults;
+  RateCount ReadRate;
+  RateCount WriteRate;
+  std::uint64_t Reads = 0;
+  std::uint64_t Writes = 0;
+  std::uint64_t Rows = 0; // written
+  std::uint64_t Limited = 0;
+  std::uint64_t Lost = 0;
+  std::uint64_t Draws = 0; // of LoseShare
+};
+
+// AnswerFate says what becomes of an answer.
+enum class AnswerFate { Send, Close, Silence };
+
+// PlatformAnswer is an answer and its fate.
+struct PlatformAnswer {
+  HttpResponse Response;
+  AnswerFate Fate = AnswerFate::Send;
+};
+
+// answerPlatform() applies one request.
+PlatformAnswer answerPlatform(Platform &Service, const HttpRequest &Request,
+                              std::chrono::steady_clock::time_point Now);
+
+// isControl() is true for requests that the faults leave alone.
+bool isControl(const HttpRequest &Request);
+
+} // namespace currantgauge::stand_ins
+
+#endif // CURRANTGAUGE_TESTS_STAND_INS_PLATFORM_H
