--- /dev/null
+++ b/tests/stand_ins/platform_main.cc
@@ -0,0 +1,24 @@
+// The platform's stand-in as a process. It prints {"port": N} and serves until
+// it is ended.
+//
+//   platform --port=0
+#include "tests/stand_ins/platform_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+DEFINE_int32(port, 0, "port on 127.0.0.1; 0: any free one");
+
+int main(int Argc, char **Argv) {
+  using namespace currantgauge::stand_ins;
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  boost::asio::io_context Io;
+  Platform Service;
+  unsigned short Port =
+      servePlatform(Io, Service, static_cast<unsigned short>(FLAGS_port));
+  std::cout << nlohmann::json{{"port", Port}} << std::endl;
+  Io.run();
+}
