--- /dev/null
+++ b/currantgauge/runtime/listeners.cc
@@ -0,0 +1,160 @@
+#include "currantgauge/runtime/listeners.h"
+
+#include "currantgauge/http/announce_codec.h"
+#include "currantgauge/http/listener.h"
+#include "currantgauge/http/operator_codec.h"
+#include "currantgauge/http/service.h"
+#include "currantgauge/routing/state.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+
+#include <string_view>
+#include <utility>
+
+namespace currantgauge::runtime {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::string_view ServersPath = "/v1/servers/";
+
+http::ServiceAnswer errorAnswer(std::uint32_t Status, const std::string &Text) {
+  return {Status, "application/json",
+          nlohmann::json{{"error", Text}}.dump(
+              -1, ' ', false, nlohmann::json::error_handler_t::replace) +
+              "\n"};
+}
+
+http::ServiceAnswer announce(Node &Self, const std::string &Name,
+                             const std::string &Body) {
+  std::string Error;
+  auto Word = http::parseAnnouncement(Name, Body, Error);
+  if (!Word)
+    return errorAnswer(400, Error);
+  post(Self, ControlInput{core::BackendAnnounced{*Word}, {}, {}, {}, {}});
+  nlohmann::json Answer = {{"lease_ms", base::toMillis(routing::LeaseTime)}};
+  return {200, "application/json", Answer.dump() + "\n"};
+}
+
+http::ServiceAnswer localService(Node &Self,
+                                 const http::ServiceRequest &Request) {
+  std::string Target(Request.target());
+  if (Target.starts_with(ServersPath) && Request.method_string() == "PUT")
+    return announce(Self, Target.substr(ServersPath.size()), Request.body());
+  if (Target == "/metrics")
+    return {200, "text/plain; version=0.0.4",
+            telemetry::metricsText(Self.Metrics)};
+  if (Target == "/healthz")
+    return {200, "text/plain", "ok\n"};
+  if (Target == "/readyz")
+    return Self.Ready ? http::ServiceAnswer{200, "text/plain", "ready\n"}
+                      : http::ServiceAnswer{503, "text/plain", "not ready\n"};
+  return errorAnswer(404, "no such path");
+}
+
+// The comparison takes the same time wherever the texts differ.
+bool isAuthorized(const Node &Self, const http::ServiceRequest &Request) {
+  const std::string &Token = Self.Settings.OperatorToken;
+  if (Token.empty())
+    return true;
+  std::string Given(Request[boost::beast::http::field::authorization]);
+  std::string Wanted = "Bearer " + Token;
+  return Given.size() == Wanted.size() &&
+         CRYPTO_memcmp(Given.data(), Wanted.data(), Wanted.size()) == 0;
+}
+
+void operatorService(Node &Self, const http::ServiceRequest &Request,
+                     http::ServiceReply Reply) {
+  if (!isAuthorized(Self, Request))
+    return Reply(errorAnswer(401, "a bearer token is needed"));
+  if (Request.target() != "/v1/query" || Request.method_string() != "POST")
+    return Reply(errorAnswer(404, "no such path"));
+  std::string Error;
+  auto Query = http::parseQuery(Request.body(), Error);
+  if (!Query)
+    return Reply(errorAnswer(400, Error));
+  ControlInput Input;
+  Input.Body = core::OperatorAsked{base::CallId(), std::move(*Query)};
+  Input.Reply = [Reply](const core::OperatorReply &Answer) {
+    Reply({200, "application/json", http::encodeReply(Answer) + "\n"});
+  };
+  post(Self, std::move(Input));
+}
+
+peer::PeerHandlers peerHandlers(Node &Self) {
+  peer::PeerHandlers Handlers;
+  Handlers.Deliver = [&Self](membership::PeerMessage Message) {
+    post(Self,
+         ControlInput{
+             core::PeerMessageArrived{std::move(Message)}, {}, {}, {}, {}});
+  };
+  Handlers.Forward = [&Self](core::AttemptFacts Facts,
+                             RequestMessagePtr Message, AnswerPipePtr Pipe) {
+    base::AttemptId Attempt = Facts.Attempt;
+    post(Self, ControlInput{core::AttemptArrived{std::move(Facts)},
+                            {},
+                            std::move(Message),
+                            Pipe,
+                            {}});
+    setOnCancel(*Pipe, [&Self, Attempt] {
+      post(Self, ControlInput{core::AttemptCancelled{Attempt}, {}, {}, {}, {}});
+    });
+  };
+  Handlers.FetchConfig = [&Self] {
+    std::lock_guard<std::mutex> Guard(Self.DocumentLock);
+    return Self.Document;
+  };
+  return Handlers;
+}
+
+bool openCallers(Node &Self, boost::system::error_code &Failed) {
+  return http::listen(
+             Self.Traffic.Threads.front()->Io, Self.Settings.CallerAddress,
+             [&Self]() -> asio::io_context & {
+               return nextContext(Self.Traffic);
+             },
+             [&Self](tcp::socket Socket) {
+               http::startCallerSession(std::move(Socket), Self.Callers);
+             },
+             Failed) != 0;
+}
+
+bool openServices(Node &Self, boost::system::error_code &Failed) {
+  asio::io_context &Io = Self.Traffic.Threads.back()->Io;
+  return http::listenService(
+             Io, Self.Settings.AnnounceAddress,
+             [&Self](const http::ServiceRequest &Request,
+                     http::ServiceReply Reply) {
+               Reply(localService(Self, Request));
+             },
+             Failed) != 0 &&
+         http::listenService(
+             Io, Self.Settings.OperatorAddress,
+             [&Self](const http::ServiceRequest &Request,
+                     http::ServiceReply Reply) {
+               operatorService(Self, Request, std::move(Reply));
+             },
+             Failed) != 0;
+}
+
+} // namespace
+
+bool openListeners(Node &Self, std::string &Error) {
+  std::error_code PeerFailed;
+  Self.PeerServer = peer::startPeerServer(Self.Settings.PeerAddress,
+                                          peerHandlers(Self), PeerFailed);
+  if (!Self.PeerServer) {
+    Error = "peer address " + Self.Settings.PeerAddress.Value + ": " +
+            PeerFailed.message();
+    return false;
+  }
+  boost::system::error_code Failed;
+  if (openServices(Self, Failed) && openCallers(Self, Failed))
+    return true;
+  Error = "an address can't be used: " + Failed.message();
+  return false;
+}
+
+} // namespace currantgauge::runtime
--- /dev/null
+++ b/currantgauge/runtime/node.h
@@ -0,0 +1,101 @@
+// A node at run time: its state, its threads, and the handles that effects
+// need. The maps belong to the control thread.
+//
+//   Node Self(Settings);
+//   post(Self, ControlInput{.Body = core::Started{}});
+#ifndef CURRANTGAUGE_RUNTIME_NODE_H
+#define CURRANTGAUGE_RUNTIME_NODE_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/memory_store.h"
+#include "currantgauge/config/node_settings.h"
+#include "currantgauge/config/state.h"
+#include "currantgauge/core/state.h"
+#include "currantgauge/http/backend_client.h"
+#include "currantgauge/http/caller_session.h"
+#include "currantgauge/peer/client.h"
+#include "currantgauge/peer/server.h"
+#include "currantgauge/platform/store_client.h"
+#include "currantgauge/runtime/control.h"
+#include "currantgauge/runtime/journal.h"
+#include "currantgauge/runtime/traffic.h"
+#include "currantgauge/telemetry/metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace currantgauge::runtime {
+
+// EntryHandle is a caller's request in flight here.
+struct EntryHandle {
+  CallerExchangePtr Caller;
+  RequestMessagePtr Message;
+  std::vector<AnswerPipePtr> Pipes; // of its attempts
+};
+
+// OwnerHandle is an attempt that this node owns.
+struct OwnerHandle {
+  RequestMessagePtr Message;
+  AnswerPipePtr Pipe;
+  base::RequestId Request;
+  http::BackendExchangePtr Exchange;
+};
+
+// KeptAnswer is an answer kept for a later ask.
+using KeptAnswer = std::shared_ptr<const std::vector<AnswerPart>>;
+
+// Node is one process.
+struct Node {
+  config::NodeSettings Settings;
+  core::State State;
+  TrafficThreads Traffic;
+  std::vector<std::unique_ptr<http::BackendPool>> Pools; // one a thread
+  ControlThread Control;
+  http::CallerContext Callers;
+  std::unique_ptr<peer::PeerServer> PeerServer;
+  peer::PeerClient Peers;
+  std::optional<platform::StoreClient> Store; // none: embedded
+  base::MemoryStore Embedded;
+  telemetry::Metrics Metrics;
+  Journal Log;
+
+  // Of the control thread alone.
+  std::deque<ControlInput> Follow; // inputs that effects of this turn made
+  std::unordered_map<base::RequestId, EntryHandle> Entries;
+  std::unordered_map<base::AttemptId, AnswerPipePtr> EntryPipes;
+  std::unordered_map<base::AttemptId, base::RequestId> EntryRequests;
+  std::unordered_map<base::AttemptId, OwnerHandle> Owned;
+  std::map<base::AttemptId, KeptAnswer> Kept;
+  std::map<base::CallId, std::function<void(const core::OperatorReply &)>>
+      Replies;
+  std::uint64_t LastReply = 0;
+
+  // Of the first traffic thread alone.
+  std::unique_ptr<boost::asio::steady_timer> WakeTimer;
+
+  // Read by other threads.
+  std::atomic<bool> Ready{false};
+  std::mutex DocumentLock;
+  std::optional<config::ConfigDocument> Document; // served to peers
+  std::function<void(int)> OnStop;
+};
+
+// post() hands an input to the control thread; any thread may call it.
+void post(Node &Self, ControlInput Input);
+
+// handleInput() reduces one input and carries out its effects; it runs on the
+// control thread.
+void handleInput(Node &Self, ControlInput &Input);
+
+} // namespace currantgauge::runtime
+
+#endif // CURRANTGAUGE_RUNTIME_NODE_H
--- /dev/null
+++ b/currantgauge/runtime/serve.cc
@@ -0,0 +1,190 @@
+#include "currantgauge/runtime/serve.h"
+
+#include "currantgauge/config/document.h"
+#include "currantgauge/runtime/clock.h"
+#include "currantgauge/runtime/listeners.h"
+#include "currantgauge/runtime/node.h"
+#include "currantgauge/telemetry/log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <vector>
+
+namespace currantgauge::runtime {
+namespace {
+
+namespace asio = boost::asio;
+
+// Answers that were just decided still have to leave their sockets.
+constexpr std::chrono::milliseconds FlushTime{300};
+
+core::NodeIdentity identityOf(const config::NodeSettings &Settings) {
+  core::NodeIdentity Self;
+  Self.Name = Settings.Name;
+  Self.Region = Settings.Region;
+  Self.Domain = Settings.Domain;
+  Self.PeerAddress = Settings.PeerAddress;
+  Self.Life = base::Incarnation(static_cast<std::uint64_t>(wallNow().Millis));
+  Self.Seeds = Settings.Seeds;
+  Self.Embedded = Settings.Embedded;
+  Self.ActionSecret = Settings.ActionSecret;
+  return Self;
+}
+
+// Request ids of two nodes started in the same millisecond must differ, so the
+// origin is drawn at random.
+std::uint64_t randomNumber() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32) | Device();
+}
+
+void setUp(Node &Self, const std::string &JournalPath, std::string &Error) {
+  const config::NodeSettings &Settings = Self.Settings;
+  core::NodeIdentity Identity = identityOf(Settings);
+  std::uint64_t Seed = randomNumber();
+  Self.State = core::makeState(Identity, Seed);
+  if (!Settings.Embedded)
+    Self.Store.emplace(Settings.Platform);
+  Self.Callers.Post = [&Self](ControlInput Input) {
+    post(Self, std::move(Input));
+  };
+  Self.Callers.Origin = randomNumber();
+  Self.Callers.HeaderLimit = Settings.HeaderLimit;
+  Self.Callers.BodyLimit = Settings.BodyLimit;
+  Self.Callers.AnswerBuffer = Settings.AnswerBuffer;
+  Self.Callers.Idle = Settings.CallerIdle;
+  Self.Callers.Read = Settings.CallerRead;
+  if (JournalPath.empty())
+    return;
+  std::error_code Failed;
+  openJournal(Self.Log, JournalPath, Identity, Seed, Failed);
+  if (Failed)
+    Error = JournalPath + ": " + Failed.message();
+}
+
+void startThreads(Node &Self) {
+  startTraffic(Self.Traffic,
+               std::max<std::uint32_t>(Self.Settings.TrafficThreads, 1));
+  for (std::size_t I = 0; I < Self.Traffic.Threads.size(); ++I)
+    Self.Pools.push_back(std::make_unique<http::BackendPool>());
+  startControl(Self.Control,
+               [&Self](ControlInput &Input) { handleInput(Self, Input); });
+}
+
+// A first try without a push: the folder named in the settings.
+void pushFolder(Node &Self) {
+  if (Self.Settings.ConfigFolder.empty())
+    return;
+  std::vector<config::ConfigFile> Files;
+  std::error_code Ignored;
+  for (const auto &Entry : std::filesystem::directory_iterator(
+           Self.Settings.ConfigFolder, Ignored)) {
+    std::ifstream In(Entry.path());
+    std::stringstream Text;
+    Text << In.rdbuf();
+    Files.push_back({Entry.path().filename().string(), Text.str()});
+  }
+  config::SettingsErrors Errors;
+  core::AskConfigPush Push;
+  Push.Text = config::mergeFiles(std::move(Files), Errors);
+  Push.Push = base::PushId("start");
+  Push.Author = "settings";
+  ControlInput Input;
+  Input.Body = core::OperatorAsked{base::CallId(), std::move(Push)};
+  Input.Reply = [](const core::OperatorReply &Reply) {
+    if (!Reply.Error.empty())
+      telemetry::writeLog(
+          {core::LogLevel::Error, "config_refused", {{"error", Reply.Error}}});
+  };
+  post(Self, std::move(Input));
+}
+
+// StopLatch lets the first of several asks to stop count.
+struct StopLatch {
+  asio::io_context &Main;
+  int ExitCode = 0;
+  bool Stopped = false;
+};
+
+void finish(StopLatch &Latch, int ExitCode) {
+  if (std::exchange(Latch.Stopped, true))
+    return;
+  Latch.ExitCode = ExitCode;
+  auto Timer = std::make_shared<asio::steady_timer>(Latch.Main, FlushTime);
+  Timer->async_wait([&Latch, Timer](auto) { Latch.Main.stop(); });
+}
+
+void onSignal(Node &Self, StopLatch &Latch, asio::signal_set &Signals,
+              asio::steady_timer &Limit) {
+  Signals.async_wait([&](boost::system::error_code Error, int) {
+    if (Error)
+      return;
+    if (Self.Callers.Stopping.exchange(true))
+      std::_Exit(1);
+    post(Self, ControlInput{core::StopRequested{}, {}, {}, {}, {}});
+    Limit.expires_after(
+        std::chrono::microseconds(Self.Settings.StopLimit.Micros));
+    Limit.async_wait([&](boost::system::error_code Late) {
+      if (!Late)
+        finish(Latch, 1);
+    });
+    onSignal(Self, Latch, Signals, Limit);
+  });
+}
+
+void stopThreads(Node &Self) {
+  peer::stopPeerServer(*Self.PeerServer, base::milliseconds(100));
+  stopTraffic(Self.Traffic);
+  stopControl(Self.Control);
+}
+
+} // namespace
+
+int serveNode(const config::NodeSettings &Settings,
+              const std::string &JournalPath) {
+  telemetry::startLog(Settings.LogLevel, Settings.Name.Value);
+  asio::io_context Main(1);
+  auto Work = asio::make_work_guard(Main);
+  asio::signal_set Signals(Main, SIGTERM, SIGINT);
+  asio::steady_timer Limit(Main);
+  std::signal(SIGPIPE, SIG_IGN);
+  StopLatch Latch{Main};
+  // The node is never destroyed: callbacks of libraries may still hold it
+  // while the process ends.
+  Node &Self = *new Node;
+  Self.Settings = Settings;
+  Self.OnStop = [&Main, &Latch](int ExitCode) {
+    asio::post(Main, [&Latch, ExitCode] { finish(Latch, ExitCode); });
+  };
+  std::string Error;
+  setUp(Self, JournalPath, Error);
+  if (Error.empty()) {
+    startThreads(Self);
+    openListeners(Self, Error);
+  }
+  if (!Error.empty()) {
+    telemetry::writeLog(
+        {core::LogLevel::Error, "start_failed", {{"error", Error}}});
+    std::_Exit(1);
+  }
+  onSignal(Self, Latch, Signals, Limit);
+  post(Self, ControlInput{core::Started{}, {}, {}, {}, {}});
+  pushFolder(Self);
+  Main.run();
+  stopThreads(Self);
+  telemetry::stopLog();
+  std::_Exit(Latch.ExitCode);
+}
+
+} // namespace currantgauge::runtime
--- /dev/null
+++ b/currantgauge/runtime/serve.h
@@ -0,0 +1,21 @@
+// The serve command: one node, until it is told to stop.
+//
+//   return serveNode(Settings, "");
+#ifndef CURRANTGAUGE_RUNTIME_SERVE_H
+#define CURRANTGAUGE_RUNTIME_SERVE_H
+
+#include "currantgauge/config/node_settings.h"
+
+#include <string>
+
+namespace currantgauge::runtime {
+
+// serveNode() runs a node and returns its exit code. JournalPath is empty for
+// no journal. SIGTERM and SIGINT start a graceful shutdown, a second one ends
+// the process at once.
+int serveNode(const config::NodeSettings &Settings,
+              const std::string &JournalPath);
+
+} // namespace currantgauge::runtime
+
+#endif // CURRANTGAUGE_RUNTIME_SERVE_H
