--- /dev/null
+++ b/currantgauge/cli/main.cc
@@ -0,0 +1,5 @@
+#include "currantgauge/cli/command.h"
+
+int main(int Count, char **Arguments) {
+  return currantgauge::cli::runCommandLine(Count, Arguments);
+}
--- /dev/null
+++ b/currantgauge/config/diff.cc
@@ -0,0 +1,51 @@
+#include "currantgauge/config/diff.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <string_view>
+
+namespace currantgauge::config {
+namespace {
+
+using Lines = std::map<std::string, std::string_view>;
+
+// A canonical document has sections at the left edge and one entry a line,
+// so that no YAML has to be parsed to compare two of them.
+Lines linesOf(std::string_view Text) {
+  Lines Found;
+  std::string Section;
+  while (!Text.empty()) {
+    std::string_view Line = Text.substr(0, Text.find('\n'));
+    Text.remove_prefix(std::min(Line.size() + 1, Text.size()));
+    std::size_t Colon = Line.find(": ");
+    if (!Line.starts_with("  "))
+      Section = std::string(Line.substr(0, Line.find(':')));
+    else if (Colon != std::string_view::npos)
+      Found[Section + "." + std::string(Line.substr(2, Colon - 2))] =
+          Line.substr(Colon + 2);
+  }
+  return Found;
+}
+
+} // namespace
+
+std::vector<DocumentChange> diffDocuments(const std::string &Old,
+                                          const std::string &New) {
+  std::vector<DocumentChange> Changes;
+  Lines Before = linesOf(Old);
+  Lines After = linesOf(New);
+  for (const auto &[Name, Value] : After) {
+    auto Same = Before.find(Name);
+    if (Same == Before.end())
+      Changes.push_back({Name, "", std::string(Value)});
+    else if (Same->second != Value)
+      Changes.push_back({Name, std::string(Same->second), std::string(Value)});
+  }
+  for (const auto &[Name, Value] : Before)
+    if (!After.contains(Name))
+      Changes.push_back({Name, std::string(Value), ""});
+  return Changes;
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/core/operator.h
+++ b/currantgauge/core/operator.h
@@ -32,8 +32,10 @@
 struct AskQuarantineClear {
   base::Fingerprint Print;
 };
-// AskConfig asks for the configuration in force.
-struct AskConfig {};
+// AskConfig asks for a version of the configuration, 0 for the one in force.
+struct AskConfig {
+  base::ConfigVersion Version;
+};
 // AskConfigHistory asks for the accepted versions.
 struct AskConfigHistory {};
 // AskConfigPush submits a merged document, valid on top of BaseVersion.
--- a/currantgauge/http/operator_codec.cc
+++ b/currantgauge/http/operator_codec.cc
@@ -67,6 +67,11 @@
   return std::nullopt;
 }
 
+std::optional<OperatorQuery> parseConfig(const Json &Body, std::string &) {
+  return core::AskConfig{
+      base::ConfigVersion(Body.value("version", std::uint64_t{0}))};
+}
+
 std::optional<OperatorQuery> parsePush(const Json &Body, std::string &) {
   core::AskConfigPush Query;
   Query.Text = Body.at("text").get<std::string>();
@@ -92,7 +97,7 @@
       {"drain", parseDrain},
       {"quarantine", parsePlain<core::AskQuarantine>},
       {"quarantine_clear", parseClear},
-      {"config", parsePlain<core::AskConfig>},
+      {"config", parseConfig},
       {"config_history", parsePlain<core::AskConfigHistory>},
       {"config_push", parsePush}};
   return Parsers;
@@ -111,7 +116,9 @@
   return {{"query", "quarantine_clear"},
           {"fingerprint", formatHex(Query.Print.Value)}};
 }
-Json toJson(const core::AskConfig &) { return {{"query", "config"}}; }
+Json toJson(const core::AskConfig &Query) {
+  return {{"query", "config"}, {"version", Query.Version.Value}};
+}
 Json toJson(const core::AskConfigHistory &) {
   return {{"query", "config_history"}};
 }
--- a/currantgauge/http/operator_codec_test.cc
+++ b/currantgauge/http/operator_codec_test.cc
@@ -19,7 +19,7 @@
       core::AskDrain{base::BackendName("cutlist-1"), true},
       core::AskQuarantine{},
       core::AskQuarantineClear{base::Fingerprint(0xffffffffffffffff)},
-      core::AskConfig{},
+      core::AskConfig{base::ConfigVersion(4)},
       core::AskConfigHistory{},
       Push};
   for (const core::OperatorQuery &Query : Queries) {
