Thin path: caller to entry node to owner node to backend server, with real processes

Demo, load tool, backend-server stand-in, integration tests with real processes. Cause of two faults found on the way, each covered by the integration tests: - the compiler miscompiles an await to the right of a short-circuiting operator (the coroutine frame was destroyed early; segmentation fault on the first request): awaits stand in statements of their own; - Beast 1.74 takes body_limit(none) for a limit of zero when a length is announced: an explicit highest limit instead.

--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -20,6 +20,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
+#include <limits>
 #include <string>
 
 namespace currantgauge::http {
@@ -151,6 +153,13 @@
     return E.Handle->CancelWhy;
   if (Error == beast::error::timeout)
     return base::Reason::BackendTimeout;
+  bool Closed = Error == beast::http::error::end_of_stream ||
+                Error == beast::http::error::partial_message ||
+                Error.category() != beast::http::make_error_code(
+                                        beast::http::error::end_of_stream)
+                                        .category();
+  if (!Closed)
+    return base::Reason::BackendError; // bytes that are no HTTP answer
   return AnyAnswer ? base::Reason::AnswerCutShort : base::Reason::BackendReset;
 }
 
@@ -225,7 +234,7 @@
   while (true) {
     AnswerParser Parser;
     Parser.header_limit(AnswerHeaderLimit);
-    Parser.body_limit(boost::none);
+    Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     Parser.skip(Head);
     ErrorCode Error;
     co_await beast::http::async_read_header(
@@ -240,7 +249,8 @@
     readRetryAfter(Parser, E.Outcome);
     bool Framed = !Parser.need_eof();
     pushHead(E, Parser);
-    if (!co_await readBody(E, Parser))
+    bool Whole = co_await readBody(E, Parser);
+    if (!Whole)
       co_return;
     E.Outcome.AnswerWhole = Framed;
     if (!Framed)
@@ -251,12 +261,21 @@
   }
 }
 
+// The awaits stand in statements of their own: the compiler miscompiles an
+// await to the right of a short-circuiting operator.
+asio::awaitable<void> attempt(Exchange &E) {
+  bool Open = co_await openConnection(E);
+  if (!Open)
+    co_return;
+  bool Sent = co_await sendRequest(E);
+  if (Sent)
+    co_await readAnswer(E);
+}
+
 asio::awaitable<void> run(std::shared_ptr<Exchange> E,
                           std::function<void(core::BackendOutcome)> Done) {
-  if (E->Handle->CancelWhy != base::Reason::None)
-    E->Outcome.Why = E->Handle->CancelWhy;
-  else if (co_await openConnection(*E) && co_await sendRequest(*E))
-    co_await readAnswer(*E);
+  if (E->Handle->CancelWhy == base::Reason::None)
+    co_await attempt(*E);
   if (!E->Outcome.AnyByteSent && E->Handle->CancelWhy != base::Reason::None)
     E->Outcome.Why = E->Handle->CancelWhy;
   E->Handle->Connection = nullptr;
--- /dev/null
+++ b/demo.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Installs, builds, starts a small fleet on loopback, sends reads and
+# non-idempotent actions through it while a backend server is killed and
+# another stalls, prints what callers saw, and stops all it started.
+set -euo pipefail
+cd "$(dirname "$0")"
+BUILD_DIR=${BUILD_DIR:-build}
+[ -n "${SKIP_INSTALL:-}" ] || ./install-deps.sh
+./build.sh
+WORK=$(mktemp -d)
+PIDS=()
+cleanup() {
+  for PID in "${PIDS[@]}"; do kill "$PID" 2>/dev/null || true; done
+  for PID in "${PIDS[@]}"; do wait "$PID" 2>/dev/null || true; done
+  rm -rf "$WORK"
+}
+trap cleanup EXIT
+
+"$BUILD_DIR/platform" --port=0 >"$WORK/platform.out" 2>"$WORK/platform.err" &
+PIDS+=($!)
+until [ -s "$WORK/platform.out" ]; do sleep 0.05; done
+PLATFORM_PORT=$(sed -n 's/.*"port": *\([0-9]*\).*/\1/p' "$WORK/platform.out")
+
+DOMAINS=(north-a north-b south-a)
+REGIONS=(north north south)
+for I in 1 2 3; do
+  # Each node has a loopback address of its own.
+  cat >"$WORK/node-$I.yaml" <<YAML
+name: node-$I
+region: ${REGIONS[$((I - 1))]}
+failure_domain: ${DOMAINS[$((I - 1))]}
+listen:
+  callers: 127.0.7.$I:18080
+  peers: 127.0.7.$I:18081
+  operators: 127.0.7.$I:18082
+  announcements: 127.0.7.$I:18083
+seeds: [127.0.7.1:18081, 127.0.7.2:18081]
+platform: 127.0.0.1:$PLATFORM_PORT
+actions: {secret: demonstration-secret}
+YAML
+  "$BUILD_DIR/currantgauge" serve --settings="$WORK/node-$I.yaml" 2>"$WORK/node-$I.log" &
+  PIDS+=($!)
+done
+for I in 1 2 3; do
+  until curl -s -o /dev/null "http://127.0.7.$I:18083/healthz"; do sleep 0.05; done
+done
+SERVER_PIDS=()
+for I in 1 2 3 4 5 6; do
+  "$BUILD_DIR/backend_server" --name="cutlist-$I" --service=cutlist --work_ms=5 --slots=4 \
+    --node="127.0.7.$(((I - 1) % 3 + 1)):18083" >"$WORK/server-$I.out" 2>/dev/null &
+  PIDS+=($!)
+  SERVER_PIDS+=($!)
+done
+for I in 1 2 3; do
+  "$BUILD_DIR/currantgauge" config push examples/demo/config --node="127.0.7.$I:18082" --author=demo
+  until curl -sf -o /dev/null "http://127.0.7.$I:18083/readyz"; do sleep 0.05; done
+done
+sleep 2
+
+echo "--- sending for 12 s; at 3 s cutlist-2 is killed, at 6 s cutlist-3 stalls"
+"$BUILD_DIR/load_bench" --targets=127.0.7.1:18080,127.0.7.2:18080,127.0.7.3:18080 \
+  --seconds=12 --rate=150 --mix=GET:/lists/7:60,GET:/stock/3:20,POST:/commits/9:20 \
+  --unique_keys --table &
+LOAD=$!
+sleep 3
+kill -9 "${SERVER_PIDS[1]}"
+sleep 3
+PORT=$(sed -n 's/.*"port": *\([0-9]*\).*/\1/p' "$WORK/server-3.out")
+curl -s -o /dev/null -X POST -d '{"mode":"stall"}' "http://127.0.0.1:$PORT/.control"
+wait "$LOAD"
+
+echo "--- runs of each commit at the backend servers (a commit that ran twice would be a fault)"
+TWICE=0
+for I in 1 3 4 5 6; do
+  PORT=$(sed -n 's/.*"port": *\([0-9]*\).*/\1/p' "$WORK/server-$I.out")
+  STATS=$(curl -s "http://127.0.0.1:$PORT/.stats")
+  MORE=$(grep -oE '"load-[0-9]+":([2-9]|[1-9][0-9]+)' <<<"$STATS" | wc -l || true)
+  TWICE=$((TWICE + MORE))
+done
+echo "commits that one server ran twice: $TWICE"
+echo "--- status"
+"$BUILD_DIR/currantgauge" status --node=127.0.7.1:18082
+echo "--- stopping"
+[ "$TWICE" = 0 ]
--- /dev/null
+++ b/tests/integration/fleet.cc
@@ -0,0 +1,304 @@
+#include "tests/integration/fleet.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/process.hpp>
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace currantgauge::integration {
+
+namespace bp = boost::process;
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace detail {
+
+struct Child {
+  bp::ipstream Output;
+  bp::child Process;
+};
+
+} // namespace detail
+
+namespace {
+
+const std::string BinaryFolder = CURRANTGAUGE_BINARY_DIR;
+constexpr std::chrono::milliseconds PollInterval{20};
+
+ChildPtr start(const std::string &Program,
+               const std::vector<std::string> &Arguments,
+               const std::string &LogPath) {
+  auto Started = std::make_shared<detail::Child>();
+  Started->Process =
+      bp::child(BinaryFolder + "/" + Program, bp::args(Arguments),
+                bp::std_out > Started->Output, bp::std_err > LogPath);
+  return Started;
+}
+
+std::uint16_t readPort(detail::Child &Started) {
+  std::string Line;
+  std::getline(Started.Output, Line);
+  auto First = nlohmann::json::parse(Line, nullptr, false);
+  if (!First.is_object() || !First.contains("port"))
+    throw std::runtime_error("a stand-in printed no port: " + Line);
+  return First["port"].get<std::uint16_t>();
+}
+
+void endProcess(const ChildPtr &Started) {
+  if (!Started || !Started->Process.running())
+    return;
+  ::kill(Started->Process.id(), SIGCONT);
+  Started->Process.terminate();
+  Started->Process.wait();
+}
+
+tcp::endpoint endpointOf(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  return {asio::ip::make_address(Address.substr(0, Colon)),
+          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
+}
+
+void launchNode(Fleet &Some, NodeProcess &Node,
+                const std::vector<std::string> &Flags) {
+  std::vector<std::string> Arguments = {"serve",
+                                        "--settings=" + Node.SettingsPath};
+  Arguments.insert(Arguments.end(), Flags.begin(), Flags.end());
+  Node.Process =
+      start("currantgauge", Arguments, Some.Folder + "/" + Node.Name + ".log");
+  bool Up = waitUntil([&] {
+    auto Health = ask(Node.Announcements, "GET", "/healthz");
+    return Health && Health->Status == 200;
+  });
+  if (!Up)
+    throw std::runtime_error("node " + Node.Name + " did not start");
+}
+
+std::string settingsOf(const Fleet &Some, const NodeProcess &Node,
+                       const std::string &Region, const std::string &Domain) {
+  std::string Text =
+      "name: " + Node.Name + "\nregion: " + Region +
+      "\nfailure_domain: " + Domain + "\nlisten:\n  callers: " + Node.Callers +
+      "\n  peers: " + Node.Peers + "\n  operators: " + Node.Operators +
+      "\n  announcements: " + Node.Announcements + "\nseeds: [";
+  for (std::size_t I = 0; I < std::min<std::size_t>(Some.Nodes.size(), 2); ++I)
+    Text += (I ? ", " : "") + Some.Nodes[I].Peers;
+  Text += "]\nplatform: " +
+          (Some.Platform.empty() ? std::string("embedded") : Some.Platform) +
+          "\n";
+  return Text;
+}
+
+} // namespace
+
+// Every fleet has loopback addresses of its own, so that tests and whatever
+// else runs on the machine never meet on a port.
+Fleet::Fleet() {
+  static std::atomic<int> Count{0};
+  int Number = ::getpid() * 7 + Count++;
+  this->Host = "127." + std::to_string(20 + Number / 250 % 200) + "." +
+               std::to_string(1 + Number % 250) + ".";
+  this->Folder = std::filesystem::temp_directory_path().string() +
+                 "/currantgauge-" + std::to_string(::getpid()) + "-" +
+                 std::to_string(Number);
+  std::filesystem::create_directories(this->Folder);
+  // Nodes and servers are handed out by reference.
+  this->Nodes.reserve(64);
+  this->Servers.reserve(64);
+}
+
+Fleet::~Fleet() {
+  for (ServerProcess &Server : this->Servers)
+    endProcess(Server.Process);
+  for (NodeProcess &Node : this->Nodes)
+    endProcess(Node.Process);
+  endProcess(this->PlatformProcess);
+  std::error_code Ignored;
+  std::filesystem::remove_all(this->Folder, Ignored);
+}
+
+std::optional<Answer> ask(const std::string &Address, const std::string &Method,
+                          const std::string &Target, const std::string &Body,
+                          const FieldMap &Fields,
+                          std::chrono::milliseconds Limit) {
+  asio::io_context Io;
+  beast::tcp_stream Stream(Io);
+  Stream.expires_after(Limit);
+  beast::http::request<beast::http::string_body> Request;
+  Request.version(11);
+  Request.method_string(Method);
+  Request.target(Target);
+  Request.set(beast::http::field::host, Address);
+  for (const auto &[Name, Value] : Fields)
+    Request.set(Name, Value);
+  Request.body() = Body;
+  Request.prepare_payload();
+  beast::flat_buffer Input;
+  beast::http::response<beast::http::string_body> Got;
+  bool Whole = false;
+  Stream.async_connect(endpointOf(Address), [&](auto Error) {
+    if (Error)
+      return;
+    beast::http::async_write(Stream, Request, [&](auto Failed, std::size_t) {
+      if (Failed)
+        return;
+      beast::http::async_read(Stream, Input, Got,
+                              [&](auto Bad, std::size_t) { Whole = !Bad; });
+    });
+  });
+  Io.run();
+  if (!Whole)
+    return std::nullopt;
+  Answer Result{Got.result_int(), {}, Got.body()};
+  for (const auto &Field : Got) {
+    std::string Name(Field.name_string());
+    std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
+      return static_cast<char>(std::tolower(C));
+    });
+    Result.Fields[Name] = std::string(Field.value());
+  }
+  return Result;
+}
+
+bool waitUntil(const std::function<bool()> &Check,
+               std::chrono::milliseconds Limit) {
+  auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Check()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return true;
+}
+
+void startPlatform(Fleet &Some) {
+  Some.PlatformProcess =
+      start("platform", {"--port=0"}, Some.Folder + "/platform.log");
+  Some.Platform =
+      "127.0.0.1:" + std::to_string(readPort(*Some.PlatformProcess));
+}
+
+NodeProcess &startNode(Fleet &Some, const std::string &Name,
+                       const std::string &Region, const std::string &Domain,
+                       const std::string &More,
+                       const std::vector<std::string> &Flags) {
+  NodeProcess Node;
+  Node.Name = Name;
+  std::string Host = Some.Host + std::to_string(Some.Nodes.size() + 1);
+  Node.Callers = Host + ":18080";
+  Node.Peers = Host + ":18081";
+  Node.Operators = Host + ":18082";
+  Node.Announcements = Host + ":18083";
+  Node.SettingsPath = Some.Folder + "/" + Name + ".yaml";
+  std::ofstream(Node.SettingsPath)
+      << settingsOf(Some, Node, Region, Domain) << More;
+  launchNode(Some, Node, Flags);
+  Some.Nodes.push_back(std::move(Node));
+  return Some.Nodes.back();
+}
+
+void restartNode(Fleet &Some, NodeProcess &Node) {
+  endProcess(Node.Process);
+  launchNode(Some, Node, {});
+}
+
+ServerProcess &startServer(Fleet &Some, const std::string &Name,
+                           const std::string &Service, const NodeProcess &Node,
+                           const std::vector<std::string> &Flags) {
+  std::vector<std::string> Arguments = {
+      "--name=" + Name, "--service=" + Service, "--node=" + Node.Announcements};
+  Arguments.insert(Arguments.end(), Flags.begin(), Flags.end());
+  ServerProcess Server;
+  Server.Name = Name;
+  Server.Process =
+      start("backend_server", Arguments, Some.Folder + "/" + Name + ".log");
+  Server.Address = "127.0.0.1:" + std::to_string(readPort(*Server.Process));
+  Some.Servers.push_back(std::move(Server));
+  return Some.Servers.back();
+}
+
+bool pushConfig(Fleet &Some, const std::string &ConfigFolder) {
+  for (const NodeProcess &Node : Some.Nodes) {
+    std::string Output;
+    if (runCommand({"config", "push", ConfigFolder, "--node=" + Node.Operators,
+                    "--author=test"},
+                   Output) != 0)
+      return false;
+  }
+  return waitUntil([&] {
+    return std::all_of(Some.Nodes.begin(), Some.Nodes.end(),
+                       [](const NodeProcess &Node) {
+                         auto Ready = ask(Node.Announcements, "GET", "/readyz");
+                         return Ready && Ready->Status == 200;
+                       });
+  });
+}
+
+std::string query(const NodeProcess &Node, const std::string &Json) {
+  auto Reply = ask(Node.Operators, "POST", "/v1/query", Json);
+  return Reply ? Reply->Body : "";
+}
+
+bool waitForServers(Fleet &Some, std::size_t Count) {
+  return waitUntil([&] {
+    return std::all_of(
+        Some.Nodes.begin(), Some.Nodes.end(), [&](const NodeProcess &Node) {
+          std::string Text = query(Node, R"({"query":"status"})");
+          std::size_t Ready = 0;
+          for (std::size_t At = Text.find("\"ready\""); At != std::string::npos;
+               At = Text.find("\"ready\"", At + 1))
+            ++Ready;
+          return Ready >= Count;
+        });
+  });
+}
+
+void control(const ServerProcess &Server, const std::string &Json) {
+  ask(Server.Address, "POST", "/.control", Json);
+}
+
+std::uint64_t runsOf(const ServerProcess &Server) {
+  auto Stats = ask(Server.Address, "GET", "/.stats");
+  if (!Stats)
+    return 0;
+  return nlohmann::json::parse(Stats->Body)["runs"].get<std::uint64_t>();
+}
+
+void sendSignal(const ChildPtr &Process, int Signal) {
+  ::kill(Process->Process.id(), Signal);
+}
+
+int processId(const ChildPtr &Process) { return Process->Process.id(); }
+
+int exitCodeOf(const ChildPtr &Process, std::chrono::milliseconds Limit) {
+  std::error_code Ignored;
+  if (!waitUntil([&] { return !Process->Process.running(Ignored); }, Limit))
+    return -1;
+  return Process->Process.exit_code();
+}
+
+int runCommand(const std::vector<std::string> &Arguments, std::string &Output) {
+  bp::ipstream Out;
+  bp::child Command(BinaryFolder + "/currantgauge", bp::args(Arguments),
+                    bp::std_out > Out, bp::std_err > bp::null);
+  for (std::string Line; std::getline(Out, Line);)
+    Output += Line + "\n";
+  Command.wait();
+  return Command.exit_code();
+}
+
+} // namespace currantgauge::integration
--- /dev/null
+++ b/tests/integration/fleet.h
@@ -0,0 +1,132 @@
+// Real processes for integration tests: nodes, backend-server stand-ins, the
+// platform's stand-in. All are ended when the Fleet is.
+//
+//   Fleet Some;
+//   startNode(Some, "a", "north", "north-a");
+//   startServer(Some, "cutlist-1", "cutlist", Some.Nodes[0]);
+//   pushConfig(Some, ExampleConfig);
+#ifndef CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
+#define CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace currantgauge::integration {
+
+namespace detail {
+struct Child;
+} // namespace detail
+
+using ChildPtr = std::shared_ptr<detail::Child>;
+
+// NodeProcess is a running node and its addresses, IP:port.
+struct NodeProcess {
+  std::string Name;
+  std::string Callers;
+  std::string Peers;
+  std::string Operators;
+  std::string Announcements;
+  std::string SettingsPath;
+  ChildPtr Process;
+};
+
+// ServerProcess is a running backend-server stand-in.
+struct ServerProcess {
+  std::string Name;
+  std::string Address;
+  ChildPtr Process;
+};
+
+// Fleet is what a test has started.
+struct Fleet {
+  Fleet();
+  ~Fleet();
+  Fleet(const Fleet &) = delete;
+  Fleet &operator=(const Fleet &) = delete;
+
+  std::string Folder;   // of settings and logs
+  std::string Host;     // 127.x.y.; each node appends a number of its own
+  std::string Platform; // IP:port; empty: none was started
+  ChildPtr PlatformProcess;
+  std::vector<NodeProcess> Nodes;
+  std::vector<ServerProcess> Servers;
+};
+
+// Answer is an HTTP answer.
+struct Answer {
+  unsigned Status = 0;
+  std::map<std::string, std::string> Fields; // names in lower case
+  std::string Body;
+};
+
+using FieldMap = std::map<std::string, std::string>;
+
+// ask() sends one HTTP request on a connection of its own; none when there was
+// no whole answer within Limit.
+std::optional<Answer>
+ask(const std::string &Address, const std::string &Method,
+    const std::string &Target, const std::string &Body = "",
+    const FieldMap &Fields = {},
+    std::chrono::milliseconds Limit = std::chrono::seconds(10));
+
+// waitUntil() repeats Check until it is true; false when Limit passed first.
+bool waitUntil(const std::function<bool()> &Check,
+               std::chrono::milliseconds Limit = std::chrono::seconds(20));
+
+// startPlatform() starts the platform's stand-in; later nodes use it.
+void startPlatform(Fleet &Some);
+
+// startNode() starts a node and waits until it serves; More is appended to its
+// settings file, Flags to its command line.
+NodeProcess &startNode(Fleet &Some, const std::string &Name,
+                       const std::string &Region, const std::string &Domain,
+                       const std::string &More = "",
+                       const std::vector<std::string> &Flags = {});
+
+// restartNode() starts a node that was ended once more, as it was.
+void restartNode(Fleet &Some, NodeProcess &Node);
+
+// startServer() starts a backend-server stand-in that announces itself to Node.
+ServerProcess &startServer(Fleet &Some, const std::string &Name,
+                           const std::string &Service, const NodeProcess &Node,
+                           const std::vector<std::string> &Flags = {});
+
+// pushConfig() pushes a folder and waits until every node is ready. Returns
+// false when the push was refused.
+bool pushConfig(Fleet &Some, const std::string &ConfigFolder);
+
+// waitForServers() waits until every node lists that many ready servers.
+bool waitForServers(Fleet &Some, std::size_t Count);
+
+// query() asks a node's operators' listener; the reply as JSON text.
+std::string query(const NodeProcess &Node, const std::string &Json);
+
+// control() changes a stand-in's behaviour.
+void control(const ServerProcess &Server, const std::string &Json);
+
+// runsOf() returns how many requests a stand-in has run.
+std::uint64_t runsOf(const ServerProcess &Server);
+
+// sendSignal() sends a signal to a process of the fleet.
+void sendSignal(const ChildPtr &Process, int Signal);
+
+// exitCodeOf() waits for a process to end and returns its exit code; -1 when
+// Limit passed first.
+int exitCodeOf(const ChildPtr &Process,
+               std::chrono::milliseconds Limit = std::chrono::seconds(40));
+
+// processId() is the process's id.
+int processId(const ChildPtr &Process);
+
+// runCommand() runs the binary with arguments; Output gets standard output.
+int runCommand(const std::vector<std::string> &Arguments, std::string &Output);
+
+} // namespace currantgauge::integration
+
+#endif // CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
--- /dev/null
+++ b/tests/stand_ins/announcer.cc
@@ -0,0 +1,78 @@
+#include "tests/stand_ins/announcer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace currantgauge::stand_ins {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds RenewInterval{1000};
+constexpr std::chrono::milliseconds RetryInterval{100};
+constexpr std::chrono::milliseconds AnnounceLimit{900};
+
+tcp::endpoint endpointOf(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  return {asio::ip::make_address(Address.substr(0, Colon)),
+          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
+}
+
+std::string bodyOf(const Announcer &Word) {
+  return nlohmann::json{{"service", Word.Service},
+                        {"address", Word.Address},
+                        {"incarnation", Word.Incarnation},
+                        {"slots", Word.Slots},
+                        {"state", Word.State},
+                        {"cold_start_ms", Word.ColdStartMillis}}
+      .dump();
+}
+
+asio::awaitable<bool> tryAnnounce(const Announcer &Word) {
+  boost::system::error_code Error;
+  auto Into = asio::redirect_error(asio::use_awaitable, Error);
+  beast::tcp_stream Stream(co_await asio::this_coro::executor);
+  Stream.expires_after(AnnounceLimit);
+  co_await Stream.async_connect(endpointOf(Word.Node), Into);
+  if (Error)
+    co_return false;
+  beast::http::request<beast::http::string_body> Request(
+      beast::http::verb::put, "/v1/servers/" + Word.Name, 11, bodyOf(Word));
+  Request.prepare_payload();
+  co_await beast::http::async_write(Stream, Request, Into);
+  beast::flat_buffer Input;
+  beast::http::response<beast::http::string_body> Answer;
+  if (!Error)
+    co_await beast::http::async_read(Stream, Input, Answer, Into);
+  co_return !Error && Answer.result_int() == 200;
+}
+
+} // namespace
+
+asio::awaitable<void> announceOnce(const Announcer &Word) {
+  co_await tryAnnounce(Word);
+}
+
+asio::awaitable<void> announceLoop(const Announcer &Word) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  while (true) {
+    bool Told = !Word.Silent && co_await tryAnnounce(Word);
+    Timer.expires_after(Told ? RenewInterval : RetryInterval);
+    boost::system::error_code Ignored;
+    co_await Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+}
+
+} // namespace currantgauge::stand_ins
