--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -202,13 +202,12 @@
 }
 
 asio::awaitable<bool> readBody(Exchange &E, AnswerParser &Parser) {
-  std::string Chunk;
   ErrorCode Error;
   while (!Parser.is_done()) {
     while (!runtime::hasRoom(*E.Pipe) &&
            E.Handle->CancelWhy == base::Reason::None)
       co_await waitFor(*E.Room);
-    Chunk.resize(ChunkBytes);
+    std::string Chunk(ChunkBytes, '\0');
     Parser.get().body().data = Chunk.data();
     Parser.get().body().size = Chunk.size();
     co_await beast::http::async_read_some(
