--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/core/entry.h"
 
 #include "currantgauge/admission/entry.h"
+#include "currantgauge/membership/member.h"
 #include "currantgauge/routing/choose.h"
 
 #include <algorithm>
@@ -113,7 +114,7 @@
   base::NetAddress Address;
   if (Server->Record.Owner != Node.Self.Name) {
     ++Node.Routing.Servers.at(Server->Record.Name).Running;
-    Address = Node.Membership.Members[Server->Record.Owner].Record.PeerAddress;
+    Address = membership::addressOf(Node.Membership, Server->Record.Owner);
   }
   Effects.push_back(StartAttempt{factsOf(Node, Request, *Server),
                                  Server->Record.Owner, Address});
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -2,7 +2,11 @@
 
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/owner.h"
+#include "currantgauge/membership/anti_entropy.h"
+#include "currantgauge/membership/detector.h"
 #include "currantgauge/membership/gossip.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/rumours.h"
 #include "currantgauge/routing/registry.h"
 
 #include <string>
@@ -14,20 +18,33 @@
 
 void onTimer(State &Node, const LeaseCheck &, EffectList &Effects) {
   for (const routing::BackendRecord &Gone :
-       routing::expireLeases(Node.Routing, Node.Now))
+       routing::expireLeases(Node.Routing, Node.Now)) {
+    membership::queueRumour(Node.Membership, Gone);
     Effects.push_back(LogLine{
         LogLevel::Warn,
         "lease_expired",
         {{"server", Gone.Name.Value}, {"service", Gone.Service.Value}}});
+  }
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
 }
 
 void onTimer(State &Node, const GossipRound &, EffectList &Effects) {
-  membership::startRound(Node.Membership, Node.Routing, Node.Source, Node.Now,
-                         Effects);
+  membership::startRound(Node, Effects);
   setTimer(Node.Timers, Node.Now + membership::GossipInterval, GossipRound{});
 }
 
+void onTimer(State &Node, const RumourFlush &, EffectList &Effects) {
+  membership::onRumourFlush(Node);
+}
+
+void onTimer(State &Node, const SyncDue &, EffectList &Effects) {
+  membership::syncRound(Node, Effects);
+}
+
+void onTimer(State &Node, const ProbeTimeout &Due, EffectList &Effects) {
+  membership::onProbeTimeout(Node, Due, Effects);
+}
+
 void onTimer(State &Node, const HealthRound &, EffectList &Effects) {}
 void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
 void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
@@ -74,10 +91,13 @@
         {Name.Value, Server.Record.Service.Value, Server.Record.Owner.Value,
          phaseName(Server.Record.Phase), std::to_string(Server.Record.Slots),
          std::to_string(Server.Running)});
-  OperatorTable Nodes{"nodes", {"node", "region", "failure_domain"}, {}};
+  OperatorTable Nodes{
+      "nodes", {"node", "region", "failure_domain", "phase", "path"}, {}};
   for (const auto &[Name, Member] : Node.Membership.Members)
     Nodes.Rows.push_back(
-        {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value});
+        {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value,
+         std::string(membership::phaseName(Member.Record.Phase)),
+         Member.PathFailed ? "failed" : "ok"});
   Reply.Tables = {std::move(Servers), std::move(Nodes)};
   return Reply;
 }
@@ -124,6 +144,7 @@
 
 void onStopRequested(State &Node, const StopRequested &, EffectList &Effects) {
   Node.Stopping = true;
+  membership::announceLeaving(Node, Effects);
   Effects.push_back(BecomeReady{false});
   Effects.push_back(LogLine{LogLevel::Info, "stopping", {}});
 }
@@ -144,6 +165,8 @@
                         EffectList &Effects) {
   if (!routing::announce(Node.Routing, Announced.Word, Node.Now))
     return;
+  membership::queueRumour(Node.Membership,
+                          Node.Routing.Servers.at(Announced.Word.Name).Record);
   Effects.push_back(LogLine{LogLevel::Info,
                             "backend_server",
                             {{"server", Announced.Word.Name.Value},
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -3,7 +3,10 @@
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
+#include "currantgauge/membership/detector.h"
 #include "currantgauge/membership/gossip.h"
+#include "currantgauge/membership/rumours.h"
+#include "currantgauge/membership/seeds.h"
 
 namespace currantgauge::core {
 namespace {
@@ -37,11 +40,14 @@
     onBackendAnnounced(Node, E, Effects);
   }
   void operator()(const PeerMessageArrived &E) {
-    membership::onMessage(Node.Membership, Node.Routing, E.Message, Node.Now,
-                          Effects);
+    membership::onMessage(Node, E.Message, Effects);
+  }
+  void operator()(const PeerSendFailed &E) {
+    membership::onSendFailed(Node, E, Effects);
+  }
+  void operator()(const StoreAnswered &E) {
+    membership::onStoreAnswered(Node, E, Effects);
   }
-  void operator()(const PeerSendFailed &) {}
-  void operator()(const StoreAnswered &) {}
   void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
   void operator()(const ConfigFetched &) {}
   void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
@@ -81,6 +87,7 @@
   if (std::holds_alternative<TimerFired>(Happened.Body))
     Node.Timers.Announced = base::Never;
   std::visit(Dispatch{Node, Effects}, Happened.Body);
+  membership::flushRumours(Node, Effects);
   announceWakeUp(Node.Timers, Effects);
   stopWhenIdle(Node, Effects);
 }
--- a/currantgauge/core/timer.h
+++ b/currantgauge/core/timer.h
@@ -7,6 +7,7 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -24,6 +25,14 @@
 struct ConfigRound {};
 // ActionRound flushes claims and forgets old answers.
 struct ActionRound {};
+// RumourFlush sends urgent rumours that had to wait.
+struct RumourFlush {};
+// SyncDue starts the next comparison of a node that has missed much.
+struct SyncDue {};
+// ProbeTimeout ends a stage of a probe of another node.
+struct ProbeTimeout {
+  std::uint64_t Sequence = 0;
+};
 // RequestDeadline ends a request at its entry.
 struct RequestDeadline {
   base::RequestId Request;
@@ -37,9 +46,9 @@
   base::AttemptId Attempt;
 };
 
-using Timer =
-    std::variant<LeaseCheck, GossipRound, HealthRound, ConfigRound, ActionRound,
-                 RequestDeadline, RetryDue, AttemptDeadline>;
+using Timer = std::variant<LeaseCheck, GossipRound, HealthRound, ConfigRound,
+                           ActionRound, RumourFlush, SyncDue, ProbeTimeout,
+                           RequestDeadline, RetryDue, AttemptDeadline>;
 
 // TimerQueue orders timers by time, then by the order in which they were set.
 struct TimerQueue {
--- /dev/null
+++ b/currantgauge/membership/anti_entropy.cc
@@ -0,0 +1,221 @@
+#include "currantgauge/membership/anti_entropy.h"
+
+#include "currantgauge/membership/digest.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/roster.h"
+#include "currantgauge/membership/rumours.h"
+#include "currantgauge/membership/send.h"
+#include "currantgauge/membership/size.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::membership {
+namespace {
+
+// Buckets of one comparison. More differ only when a node has missed much, and
+// then the next comparison follows at once.
+constexpr std::size_t BucketsAtOnce = 8;
+constexpr base::Duration CatchUpInterval = base::milliseconds(100);
+constexpr std::uint64_t FarSyncs = 6;
+constexpr std::size_t WantedLimit = 1024;
+
+bool hasRecords(const PeerMessage &Message) {
+  return !Message.Members.empty() || !Message.Backends.empty() ||
+         !Message.Quarantine.empty();
+}
+
+std::vector<std::uint64_t> bucketHashes(const Digest &Records) {
+  std::vector<std::uint64_t> Hashes;
+  Hashes.reserve(Records.Buckets.size());
+  for (const Bucket &Item : Records.Buckets)
+    Hashes.push_back(Item.Hash);
+  return Hashes;
+}
+
+void answerRoot(core::State &Node, const PeerMessage &Message,
+                core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (Message.BucketHashes.front() == State.Records.Root)
+    return;
+  PeerMessage Reply = newMessage(State, MessageKind::Sync);
+  Reply.Members.push_back(State.Self);
+  addTidings(State, Message.From, Reply);
+  Reply.BucketHashes = bucketHashes(State.Records);
+  answer(Message, std::move(Reply), Effects);
+}
+
+// The first bucket is a random one, so that all get their turn.
+std::vector<std::uint32_t> differing(const Digest &Records,
+                                     const std::vector<std::uint64_t> &Theirs,
+                                     base::Random &Source) {
+  std::vector<std::uint32_t> Found;
+  std::size_t First = base::uniformBelow(Source, BucketCount);
+  for (std::size_t Step = 0; Step < BucketCount; ++Step) {
+    std::size_t Index = (First + Step) % BucketCount;
+    if (Records.Buckets[Index].Hash != Theirs[Index])
+      Found.push_back(static_cast<std::uint32_t>(Index));
+  }
+  return Found;
+}
+
+void answerBuckets(core::State &Node, const PeerMessage &Message,
+                   core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (Message.BucketHashes.size() != BucketCount)
+    return;
+  std::vector<std::uint32_t> Found =
+      differing(State.Records, Message.BucketHashes, Node.Source);
+  if (Found.empty())
+    return;
+  if (Found.size() > BucketsAtOnce) {
+    Found.resize(BucketsAtOnce);
+    State.NextSync = Node.Now + CatchUpInterval;
+    setTimer(Node.Timers, State.NextSync, core::SyncDue{});
+  }
+  PeerMessage Reply = newMessage(State, MessageKind::Sync);
+  Reply.Buckets = std::move(Found);
+  for (std::uint32_t Index : Reply.Buckets)
+    for (const auto &[Key, Hash] : State.Records.Buckets[Index].Records)
+      Reply.RecordHashes.push_back(Hash);
+  answer(Message, std::move(Reply), Effects);
+}
+
+void answerRecords(core::State &Node, const PeerMessage &Message,
+                   core::EffectList &Effects) {
+  const MembershipState &State = Node.Membership;
+  std::set<std::uint64_t> Theirs(Message.RecordHashes.begin(),
+                                 Message.RecordHashes.end());
+  PeerMessage Reply = newMessage(State, MessageKind::Sync);
+  std::size_t Size = encodedSize(Reply) + WantedLimit * sizeof(std::uint64_t);
+  for (std::uint32_t Index : Message.Buckets) {
+    if (Index >= BucketCount)
+      return;
+    for (const auto &[Key, Hash] : State.Records.Buckets[Index].Records)
+      if (Theirs.erase(Hash) == 0)
+        addRecord(Node, Key, Reply, Size, SyncBudget);
+  }
+  for (std::uint64_t Hash : Theirs)
+    if (Reply.Wanted.size() < WantedLimit)
+      Reply.Wanted.push_back(Hash);
+  // Buckets without records ask for some, so they go with Wanted alone.
+  if (!Reply.Wanted.empty())
+    Reply.Buckets = Message.Buckets;
+  if (!Reply.Wanted.empty() || hasRecords(Reply))
+    answer(Message, std::move(Reply), Effects);
+}
+
+void answerWanted(core::State &Node, const PeerMessage &Message,
+                  core::EffectList &Effects) {
+  const MembershipState &State = Node.Membership;
+  std::set<std::uint64_t> Wanted(Message.Wanted.begin(), Message.Wanted.end());
+  PeerMessage Reply = newMessage(State, MessageKind::Sync);
+  std::size_t Size = encodedSize(Reply);
+  for (std::uint32_t Index : Message.Buckets) {
+    if (Index >= BucketCount)
+      return;
+    for (const auto &[Key, Hash] : State.Records.Buckets[Index].Records)
+      if (Wanted.contains(Hash))
+        addRecord(Node, Key, Reply, Size, SyncBudget);
+  }
+  answer(Message, std::move(Reply), Effects);
+}
+
+// Whether a node is known to have ended since that record of it.
+const Member *endedMember(const MembershipState &State,
+                          const base::NodeName &Name, base::Incarnation Life) {
+  const Member *Who = findMember(State, Name);
+  bool Ended = Who && !isLive(Who->Record.Phase) && Who->Record.Life >= Life;
+  return Ended ? Who : nullptr;
+}
+
+const routing::BackendRecord *goneServer(const core::State &Node,
+                                         const routing::BackendRecord &Theirs) {
+  auto Found = Node.Routing.Servers.find(Theirs.Name);
+  if (Found == Node.Routing.Servers.end())
+    return nullptr;
+  const routing::BackendRecord &Ours = Found->second.Record;
+  bool Newer = std::tie(Ours.Life, Ours.Revision) >
+               std::tie(Theirs.Life, Theirs.Revision);
+  bool Gone = Ours.Phase == routing::BackendPhase::Gone;
+  return Newer && Gone ? &Ours : nullptr;
+}
+
+// The digest leaves out what has ended, so a sender that missed an end offers
+// the record again and must be told.
+void correctSender(core::State &Node, const PeerMessage &Message,
+                   core::EffectList &Effects) {
+  const MembershipState &State = Node.Membership;
+  PeerMessage Reply = newMessage(State, MessageKind::Sync);
+  std::size_t Size = encodedSize(Reply);
+  for (const MemberRecord &Theirs : Message.Members)
+    if (isLive(Theirs.Phase) && endedMember(State, Theirs.Name, Theirs.Life))
+      addRecord(Node, keyOf(Theirs), Reply, Size, SyncBudget);
+  std::set<base::NodeName> Owners;
+  for (const routing::BackendRecord &Theirs : Message.Backends) {
+    if (endedMember(State, Theirs.Owner, base::Incarnation()))
+      Owners.insert(Theirs.Owner);
+    else if (goneServer(Node, Theirs))
+      addRecord(Node, keyOf(Theirs), Reply, Size, SyncBudget);
+  }
+  for (const base::NodeName &Owner : Owners)
+    addRecord(Node, RecordKey{RecordKind::Member, Owner.Value, 0}, Reply, Size,
+              SyncBudget);
+  if (hasRecords(Reply))
+    answer(Message, std::move(Reply), Effects);
+}
+
+std::optional<base::NodeName> syncPeer(core::State &Node) {
+  const MembershipState &State = Node.Membership;
+  bool Near = nearCount(State) > 0;
+  if (!Near || base::uniformBelow(Node.Source, FarSyncs) == 0)
+    if (auto Region = pickFarRegion(State, Node.Source))
+      return pickPeer(State, *Region, Node.Source);
+  return pickPeer(State, State.Self.Region, Node.Source);
+}
+
+} // namespace
+
+void syncRound(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (Node.Now < State.NextSync)
+    return;
+  auto Peer = syncPeer(Node);
+  if (!Peer)
+    return;
+  base::Duration Jitter{static_cast<std::int64_t>(
+      base::uniformBelow(Node.Source, SyncInterval.Micros / 5))};
+  State.NextSync = Node.Now + SyncInterval + Jitter;
+  startSync(Node, *Peer, addressOf(State, *Peer), Effects);
+}
+
+void startSync(core::State &Node, const base::NodeName &To,
+               const base::NetAddress &Address, core::EffectList &Effects) {
+  const MembershipState &State = Node.Membership;
+  PeerMessage Message = newMessage(State, MessageKind::Sync);
+  Message.Members.push_back(State.Self);
+  Message.BucketHashes = {State.Records.Root};
+  Effects.push_back(
+      core::Measure{core::Metric::PeerMessages, "sync", "out", 1});
+  Effects.push_back(core::SendPeerMessage{To, Address, std::move(Message)});
+}
+
+void onSync(core::State &Node, const PeerMessage &Message,
+            core::EffectList &Effects) {
+  if (Message.BucketHashes.size() == 1)
+    answerRoot(Node, Message, Effects);
+  else if (!Message.BucketHashes.empty())
+    answerBuckets(Node, Message, Effects);
+  else if (!Message.Wanted.empty())
+    answerWanted(Node, Message, Effects);
+  else if (!Message.Buckets.empty() && !hasRecords(Message))
+    answerRecords(Node, Message, Effects);
+  if (hasRecords(Message))
+    correctSender(Node, Message, Effects);
+}
+
+} // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/membership/fake_network_test.h
@@ -0,0 +1,255 @@
+// Several nodes in one process over a network that delays, loses and cuts, in
+// virtual time. For tests and the benchmark of membership.
+//
+//   FakeNetwork Net;
+//   addNodes(Net, 24);
+//   run(Net, base::seconds(10));
+//   CHECK(knownEverywhere(Net));
+#ifndef CURRANTGAUGE_MEMBERSHIP_FAKE_NETWORK_TEST_H
+#define CURRANTGAUGE_MEMBERSHIP_FAKE_NETWORK_TEST_H
+
+#include "currantgauge/base/units.h"
+#include "currantgauge/core/event.h"
+#include "currantgauge/core/reduce.h"
+#include "currantgauge/core/state.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/size.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::membership {
+
+// FakeNode is a node and what it has sent.
+struct FakeNode {
+  core::State Node;
+  bool Up = true;
+  base::TimePoint Wake = base::Never;
+  std::uint64_t Messages = 0;
+  std::uint64_t Bytes = 0;
+  std::uint64_t FarBytes = 0; // of Bytes, those to other regions
+  std::uint64_t ReduceNanos = 0;
+};
+
+// FakeDelivery is an event on its way to a node.
+struct FakeDelivery {
+  std::size_t To = 0;
+  core::EventBody Body;
+};
+
+// FakeNetwork holds the nodes, the messages under way and the faults.
+struct FakeNetwork {
+  std::vector<std::unique_ptr<FakeNode>> Nodes;
+  std::map<base::NetAddress, std::size_t> ByAddress;
+  std::multimap<base::TimePoint, FakeDelivery> Deliveries;
+  base::TimePoint Now{1000000};
+  base::Random Source{1};
+  std::size_t Regions = 2;
+  double Loss = 0;
+  bool RegionsCut = false;
+  std::set<std::pair<std::size_t, std::size_t>> Cuts; // from, to
+  bool StoreUp = true;
+  std::map<std::string, std::string> Rows;
+  std::size_t LargestMessage = 0; // of all but Sync
+  std::size_t LargestSync = 0;
+  std::uint64_t (*Clock)() = nullptr; // nanoseconds; null: not measured
+};
+
+inline bool isLost(FakeNetwork &Net, std::size_t From, std::size_t To) {
+  const core::NodeIdentity &A = Net.Nodes[From]->Node.Self;
+  const core::NodeIdentity &B = Net.Nodes[To]->Node.Self;
+  return !Net.Nodes[To]->Up || Net.Cuts.contains({From, To}) ||
+         (Net.RegionsCut && A.Region != B.Region) ||
+         base::uniformUnit(Net.Source) < Net.Loss;
+}
+
+inline void carryOut(FakeNetwork &Net, std::size_t From,
+                     const core::SendPeerMessage &Send) {
+  FakeNode &Sender = *Net.Nodes[From];
+  std::size_t Size = encodedSize(Send.Message);
+  std::size_t &Largest = Send.Message.Kind == MessageKind::Sync
+                             ? Net.LargestSync
+                             : Net.LargestMessage;
+  Largest = std::max(Largest, Size);
+  ++Sender.Messages;
+  Sender.Bytes += Size;
+  auto To = Net.ByAddress.find(Send.Address);
+  if (To == Net.ByAddress.end())
+    return;
+  bool Far = Net.Nodes[To->second]->Node.Self.Region != Sender.Node.Self.Region;
+  Sender.FarBytes += Far ? Size : 0;
+  if (isLost(Net, From, To->second))
+    return;
+  base::Duration Delay = Far ? base::milliseconds(8) : base::microseconds(500);
+  Net.Deliveries.emplace(
+      Net.Now + Delay,
+      FakeDelivery{To->second, core::PeerMessageArrived{Send.Message}});
+}
+
+inline base::StoreResult storeAnswer(FakeNetwork &Net,
+                                     const base::StoreOperation &Operation) {
+  base::StoreResult Result;
+  if (!Net.StoreUp)
+    return Result;
+  Result.Status = base::StoreStatus::Done;
+  if (const auto *Write = std::get_if<base::WriteRows>(&Operation))
+    for (const base::RowWrite &Row : Write->Rows) {
+      Net.Rows.erase(Row.Key);
+      if (!Row.Remove)
+        Net.Rows[Row.Key] = Row.Value;
+    }
+  if (const auto *Scan = std::get_if<base::ScanRows>(&Operation))
+    for (auto It = Net.Rows.upper_bound(Scan->After);
+         It != Net.Rows.end() && Result.Rows.size() < Scan->Limit; ++It)
+      Result.Rows.push_back(base::StoreRow{It->first, It->second, ""});
+  return Result;
+}
+
+inline void carryOut(FakeNetwork &Net, std::size_t From,
+                     const core::CallStore &Call) {
+  core::StoreAnswered Answer{Call.Call, storeAnswer(Net, Call.Operation)};
+  Net.Deliveries.emplace(Net.Now + base::milliseconds(20),
+                         FakeDelivery{From, std::move(Answer)});
+}
+
+inline void carryOut(FakeNetwork &Net, std::size_t From,
+                     const core::WakeAt &Wake) {
+  Net.Nodes[From]->Wake = Wake.At;
+  if (Wake.At != base::Never)
+    Net.Deliveries.emplace(std::max(Wake.At, Net.Now),
+                           FakeDelivery{From, core::TimerFired{}});
+}
+
+template <typename Effect>
+void carryOut(FakeNetwork &, std::size_t, const Effect &) {}
+
+// deliver() lets a node decide on an event now, and carries out what it says.
+inline void deliver(FakeNetwork &Net, std::size_t To, core::EventBody Body) {
+  FakeNode &Target = *Net.Nodes[To];
+  bool Stale =
+      std::holds_alternative<core::TimerFired>(Body) && Target.Wake > Net.Now;
+  if (!Target.Up || Stale)
+    return;
+  if (std::holds_alternative<core::TimerFired>(Body))
+    Target.Wake = base::Never;
+  core::EffectList Effects;
+  std::uint64_t Before = Net.Clock ? Net.Clock() : 0;
+  core::reduce(Target.Node, core::Event{Net.Now, {}, std::move(Body)}, Effects);
+  Target.ReduceNanos += Net.Clock ? Net.Clock() - Before : 0;
+  for (const core::Effect &Item : Effects)
+    std::visit([&](const auto &What) { carryOut(Net, To, What); }, Item);
+}
+
+// run() lets virtual time pass.
+inline void run(FakeNetwork &Net, base::Duration Span) {
+  base::TimePoint End = Net.Now + Span;
+  while (!Net.Deliveries.empty() && Net.Deliveries.begin()->first <= End) {
+    auto First = Net.Deliveries.extract(Net.Deliveries.begin());
+    Net.Now = First.key();
+    deliver(Net, First.mapped().To, std::move(First.mapped().Body));
+  }
+  Net.Now = End;
+}
+
+inline core::NodeIdentity identityOf(const FakeNetwork &Net, std::size_t Index,
+                                     std::uint64_t Life) {
+  std::string Number = std::to_string(Index);
+  core::NodeIdentity Self;
+  Self.Name = base::NodeName("node-" + Number);
+  Self.Region = base::RegionName(Index % Net.Regions == 0 ? "north" : "south");
+  if (Net.Regions > 2)
+    Self.Region = base::RegionName("r" + std::to_string(Index % Net.Regions));
+  Self.Domain = base::DomainName(Self.Region.Value + "-a");
+  Self.PeerAddress =
+      base::NetAddress("10.0." + std::to_string(Index / 250) + "." +
+                       std::to_string(Index % 250) + ":8081");
+  Self.Life = base::Incarnation(Life);
+  return Self;
+}
+
+// startNode() starts a process in a node's place; Seeds are indexes.
+inline void startNode(FakeNetwork &Net, std::size_t Index,
+                      const std::vector<std::size_t> &Seeds,
+                      std::uint64_t Life = 1000) {
+  core::NodeIdentity Self = identityOf(Net, Index, Life);
+  for (std::size_t Seed : Seeds)
+    Self.Seeds.push_back(identityOf(Net, Seed, 0).PeerAddress);
+  Net.Nodes.resize(std::max(Net.Nodes.size(), Index + 1));
+  Net.Nodes[Index] = std::make_unique<FakeNode>();
+  Net.Nodes[Index]->Node = core::makeState(Self, Index + 7);
+  Net.ByAddress[Self.PeerAddress] = Index;
+  deliver(Net, Index, core::Started{});
+}
+
+// addNodes() starts nodes that know the first two, spread over a round.
+inline void addNodes(FakeNetwork &Net, std::size_t Count) {
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    startNode(Net, Index, {0, 1});
+    run(Net, GossipInterval / static_cast<std::int64_t>(Count));
+  }
+}
+
+// announce() lets a backend server speak to a node; its lease never ends.
+inline void announce(FakeNetwork &Net, std::size_t Owner,
+                     const std::string &Name,
+                     routing::BackendPhase Phase = routing::BackendPhase::Ready,
+                     std::uint64_t Life = 1) {
+  core::BackendAnnounced Word;
+  Word.Word.Name = base::BackendName(Name);
+  Word.Word.Service = base::ServiceName("cutlist");
+  Word.Word.Address = base::NetAddress("10.1.0.1:9000");
+  Word.Word.Life = base::Incarnation(Life);
+  Word.Word.Slots = 4;
+  Word.Word.Phase = Phase;
+  base::BackendName Key = Word.Word.Name;
+  deliver(Net, Owner, std::move(Word));
+  Net.Nodes[Owner]->Node.Routing.Servers.at(Key).LeaseEnds = base::Never;
+}
+
+// phaseAt() returns what one node thinks of another; Left when it knows none.
+inline MemberPhase phaseAt(const FakeNetwork &Net, std::size_t At,
+                           std::size_t Of) {
+  const Member *Who =
+      findMember(Net.Nodes[At]->Node.Membership, Net.Nodes[Of]->Node.Self.Name);
+  return Who ? Who->Record.Phase : MemberPhase::Left;
+}
+
+// countNodes() returns how many running nodes satisfy a condition on a State.
+template <typename Condition>
+std::size_t countNodes(const FakeNetwork &Net, Condition Holds) {
+  return static_cast<std::size_t>(
+      std::count_if(Net.Nodes.begin(), Net.Nodes.end(), [&](const auto &Item) {
+        return Item->Up && Holds(Item->Node);
+      }));
+}
+
+// knownEverywhere() says whether each running node takes all others for alive.
+inline bool knownEverywhere(const FakeNetwork &Net) {
+  std::size_t Up = countNodes(Net, [](const core::State &) { return true; });
+  return Up == countNodes(Net, [&](const core::State &Node) {
+           return Node.Membership.LiveMembers == Up - 1 &&
+                  Node.Membership.Suspects.empty();
+         });
+}
+
+// timeUntil() lets time pass until a condition holds, at most Limit, and
+// returns how long that took.
+template <typename Condition>
+base::Duration timeUntil(FakeNetwork &Net, base::Duration Limit,
+                         Condition Holds) {
+  base::TimePoint Start = Net.Now;
+  while (!Holds() && Net.Now - Start < Limit)
+    run(Net, base::milliseconds(20));
+  return Net.Now - Start;
+}
+
+} // namespace currantgauge::membership
+
+#endif // CURRANTGAUGE_MEMBERSHIP_FAKE_NETWORK_TEST_H
--- a/currantgauge/membership/gossip.cc
+++ b/currantgauge/membership/gossip.cc
@@ -1,59 +1,138 @@
 #include "currantgauge/membership/gossip.h"
 
-#include "currantgauge/routing/registry.h"
+#include "currantgauge/membership/anti_entropy.h"
+#include "currantgauge/membership/detector.h"
+#include "currantgauge/membership/digest.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/roster.h"
+#include "currantgauge/membership/rumours.h"
+#include "currantgauge/membership/seeds.h"
+#include "currantgauge/membership/send.h"
+#include "currantgauge/membership/servers.h"
+#include "currantgauge/routing/state.h"
 
-#include <set>
+#include <algorithm>
 #include <utility>
 
 namespace currantgauge::membership {
 namespace {
 
-PeerMessage ownNews(const MembershipState &State,
-                    const routing::RoutingState &Routing, MessageKind Kind) {
-  PeerMessage Message;
-  Message.From = State.Self.Name;
-  Message.FromAddress = State.Self.PeerAddress;
-  Message.Kind = Kind;
-  Message.Version = State.Self.Version;
-  Message.Members.push_back(State.Self);
-  for (const auto &[Name, Member] : State.Members)
-    Message.Members.push_back(Member.Record);
-  for (const base::BackendName &Name : Routing.Owned)
-    Message.Backends.push_back(Routing.Servers.at(Name).Record);
-  return Message;
+// Peers that a stopping node tells itself; they pass it on.
+constexpr std::size_t LeavingPeers = 8;
+// All nodes together send this many news of versions in force a second; more
+// would fill the budget of a large fleet.
+constexpr std::int64_t VersionNewsPerSecond = 40;
+constexpr base::Duration VersionNewsAgain = base::seconds(30);
+
+// A paused node must not blame others for its own silence.
+void forgivePause(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  base::Duration Late = Node.Now - (State.LastRound + GossipInterval);
+  if (State.Round == 0 || Late < GossipInterval)
+    return;
+  State.Probes.clear();
+  for (auto &[Name, Deadline] : State.Suspects)
+    Deadline = Deadline + Late;
 }
 
-} // namespace
+// The version in force here goes to the others when it changes and once more
+// later, but not more often than the fleet's size allows.
+void tellVersion(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  if (Node.Now < State.NextVersionNews)
+    return;
+  bool Changed = State.Self.Version != State.AnnouncedVersion;
+  if (!Changed && State.NextVersionNews == base::TimePoint{})
+    return;
+  queueRumour(State, State.Self, false);
+  State.AnnouncedVersion = State.Self.Version;
+  auto Members = static_cast<std::int64_t>(State.LiveMembers);
+  base::Duration Gap = base::seconds(Members) / VersionNewsPerSecond;
+  State.NextVersionNews =
+      Changed ? Node.Now + std::max(Gap, GossipInterval) : base::TimePoint{};
+}
 
-void startRound(MembershipState &State, const routing::RoutingState &Routing,
-                base::Random &Source, base::TimePoint Now,
+void noteSender(core::State &Node, const PeerMessage &Message,
                 core::EffectList &Effects) {
-  std::set<base::NetAddress> Reached;
-  for (const auto &[Name, Member] : State.Members) {
-    Effects.push_back(
-        core::SendPeerMessage{Name, Member.Record.PeerAddress,
-                              ownNews(State, Routing, MessageKind::Sync)});
-    Reached.insert(Member.Record.PeerAddress);
+  MembershipState &State = Node.Membership;
+  if (Message.Version > State.Accepted) {
+    State.Accepted = Message.Version;
+    State.AcceptedAt = Message.From;
+    State.Rumours.FlushWanted = true;
   }
-  for (const base::NetAddress &Seed : State.Seeds)
-    if (!Reached.contains(Seed) && Seed != State.Self.PeerAddress)
-      Effects.push_back(core::SendPeerMessage{
-          base::NodeName(), Seed, ownNews(State, Routing, MessageKind::Sync)});
+  auto Found = State.Members.find(Message.From);
+  if (Found != State.Members.end())
+    Found->second.LastHeard = Node.Now;
+  else if (Message.Kind != MessageKind::Sync)
+    startSync(Node, Message.From, Message.FromAddress, Effects);
 }
 
-void onMessage(MembershipState &State, routing::RoutingState &Routing,
-               const PeerMessage &Message, base::TimePoint Now,
-               core::EffectList &Effects) {
-  for (const MemberRecord &Record : Message.Members) {
-    if (Record.Name == State.Self.Name)
-      continue;
-    Member &Known = State.Members[Record.Name];
-    if (Known.Record.Name.empty() || Record.Life >= Known.Record.Life)
-      Known.Record = Record;
+void answerByKind(core::State &Node, const PeerMessage &Message,
+                  core::EffectList &Effects) {
+  switch (Message.Kind) {
+  case MessageKind::Ping:
+    return onPing(Node, Message, Effects);
+  case MessageKind::Ack:
+    return onAck(Node, Message, Effects);
+  case MessageKind::PingRequest:
+    return onPingRequest(Node, Message, Effects);
+  case MessageKind::Sync:
+    return onSync(Node, Message, Effects);
+  case MessageKind::Rumours:
+    return;
+  }
+}
+
+} // namespace
+
+void startRound(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (State.Round == 0) {
+    queueRumour(State, State.Self);
+    State.OrphansDue = Node.Now + routing::LeaseTime;
   }
-  State.Members[Message.From].LastHeard = Now;
+  forgivePause(Node);
+  State.LastRound = Node.Now;
+  ++State.Round;
+  endSuspicions(Node, Effects);
+  forgetMembers(Node, Effects);
+  forgetServersOfStrangers(Node);
+  buryOrphans(Node);
+  tellVersion(Node);
+  seekMembers(Node, Effects);
+  probeRound(Node, Effects);
+  syncRound(Node, Effects);
+}
+
+void onMessage(core::State &Node, const PeerMessage &Message,
+               core::EffectList &Effects) {
+  if (Message.From.empty() || Message.From == Node.Membership.Self.Name)
+    return;
+  for (const MemberRecord &Record : Message.Members)
+    mergeMember(Node, Record, Effects);
   for (const routing::BackendRecord &Record : Message.Backends)
-    routing::mergeRecord(Routing, Record, Now);
+    mergeBackend(Node, Record);
+  for (const QuarantineRecord &Record : Message.Quarantine)
+    mergeQuarantine(Node, Record);
+  noteSender(Node, Message, Effects);
+  answerByKind(Node, Message, Effects);
+}
+
+void announceLeaving(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (State.Self.Phase == MemberPhase::Left)
+    return;
+  State.Self.Phase = MemberPhase::Left;
+  noteRecord(State, State.Self);
+  for (const auto &[Region, List] : State.Rosters)
+    for (const base::NodeName &Peer :
+         pickPeers(State, Region, LeavingPeers, Node.Source)) {
+      PeerMessage Message = newMessage(State, MessageKind::Rumours);
+      Message.Members.push_back(State.Self);
+      addRumours(Node, Message, 1);
+      sendTo(State, Peer, std::move(Message), Effects);
+    }
+  removeRow(Node, State.Self.Name, Effects);
 }
 
 } // namespace currantgauge::membership
--- a/currantgauge/membership/gossip.h
+++ b/currantgauge/membership/gossip.h
@@ -1,28 +1,26 @@
-// Rounds of talk between nodes.
+// Rounds of talk between nodes, and what a node does with a message.
 //
-//   startRound(State, Routing, Effects);
+//   startRound(Node, Effects);            // every GossipInterval
+//   onMessage(Node, Message, Effects);
 #ifndef CURRANTGAUGE_MEMBERSHIP_GOSSIP_H
 #define CURRANTGAUGE_MEMBERSHIP_GOSSIP_H
 
-#include "currantgauge/base/random.h"
-#include "currantgauge/base/units.h"
 #include "currantgauge/core/effect.h"
+#include "currantgauge/core/state.h"
 #include "currantgauge/membership/message.h"
-#include "currantgauge/membership/state.h"
-#include "currantgauge/routing/state.h"
 
 namespace currantgauge::membership {
 
-// startRound() sends this round's messages.
-void startRound(MembershipState &State, const routing::RoutingState &Routing,
-                base::Random &Source, base::TimePoint Now,
-                core::EffectList &Effects);
+// startRound() probes a member, ends suspicions and does what else is due.
+void startRound(core::State &Node, core::EffectList &Effects);
 
 // onMessage() takes a peer's message, merges what is new and answers it.
-void onMessage(MembershipState &State, routing::RoutingState &Routing,
-               const PeerMessage &Message, base::TimePoint Now,
+void onMessage(core::State &Node, const PeerMessage &Message,
                core::EffectList &Effects);
 
+// announceLeaving() tells other nodes, at once, that this one stops.
+void announceLeaving(core::State &Node, core::EffectList &Effects);
+
 } // namespace currantgauge::membership
 
 #endif // CURRANTGAUGE_MEMBERSHIP_GOSSIP_H
--- /dev/null
+++ b/currantgauge/membership/gossip_test.cc
@@ -0,0 +1,296 @@
+#include "currantgauge/membership/gossip.h"
+
+#include "currantgauge/membership/anti_entropy.h"
+#include "currantgauge/membership/fake_network_test.h"
+#include "currantgauge/membership/rumours.h"
+#include "currantgauge/membership/servers.h"
+
+#include <doctest/doctest.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace currantgauge::membership {
+namespace {
+
+std::size_t countKnowing(const FakeNetwork &Net, const std::string &Server,
+                         routing::BackendPhase Phase) {
+  return countNodes(Net, [&](const core::State &Node) {
+    auto Found = Node.Routing.Servers.find(base::BackendName(Server));
+    return Found != Node.Routing.Servers.end() &&
+           Found->second.Record.Phase == Phase;
+  });
+}
+
+std::size_t countLacking(const FakeNetwork &Net, const std::string &Server) {
+  return countNodes(Net, [&](const core::State &Node) {
+    return !Node.Routing.Servers.contains(base::BackendName(Server));
+  });
+}
+
+bool digestsAgree(const FakeNetwork &Net) {
+  std::uint64_t Root = Net.Nodes[0]->Node.Membership.Records.Root;
+  return countNodes(Net, [&](const core::State &Node) {
+           return Node.Membership.Records.Root != Root;
+         }) == 0;
+}
+
+} // namespace
+
+TEST_CASE("all nodes learn of all within bounded time, at several sizes") {
+  for (std::size_t Count : {3, 24, 200}) {
+    CAPTURE(Count);
+    FakeNetwork Net;
+    addNodes(Net, Count);
+    timeUntil(Net, base::seconds(15), [&] { return knownEverywhere(Net); });
+    CHECK(knownEverywhere(Net));
+    run(Net, base::seconds(60));
+    CHECK(knownEverywhere(Net));
+    CHECK(digestsAgree(Net));
+    CHECK(Net.LargestMessage <= MessageBudget);
+    CHECK(Net.LargestSync <= SyncBudget);
+  }
+}
+
+TEST_CASE("a killed node is found by all, and its servers are forgotten") {
+  FakeNetwork Net;
+  addNodes(Net, 24);
+  announce(Net, 5, "cutlist-5");
+  run(Net, base::seconds(20));
+  CHECK(countKnowing(Net, "cutlist-5", routing::BackendPhase::Ready) == 24);
+  Net.Nodes[5]->Up = false;
+  auto Avoided = [&] {
+    return countNodes(Net, [](const core::State &Node) {
+             return isReachable(Node.Membership, base::NodeName("node-5"));
+           }) == 0;
+  };
+  timeUntil(Net, base::seconds(10), Avoided);
+  CHECK(Avoided());
+  run(Net, base::seconds(10));
+  CHECK(phaseAt(Net, 0, 5) == MemberPhase::Dead);
+  run(Net, base::minutes(130));
+  CHECK(countLacking(Net, "cutlist-5") == 23);
+  CHECK(countNodes(Net, [](const core::State &Node) {
+          return Node.Membership.Members.size() != 22;
+        }) == 0);
+  CHECK(digestsAgree(Net));
+  CHECK_FALSE(Net.Rows.contains("node-5"));
+}
+
+TEST_CASE("a one-way cut suspects nobody, and the path is avoided") {
+  FakeNetwork Net;
+  addNodes(Net, 6);
+  run(Net, base::seconds(10));
+  Net.Cuts.insert({0, 2});
+  for (int Round = 0; Round < 120; ++Round) {
+    run(Net, GossipInterval);
+    for (std::size_t At = 0; At < 6; ++At)
+      for (std::size_t Of = 0; Of < 6; ++Of)
+        if (At != Of)
+          REQUIRE(phaseAt(Net, At, Of) == MemberPhase::Alive);
+  }
+  const MembershipState &Cut = Net.Nodes[0]->Node.Membership;
+  CHECK_FALSE(isReachable(Cut, base::NodeName("node-2")));
+  CHECK(isReachable(Net.Nodes[1]->Node.Membership, base::NodeName("node-2")));
+  Net.Cuts.clear();
+  run(Net, base::seconds(10));
+  CHECK(isReachable(Cut, base::NodeName("node-2")));
+}
+
+TEST_CASE("loss of messages kills nobody: suspicions are refuted") {
+  FakeNetwork Net;
+  addNodes(Net, 24);
+  run(Net, base::seconds(10));
+  Net.Loss = 0.25;
+  std::size_t Dead = 0;
+  for (int Round = 0; Round < 300; ++Round) {
+    run(Net, GossipInterval);
+    Dead += countNodes(Net, [](const core::State &Node) {
+      return Node.Membership.LiveMembers != 23;
+    });
+  }
+  CHECK(Dead == 0);
+  Net.Loss = 0;
+  run(Net, base::seconds(30));
+  CHECK(knownEverywhere(Net));
+}
+
+TEST_CASE("a suspected node refutes by a higher incarnation") {
+  FakeNetwork Net;
+  addNodes(Net, 6);
+  run(Net, base::seconds(10));
+  core::EffectList Effects;
+  suspectMember(Net.Nodes[1]->Node, base::NodeName("node-4"), Effects);
+  CHECK_FALSE(
+      isReachable(Net.Nodes[1]->Node.Membership, base::NodeName("node-4")));
+  run(Net, base::seconds(3));
+  CHECK(knownEverywhere(Net));
+  CHECK(Net.Nodes[4]->Node.Membership.Self.Life.Value > 1000);
+}
+
+TEST_CASE("a paused node blames nobody when it wakes") {
+  FakeNetwork Net;
+  addNodes(Net, 6);
+  run(Net, base::seconds(10));
+  auto Held = std::exchange(Net.Nodes[3]->Wake, base::Never);
+  run(Net, base::seconds(2));
+  CHECK(Held < Net.Now);
+  deliver(Net, 3, core::TimerFired{});
+  CHECK(Net.Nodes[3]->Node.Membership.Suspects.empty());
+}
+
+TEST_CASE("regions that lost each other for an hour find each other again") {
+  FakeNetwork Net;
+  Net.StoreUp = false;
+  addNodes(Net, 24);
+  announce(Net, 5, "cutlist-5");
+  run(Net, base::seconds(20));
+  Net.RegionsCut = true;
+  run(Net, base::minutes(2));
+  CHECK(phaseAt(Net, 0, 1) == MemberPhase::Dead);
+  CHECK(phaseAt(Net, 0, 2) == MemberPhase::Alive);
+  run(Net, base::minutes(58));
+  Net.RegionsCut = false;
+  timeUntil(Net, base::seconds(60), [&] { return knownEverywhere(Net); });
+  CHECK(knownEverywhere(Net));
+  CHECK(countKnowing(Net, "cutlist-5", routing::BackendPhase::Ready) == 24);
+}
+
+TEST_CASE("regions find each other after a partition that outlasts memory") {
+  FakeNetwork Net;
+  addNodes(Net, 6);
+  run(Net, base::seconds(20));
+  Net.RegionsCut = true;
+  run(Net, base::minutes(140));
+  CHECK(Net.Nodes[0]->Node.Membership.Members.size() == 2);
+  Net.RegionsCut = false;
+  run(Net, base::minutes(3));
+  CHECK(knownEverywhere(Net));
+}
+
+TEST_CASE("with the store gone a node starts and another is found dead") {
+  FakeNetwork Net;
+  Net.StoreUp = false;
+  addNodes(Net, 6);
+  run(Net, base::minutes(180));
+  Net.Nodes[4]->Up = false;
+  startNode(Net, 6, {0, 1});
+  run(Net, base::seconds(20));
+  CHECK(knownEverywhere(Net));
+  CHECK(phaseAt(Net, 6, 0) == MemberPhase::Alive);
+  CHECK(phaseAt(Net, 0, 4) == MemberPhase::Dead);
+}
+
+TEST_CASE("a node without working seeds finds the fleet by the table") {
+  FakeNetwork Net;
+  addNodes(Net, 6);
+  run(Net, base::seconds(10));
+  startNode(Net, 6, {});
+  run(Net, base::seconds(10));
+  CHECK(knownEverywhere(Net));
+}
+
+TEST_CASE("a node that leaves is forgotten at once, without suspicion") {
+  FakeNetwork Net;
+  addNodes(Net, 24);
+  announce(Net, 5, "cutlist-5");
+  run(Net, base::seconds(20));
+  deliver(Net, 5, core::StopRequested{});
+  Net.Nodes[5]->Up = false;
+  run(Net, base::seconds(3));
+  CHECK(countLacking(Net, "cutlist-5") == 23);
+  CHECK(knownEverywhere(Net));
+  CHECK(phaseAt(Net, 0, 5) == MemberPhase::Left);
+}
+
+TEST_CASE("a restarted node gets new life and loses its earlier servers") {
+  FakeNetwork Net;
+  addNodes(Net, 6);
+  announce(Net, 5, "cutlist-5");
+  run(Net, base::seconds(10));
+  Net.Nodes[5]->Up = false;
+  run(Net, base::milliseconds(500));
+  startNode(Net, 5, {0, 1}, 2000);
+  run(Net, base::seconds(20));
+  CHECK(knownEverywhere(Net));
+  CHECK(countKnowing(Net, "cutlist-5", routing::BackendPhase::Ready) == 0);
+}
+
+TEST_CASE("a leaving server is known everywhere within three seconds") {
+  for (std::size_t Count : {3, 24, 200}) {
+    FakeNetwork Net;
+    addNodes(Net, Count);
+    announce(Net, 2, "cutlist-2");
+    run(Net, base::seconds(20));
+    announce(Net, 2, "cutlist-2", routing::BackendPhase::Leaving);
+    auto Known = [&] {
+      return countKnowing(Net, "cutlist-2", routing::BackendPhase::Leaving) ==
+             Count;
+    };
+    timeUntil(Net, base::seconds(3), Known);
+    CHECK(Known());
+  }
+}
+
+TEST_CASE("anti-entropy repairs what rumours lost") {
+  FakeNetwork Net;
+  addNodes(Net, 12);
+  run(Net, base::seconds(20));
+  Net.Loss = 1;
+  for (int Index = 0; Index < 50; ++Index)
+    announce(Net, 2, "cutlist-" + std::to_string(Index));
+  auto &Queue = Net.Nodes[2]->Node.Membership.Rumours;
+  Queue.Pending.clear();
+  Queue.Ranked.clear();
+  Queue.FlushWanted = false;
+  Net.Loss = 0;
+  run(Net, base::seconds(1));
+  CHECK(countKnowing(Net, "cutlist-7", routing::BackendPhase::Ready) == 1);
+  run(Net, base::seconds(60));
+  CHECK(countKnowing(Net, "cutlist-49", routing::BackendPhase::Ready) == 12);
+  CHECK(digestsAgree(Net));
+}
+
+TEST_CASE("a quarantine reaches every node, and so does its end") {
+  FakeNetwork Net;
+  addNodes(Net, 12);
+  run(Net, base::seconds(10));
+  QuarantineRecord Record;
+  Record.Print = base::Fingerprint(77);
+  Record.Crashed = {base::BackendName("cutlist-1")};
+  Record.Since = base::UnixTime{1000};
+  mergeQuarantine(Net.Nodes[3]->Node, Record);
+  auto CountCleared = [&](bool Cleared) {
+    return countNodes(Net, [&](const core::State &Node) {
+      auto Found = Node.Actions.Quarantine.find(base::Fingerprint(77));
+      return Found != Node.Actions.Quarantine.end() &&
+             Found->second.Cleared == Cleared;
+    });
+  };
+  run(Net, base::seconds(5));
+  CHECK(CountCleared(false) == 12);
+  Record.Cleared = true;
+  Record.Since = base::UnixTime{2000};
+  mergeQuarantine(Net.Nodes[8]->Node, Record);
+  run(Net, base::seconds(5));
+  CHECK(CountCleared(true) == 12);
+}
+
+TEST_CASE("the version in force at each node becomes known") {
+  FakeNetwork Net;
+  addNodes(Net, 12);
+  run(Net, base::seconds(10));
+  for (auto &Item : Net.Nodes)
+    Item->Node.Membership.Self.Version = base::ConfigVersion(9);
+  run(Net, base::seconds(10));
+  CHECK(countNodes(Net, [](const core::State &Node) {
+          for (const auto &[Name, Who] : Node.Membership.Members)
+            if (Who.Record.Version != base::ConfigVersion(9))
+              return false;
+          return Node.Membership.Accepted == base::ConfigVersion(9);
+        }) == 12);
+}
+
+} // namespace currantgauge::membership
--- a/currantgauge/membership/message.h
+++ b/currantgauge/membership/message.h
@@ -38,7 +38,8 @@
 };
 
 // MessageKind is the purpose of a PeerMessage.
-enum class MessageKind { Ping, Ack, PingRequest, Sync };
+// Rumours and the records of Sync ask for no answer.
+enum class MessageKind { Ping, Ack, PingRequest, Sync, Rumours };
 
 // PeerMessage carries its purpose and whatever rumours fit the byte budget.
 struct PeerMessage {
--- /dev/null
+++ b/currantgauge/membership/roster.h
@@ -0,0 +1,48 @@
+// Live members by region, for random choices and rounds of probes.
+//
+//   if (auto Name = pickPeer(State, State.Self.Region, Source)) ping(*Name);
+#ifndef CURRANTGAUGE_MEMBERSHIP_ROSTER_H
+#define CURRANTGAUGE_MEMBERSHIP_ROSTER_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/random.h"
+#include "currantgauge/membership/state.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace currantgauge::membership {
+
+// enlist() puts a member into its region's roster, strike() takes it out of
+// that of a region.
+void enlist(MembershipState &State, Member &Who, base::Random &Source);
+void strike(MembershipState &State, const Member &Who,
+            const base::RegionName &Region);
+
+// pickPeer() returns a random live member of a region, none when it has none.
+std::optional<base::NodeName> pickPeer(const MembershipState &State,
+                                       const base::RegionName &Region,
+                                       base::Random &Source);
+
+// pickPeers() returns up to Count different live members of a region.
+std::vector<base::NodeName> pickPeers(const MembershipState &State,
+                                      const base::RegionName &Region,
+                                      std::size_t Count, base::Random &Source);
+
+// pickFarRegion() returns a random region other than this node's.
+std::optional<base::RegionName> pickFarRegion(const MembershipState &State,
+                                              base::Random &Source);
+
+// nextInTurn() returns the member of a region to probe next: each once in a
+// shuffled order, then in a new one.
+std::optional<base::NodeName> nextInTurn(MembershipState &State,
+                                         const base::RegionName &Region,
+                                         base::Random &Source);
+
+// nearCount() returns the number of other live members of this region.
+std::size_t nearCount(const MembershipState &State);
+
+} // namespace currantgauge::membership
+
+#endif // CURRANTGAUGE_MEMBERSHIP_ROSTER_H
--- /dev/null
+++ b/currantgauge/membership/rumours.cc
@@ -0,0 +1,200 @@
+#include "currantgauge/membership/rumours.h"
+
+#include "currantgauge/membership/digest.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/roster.h"
+#include "currantgauge/membership/send.h"
+#include "currantgauge/membership/size.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::membership {
+namespace {
+
+constexpr double RetransmitFactor = 3;
+// Nodes that get an urgent rumour from each node that learns of it.
+constexpr std::size_t FlushPeers = 4;
+// Expected copies of a flushed rumour into each other region, all nodes of this
+// region together.
+constexpr double FarCopies = 3;
+constexpr base::Duration FlushGap = base::milliseconds(50);
+constexpr double FlushBytesPerSecond = 8 * 1024;
+constexpr double FlushBurstBytes = 32 * 1024;
+constexpr base::Duration GoneKept = base::minutes(10);
+// Rumours looked at for one message.
+constexpr std::size_t RumourScan = 64;
+
+RumourRank rankOf(const RecordKey &Key, const Rumour &Item) {
+  return RumourRank{Item.Sent, !Item.Urgent, UINT64_MAX - Item.Arrival, Key};
+}
+
+void enqueue(RumourQueue &Queue, const RecordKey &Key, bool Urgent) {
+  Rumour &Item = Queue.Pending[Key];
+  Queue.Ranked.erase(rankOf(Key, Item));
+  Item = Rumour{0, Urgent, ++Queue.Arrivals};
+  Queue.Ranked.insert(rankOf(Key, Item));
+  if (Urgent)
+    Queue.FlushWanted = true;
+}
+
+void countSent(RumourQueue &Queue, const RecordKey &Key, std::uint32_t Copies,
+               std::uint32_t Limit) {
+  Rumour &Item = Queue.Pending.at(Key);
+  Queue.Ranked.erase(rankOf(Key, Item));
+  Item.Sent += Copies;
+  if (Item.Sent >= Limit)
+    Queue.Pending.erase(Key);
+  else
+    Queue.Ranked.insert(rankOf(Key, Item));
+}
+
+template <typename Record>
+bool addIfFits(const Record &Item, std::vector<Record> &List, std::size_t &Size,
+               std::size_t Budget) {
+  std::size_t Added = encodedSize(Item);
+  if (Size + Added > Budget)
+    return false;
+  Size += Added;
+  List.push_back(Item);
+  return true;
+}
+
+void refillTokens(RumourQueue &Queue, base::TimePoint Now) {
+  double Earned = base::toSeconds(Now - Queue.TokensAt) * FlushBytesPerSecond;
+  Queue.Tokens = std::min(FlushBurstBytes, Queue.Tokens + Earned);
+  Queue.TokensAt = Now;
+}
+
+// Near peers and, with a chance that makes FarCopies over the whole region,
+// one of each other region.
+std::vector<base::NodeName> flushPeers(core::State &Node) {
+  const MembershipState &State = Node.Membership;
+  std::vector<base::NodeName> Peers =
+      pickPeers(State, State.Self.Region, FlushPeers, Node.Source);
+  double Chance = FarCopies / (static_cast<double>(nearCount(State)) + 1);
+  for (const auto &[Region, List] : State.Rosters)
+    if (Region != State.Self.Region && base::uniformUnit(Node.Source) < Chance)
+      Peers.push_back(*pickPeer(State, Region, Node.Source));
+  return Peers;
+}
+
+bool urgentWaits(const RumourQueue &Queue) {
+  auto First = Queue.Ranked.begin();
+  return First != Queue.Ranked.end() && First->Sent == 0 && !First->Patient;
+}
+
+void sendRumours(core::State &Node, core::EffectList &Effects) {
+  RumourQueue &Queue = Node.Membership.Rumours;
+  std::vector<base::NodeName> Peers = flushPeers(Node);
+  Queue.LastFlush = Node.Now;
+  Queue.FlushWanted = false;
+  if (Peers.empty())
+    return;
+  PeerMessage Message = newMessage(Node.Membership, MessageKind::Rumours);
+  addRumours(Node, Message, static_cast<std::uint32_t>(Peers.size()));
+  Queue.Tokens -= static_cast<double>(encodedSize(Message) * Peers.size());
+  for (const base::NodeName &Peer : Peers)
+    sendTo(Node.Membership, Peer, Message, Effects);
+  Queue.FlushWanted = urgentWaits(Queue);
+}
+
+} // namespace
+
+void queueRumour(MembershipState &State, const MemberRecord &Record,
+                 bool Urgent) {
+  noteRecord(State, Record);
+  enqueue(State.Rumours, keyOf(Record), Urgent);
+}
+
+void queueRumour(MembershipState &State, const routing::BackendRecord &Record) {
+  noteRecord(State, Record);
+  State.OwnedBy[Record.Owner].insert(Record.Name);
+  if (Record.Phase == routing::BackendPhase::Gone)
+    State.GoneServers.emplace(State.LastRound + GoneKept, Record.Name);
+  if (isLiveNode(State, Record.Owner))
+    enqueue(State.Rumours, keyOf(Record), true);
+}
+
+void queueRumour(MembershipState &State, const QuarantineRecord &Record) {
+  noteRecord(State, Record);
+  enqueue(State.Rumours, keyOf(Record), true);
+}
+
+std::uint32_t retransmitLimit(const MembershipState &State) {
+  double Size = static_cast<double>(State.LiveMembers) + 2;
+  return static_cast<std::uint32_t>(
+      std::ceil(RetransmitFactor * std::log(Size)));
+}
+
+bool addRecord(const core::State &Node, const RecordKey &Key,
+               PeerMessage &Message, std::size_t &Size, std::size_t Budget) {
+  const MembershipState &State = Node.Membership;
+  switch (Key.Kind) {
+  case RecordKind::Member: {
+    base::NodeName Name(Key.Name);
+    if (Name == State.Self.Name)
+      return addIfFits(State.Self, Message.Members, Size, Budget);
+    const Member *Who = findMember(State, Name);
+    return !Who || addIfFits(Who->Record, Message.Members, Size, Budget);
+  }
+  case RecordKind::Backend: {
+    auto Found = Node.Routing.Servers.find(base::BackendName(Key.Name));
+    return Found == Node.Routing.Servers.end() ||
+           addIfFits(Found->second.Record, Message.Backends, Size, Budget);
+  }
+  case RecordKind::Quarantine: {
+    auto Found = Node.Actions.Quarantine.find(base::Fingerprint(Key.Number));
+    return Found == Node.Actions.Quarantine.end() ||
+           addIfFits(Found->second, Message.Quarantine, Size, Budget);
+  }
+  }
+  return true;
+}
+
+void addRumours(core::State &Node, PeerMessage &Message, std::uint32_t Copies) {
+  RumourQueue &Queue = Node.Membership.Rumours;
+  std::size_t Size = encodedSize(Message);
+  std::vector<RecordKey> Added;
+  std::size_t Scanned = 0;
+  for (const RumourRank &Rank : Queue.Ranked) {
+    if (++Scanned > RumourScan)
+      break;
+    if (addRecord(Node, Rank.Key, Message, Size, MessageBudget))
+      Added.push_back(Rank.Key);
+  }
+  std::uint32_t Limit = retransmitLimit(Node.Membership);
+  for (const RecordKey &Key : Added)
+    countSent(Queue, Key, Copies, Limit);
+}
+
+void flushRumours(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  RumourQueue &Queue = State.Rumours;
+  if (State.Self.Version > State.Accepted) {
+    State.Accepted = State.Self.Version;
+    State.AcceptedAt = State.Self.Name;
+    Queue.FlushWanted = true;
+  }
+  if (!Queue.FlushWanted || Queue.FlushTimer)
+    return;
+  refillTokens(Queue, Node.Now);
+  if (Queue.Tokens > 0 && Node.Now >= Queue.LastFlush + FlushGap) {
+    sendRumours(Node, Effects);
+    if (!Queue.FlushWanted)
+      return;
+  }
+  double Debt = std::max(0.0, 1 - Queue.Tokens) / FlushBytesPerSecond;
+  base::Duration Wait{static_cast<std::int64_t>(Debt * 1e6)};
+  Queue.FlushTimer = true;
+  setTimer(Node.Timers, Node.Now + std::max(FlushGap, Wait),
+           core::RumourFlush{});
+}
+
+void onRumourFlush(core::State &Node) {
+  Node.Membership.Rumours.FlushTimer = false;
+}
+
+} // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/membership/rumours.h
@@ -0,0 +1,51 @@
+// What is passed on from node to node: changed records, a bounded number of
+// times each, in messages of bounded size and a bounded rate.
+//
+//   queueRumour(State, Record);          // after any change of a record
+//   flushRumours(Node, Effects);         // reduce() calls it after each event
+#ifndef CURRANTGAUGE_MEMBERSHIP_RUMOURS_H
+#define CURRANTGAUGE_MEMBERSHIP_RUMOURS_H
+
+#include "currantgauge/core/effect.h"
+#include "currantgauge/core/state.h"
+#include "currantgauge/membership/message.h"
+#include "currantgauge/membership/state.h"
+#include "currantgauge/routing/backend_server.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace currantgauge::membership {
+
+// MessageBudget bounds every message but those of anti-entropy, in bytes.
+constexpr std::size_t MessageBudget = 1400;
+
+// queueRumour() takes a record's new content into the digest and tells other
+// nodes of it. Call it after every change of a record that this node owns; it
+// needs no call for renewals. An urgent rumour leaves within FlushGap.
+void queueRumour(MembershipState &State, const MemberRecord &Record,
+                 bool Urgent = true);
+void queueRumour(MembershipState &State, const routing::BackendRecord &Record);
+void queueRumour(MembershipState &State, const QuarantineRecord &Record);
+
+// retransmitLimit() returns how often a node passes a rumour on.
+std::uint32_t retransmitLimit(const MembershipState &State);
+
+// addRumours() adds the rumours that fit into what the message leaves of
+// MessageBudget, and counts them as sent Copies times.
+void addRumours(core::State &Node, PeerMessage &Message, std::uint32_t Copies);
+
+// addRecord() adds the present content of a record when it fits the budget.
+// Returns false when it does not; a record that is gone counts as added.
+bool addRecord(const core::State &Node, const RecordKey &Key,
+               PeerMessage &Message, std::size_t &Size, std::size_t Budget);
+
+// flushRumours() sends urgent rumours at once, or sets a timer for them.
+void flushRumours(core::State &Node, core::EffectList &Effects);
+
+// onRumourFlush() handles that timer.
+void onRumourFlush(core::State &Node);
+
+} // namespace currantgauge::membership
+
+#endif // CURRANTGAUGE_MEMBERSHIP_RUMOURS_H
--- /dev/null
+++ b/currantgauge/membership/seeds.cc
@@ -0,0 +1,138 @@
+#include "currantgauge/membership/seeds.h"
+
+#include "currantgauge/membership/anti_entropy.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/roster.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace currantgauge::membership {
+namespace {
+
+constexpr std::size_t FewMembers = 2;
+constexpr base::Duration CallLimit = base::seconds(5);
+constexpr base::Duration WriteInterval = base::minutes(10);
+constexpr base::Duration WriteRetry = base::seconds(30);
+constexpr base::Duration EagerScan = base::seconds(5);
+// All nodes together scan once in so long, however many they are.
+constexpr base::Duration ScanInterval = base::seconds(5);
+constexpr base::Duration ScanIntervalLeast = base::minutes(1);
+constexpr std::uint32_t ScanLimit = 100;
+constexpr std::uint64_t SeedRounds = 30;
+constexpr std::size_t StrangersAtOnce = 5;
+
+void callStore(core::State &Node, std::set<base::CallId> &Pending,
+               base::StoreOperation Operation, core::EffectList &Effects) {
+  base::CallId Call = core::nextCall(Node);
+  Pending.insert(Call);
+  Effects.push_back(core::CallStore{Call, std::move(Operation), CallLimit});
+}
+
+bool knowsAddress(const MembershipState &State,
+                  const base::NetAddress &Address) {
+  return std::any_of(State.Members.begin(), State.Members.end(),
+                     [&](const auto &Item) {
+                       return isLive(Item.second.Record.Phase) &&
+                              Item.second.Record.PeerAddress == Address;
+                     });
+}
+
+void askSeeds(core::State &Node, core::EffectList &Effects) {
+  const MembershipState &State = Node.Membership;
+  if (State.Seeds.empty())
+    return;
+  bool Few = State.LiveMembers < FewMembers;
+  if (!Few && State.Round % SeedRounds != 0)
+    return;
+  std::size_t Only = base::uniformBelow(Node.Source, State.Seeds.size());
+  for (std::size_t Index = 0; Index < State.Seeds.size(); ++Index) {
+    const base::NetAddress &Seed = State.Seeds[Index];
+    if ((Few || Index == Only) && Seed != State.Self.PeerAddress &&
+        !knowsAddress(State, Seed))
+      startSync(Node, base::NodeName(), Seed, Effects);
+  }
+}
+
+void writeRow(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (Node.Now < State.Table.NextWrite)
+    return;
+  State.Table.NextWrite = Node.Now + WriteInterval;
+  base::RowWrite Row{NodesTable, State.Self.Name.Value,
+                     State.Self.PeerAddress.Value, base::WriteCondition::Always,
+                     ""};
+  callStore(Node, State.Table.Writes, base::WriteRows{{std::move(Row)}},
+            Effects);
+}
+
+void scanRows(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (Node.Now < State.Table.NextScan || !State.Table.Scans.empty())
+    return;
+  base::Duration Shared =
+      ScanInterval * static_cast<std::int64_t>(State.LiveMembers);
+  State.Table.NextScan = Node.Now + (State.LiveMembers < FewMembers
+                                         ? EagerScan
+                                         : std::max(Shared, ScanIntervalLeast));
+  callStore(Node, State.Table.Scans,
+            base::ScanRows{NodesTable, State.Table.After, ScanLimit}, Effects);
+}
+
+void askStrangers(core::State &Node, const std::vector<base::StoreRow> &Rows,
+                  core::EffectList &Effects) {
+  const MembershipState &State = Node.Membership;
+  std::size_t Asked = 0;
+  std::size_t First = base::uniformBelow(Node.Source, Rows.size());
+  for (std::size_t Step = 0; Step < Rows.size(); ++Step) {
+    const base::StoreRow &Row = Rows[(First + Step) % Rows.size()];
+    base::NodeName Name(Row.Key);
+    if (isLiveNode(State, Name) || Asked == StrangersAtOnce)
+      continue;
+    startSync(Node, Name, base::NetAddress(Row.Value), Effects);
+    ++Asked;
+  }
+}
+
+} // namespace
+
+void seekMembers(core::State &Node, core::EffectList &Effects) {
+  askSeeds(Node, Effects);
+  if (Node.Self.Embedded || Node.Stopping)
+    return;
+  writeRow(Node, Effects);
+  scanRows(Node, Effects);
+}
+
+void removeRow(core::State &Node, const base::NodeName &Name,
+               core::EffectList &Effects) {
+  if (Node.Self.Embedded)
+    return;
+  base::RowWrite Row{NodesTable, Name.Value, "", base::WriteCondition::Always,
+                     "",         true};
+  callStore(Node, Node.Membership.Table.Writes,
+            base::WriteRows{{std::move(Row)}}, Effects);
+}
+
+bool onStoreAnswered(core::State &Node, const core::StoreAnswered &Answered,
+                     core::EffectList &Effects) {
+  TableState &Table = Node.Membership.Table;
+  bool Done = Answered.Result.Status == base::StoreStatus::Done;
+  if (Table.Writes.erase(Answered.Call) != 0) {
+    if (!Done)
+      Table.NextWrite = std::min(Table.NextWrite, Node.Now + WriteRetry);
+    return true;
+  }
+  if (Table.Scans.erase(Answered.Call) == 0)
+    return false;
+  const std::vector<base::StoreRow> &Rows = Answered.Result.Rows;
+  if (!Done)
+    return true;
+  Table.After = Rows.size() < ScanLimit ? "" : Rows.back().Key;
+  if (!Rows.empty())
+    askStrangers(Node, Rows, Effects);
+  return true;
+}
+
+} // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/membership/send.cc
@@ -0,0 +1,64 @@
+#include "currantgauge/membership/send.h"
+
+#include "currantgauge/membership/member.h"
+
+#include <string>
+#include <utility>
+
+namespace currantgauge::membership {
+namespace {
+
+std::string kindName(MessageKind Kind) {
+  switch (Kind) {
+  case MessageKind::Ping:
+    return "ping";
+  case MessageKind::Ack:
+    return "ack";
+  case MessageKind::PingRequest:
+    return "ping_request";
+  case MessageKind::Sync:
+    return "sync";
+  case MessageKind::Rumours:
+    return "rumours";
+  }
+  return "";
+}
+
+} // namespace
+
+PeerMessage newMessage(const MembershipState &State, MessageKind Kind) {
+  PeerMessage Message;
+  Message.From = State.Self.Name;
+  Message.FromAddress = State.Self.PeerAddress;
+  Message.Kind = Kind;
+  Message.Version = State.Accepted;
+  return Message;
+}
+
+void addTidings(const MembershipState &State, const base::NodeName &To,
+                PeerMessage &Message) {
+  const Member *Who = findMember(State, To);
+  if (Who && Who->Record.Phase != MemberPhase::Alive)
+    Message.Members.push_back(Who->Record);
+}
+
+void sendTo(const MembershipState &State, const base::NodeName &To,
+            PeerMessage Message, core::EffectList &Effects) {
+  const Member *Who = findMember(State, To);
+  if (!Who)
+    return;
+  Effects.push_back(core::Measure{core::Metric::PeerMessages,
+                                  kindName(Message.Kind), "out", 1});
+  Effects.push_back(
+      core::SendPeerMessage{To, Who->Record.PeerAddress, std::move(Message)});
+}
+
+void answer(const PeerMessage &Asked, PeerMessage Message,
+            core::EffectList &Effects) {
+  Effects.push_back(core::Measure{core::Metric::PeerMessages,
+                                  kindName(Message.Kind), "out", 1});
+  Effects.push_back(
+      core::SendPeerMessage{Asked.From, Asked.FromAddress, std::move(Message)});
+}
+
+} // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/membership/servers.cc
@@ -0,0 +1,147 @@
+#include "currantgauge/membership/servers.h"
+
+#include "currantgauge/membership/digest.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/rumours.h"
+#include "currantgauge/routing/registry.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::membership {
+namespace {
+
+// A server's record may arrive before its owner's.
+constexpr base::Duration StrangerKept = base::seconds(30);
+
+const routing::BackendServer *findServer(const core::State &Node,
+                                         const base::BackendName &Name) {
+  auto Found = Node.Routing.Servers.find(Name);
+  return Found == Node.Routing.Servers.end() ? nullptr : &Found->second;
+}
+
+// The fleet may take a server for this node's because an earlier process had
+// this node's name. Until its lease would have passed it may announce itself
+// here again.
+void noteOrphan(core::State &Node, const routing::BackendRecord &Record) {
+  const routing::BackendServer *Known = findServer(Node, Record.Name);
+  if (!Known && Record.Phase != routing::BackendPhase::Gone)
+    Node.Membership.Orphans[Record.Name] = Record;
+}
+
+bool endsQuarantine(const QuarantineRecord &Cleared,
+                    const QuarantineRecord &Open) {
+  return Cleared.Cleared && !Open.Cleared && Cleared.Since >= Open.Since;
+}
+
+} // namespace
+
+bool mergeBackend(core::State &Node, const routing::BackendRecord &Record) {
+  MembershipState &State = Node.Membership;
+  if (Record.Owner == State.Self.Name) {
+    noteOrphan(Node, Record);
+    return false;
+  }
+  const Member *Owner = findMember(State, Record.Owner);
+  if (Owner && !isLive(Owner->Record.Phase))
+    return false;
+  if (!routing::mergeRecord(Node.Routing, Record, Node.Now))
+    return false;
+  if (!Owner)
+    State.UnknownOwners.try_emplace(Record.Owner, Node.Now + StrangerKept);
+  queueRumour(State, Record);
+  return true;
+}
+
+bool mergeQuarantine(std::map<base::Fingerprint, QuarantineRecord> &Table,
+                     const QuarantineRecord &Record) {
+  auto [Found, IsNew] = Table.try_emplace(Record.Print, Record);
+  QuarantineRecord &Known = Found->second;
+  if (IsNew)
+    return true;
+  if (Known.Cleared != Record.Cleared) {
+    const QuarantineRecord &Cleared = Known.Cleared ? Known : Record;
+    const QuarantineRecord &Open = Known.Cleared ? Record : Known;
+    bool TakeIt =
+        endsQuarantine(Cleared, Open) ? Record.Cleared : Known.Cleared;
+    if (TakeIt)
+      Known = Record;
+    return TakeIt;
+  }
+  std::vector<base::BackendName> All = Known.Crashed;
+  All.insert(All.end(), Record.Crashed.begin(), Record.Crashed.end());
+  std::sort(All.begin(), All.end());
+  All.erase(std::unique(All.begin(), All.end()), All.end());
+  base::UnixTime Since = std::max(Known.Since, Record.Since);
+  bool Changed = All != Known.Crashed || Since != Known.Since;
+  Known.Crashed = std::move(All);
+  Known.Since = Since;
+  return Changed;
+}
+
+bool mergeQuarantine(core::State &Node, const QuarantineRecord &Record) {
+  if (!mergeQuarantine(Node.Actions.Quarantine, Record))
+    return false;
+  queueRumour(Node.Membership, Node.Actions.Quarantine.at(Record.Print));
+  return true;
+}
+
+void noteServers(core::State &Node, const base::NodeName &Owner) {
+  auto Found = Node.Membership.OwnedBy.find(Owner);
+  if (Found == Node.Membership.OwnedBy.end())
+    return;
+  std::erase_if(Found->second, [&](const base::BackendName &Name) {
+    const routing::BackendServer *Server = findServer(Node, Name);
+    if (!Server || Server->Record.Owner != Owner)
+      return true;
+    noteRecord(Node.Membership, Server->Record);
+    return false;
+  });
+}
+
+void forgetServers(core::State &Node, const base::NodeName &Owner) {
+  auto Found = Node.Membership.OwnedBy.find(Owner);
+  if (Found == Node.Membership.OwnedBy.end())
+    return;
+  for (const base::BackendName &Name : Found->second) {
+    const routing::BackendServer *Server = findServer(Node, Name);
+    if (!Server || Server->Record.Owner != Owner)
+      continue;
+    dropRecord(Node.Membership, keyOf(Server->Record));
+    routing::forgetServer(Node.Routing, Name);
+  }
+  Node.Membership.OwnedBy.erase(Found);
+}
+
+void buryOrphans(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  if (Node.Now < State.OrphansDue)
+    return;
+  for (const auto &[Name, Record] : std::exchange(State.Orphans, {}))
+    if (!findServer(Node, Name))
+      queueRumour(State, routing::disownServer(Node.Routing, Record));
+}
+
+void forgetServersOfStrangers(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  for (auto It = State.UnknownOwners.begin();
+       It != State.UnknownOwners.end();) {
+    if (It->second > Node.Now) {
+      ++It;
+      continue;
+    }
+    forgetServers(Node, It->first);
+    It = State.UnknownOwners.erase(It);
+  }
+  while (!State.GoneServers.empty() &&
+         State.GoneServers.begin()->first <= Node.Now) {
+    base::BackendName Name = State.GoneServers.begin()->second;
+    State.GoneServers.erase(State.GoneServers.begin());
+    const routing::BackendServer *Server = findServer(Node, Name);
+    if (Server && Server->Record.Phase == routing::BackendPhase::Gone)
+      routing::forgetServer(Node.Routing, Name);
+  }
+}
+
+} // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/membership/size.cc
@@ -0,0 +1,104 @@
+#include "currantgauge/membership/size.h"
+
+#include <cstdint>
+#include <string>
+
+// The encoding is peer/peer.proto's; peer/codec_test.cc holds this file to it.
+// All field numbers are below 16, so that a tag is one byte.
+namespace currantgauge::membership {
+namespace {
+
+std::size_t varintSize(std::uint64_t Value) {
+  std::size_t Size = 1;
+  for (; Value >= 0x80; Value >>= 7)
+    ++Size;
+  return Size;
+}
+
+std::size_t lengthDelimited(std::size_t Size) {
+  return 1 + varintSize(Size) + Size;
+}
+
+// Absent fields cost nothing in proto3.
+std::size_t field(std::uint64_t Value) {
+  return Value == 0 ? 0 : 1 + varintSize(Value);
+}
+
+std::size_t field(const std::string &Text) {
+  return Text.empty() ? 0 : lengthDelimited(Text.size());
+}
+
+std::size_t zigzagField(std::int64_t Value) {
+  return field((static_cast<std::uint64_t>(Value) << 1) ^
+               static_cast<std::uint64_t>(Value >> 63));
+}
+
+std::size_t fixedField(std::uint64_t Value) { return Value == 0 ? 0 : 9; }
+
+std::size_t doubleField(double Value) { return Value == 0 ? 0 : 9; }
+
+template <typename Enum> std::size_t enumField(Enum Value) {
+  return field(static_cast<std::uint64_t>(Value) + 1);
+}
+
+template <typename Item>
+std::size_t packedFixed(const std::vector<Item> &Items) {
+  return Items.empty() ? 0 : lengthDelimited(Items.size() * sizeof(Item));
+}
+
+std::size_t packedVarints(const std::vector<std::uint32_t> &Items) {
+  std::size_t Size = 0;
+  for (std::uint32_t Item : Items)
+    Size += varintSize(Item);
+  return Items.empty() ? 0 : lengthDelimited(Size);
+}
+
+template <typename Record>
+std::size_t listSize(const std::vector<Record> &Records) {
+  std::size_t Size = 0;
+  for (const Record &Item : Records)
+    Size += encodedSize(Item);
+  return Size;
+}
+
+} // namespace
+
+std::size_t encodedSize(const MemberRecord &Record) {
+  return lengthDelimited(field(Record.Name.Value) +
+                         field(Record.PeerAddress.Value) +
+                         field(Record.Region.Value) +
+                         field(Record.Domain.Value) + field(Record.Life.Value) +
+                         enumField(Record.Phase) + field(Record.Version.Value));
+}
+
+std::size_t encodedSize(const routing::BackendRecord &Record) {
+  return lengthDelimited(
+      field(Record.Name.Value) + field(Record.Service.Value) +
+      field(Record.Owner.Value) + field(Record.Region.Value) +
+      field(Record.Domain.Value) + field(Record.Address.Value) +
+      field(Record.Life.Value) + field(Record.Revision) + field(Record.Slots) +
+      enumField(Record.Phase) + zigzagField(Record.ColdStart.Micros) +
+      doubleField(Record.Suspicion));
+}
+
+std::size_t encodedSize(const QuarantineRecord &Record) {
+  std::size_t Size = fixedField(Record.Print.Value) +
+                     field(Record.Service.Value) + field(Record.Kind.Value) +
+                     zigzagField(Record.Since.Millis) +
+                     field(std::uint64_t{Record.Cleared});
+  for (const base::BackendName &Name : Record.Crashed)
+    Size += lengthDelimited(Name.Value.size());
+  return lengthDelimited(Size);
+}
+
+std::size_t encodedSize(const PeerMessage &Message) {
+  return field(Message.From.Value) + field(Message.FromAddress.Value) +
+         enumField(Message.Kind) + field(Message.Sequence) +
+         field(Message.Target.Value) + field(Message.TargetAddress.Value) +
+         listSize(Message.Members) + listSize(Message.Backends) +
+         listSize(Message.Quarantine) + field(Message.Version.Value) +
+         packedFixed(Message.BucketHashes) + packedVarints(Message.Buckets) +
+         packedFixed(Message.RecordHashes) + packedFixed(Message.Wanted);
+}
+
+} // namespace currantgauge::membership
--- /dev/null
+++ b/currantgauge/membership/size.h
@@ -0,0 +1,25 @@
+// How many bytes a message takes on the wire, without encoding it.
+//
+//   if (Size + encodedSize(Record) > MessageBudget) break;
+#ifndef CURRANTGAUGE_MEMBERSHIP_SIZE_H
+#define CURRANTGAUGE_MEMBERSHIP_SIZE_H
+
+#include "currantgauge/membership/message.h"
+#include "currantgauge/routing/backend_server.h"
+
+#include <cstddef>
+
+namespace currantgauge::membership {
+
+// encodedSize() of a record returns the bytes that it adds to a message, its
+// tag and length included.
+std::size_t encodedSize(const MemberRecord &Record);
+std::size_t encodedSize(const routing::BackendRecord &Record);
+std::size_t encodedSize(const QuarantineRecord &Record);
+
+// encodedSize() of a message returns the bytes of its protobuf encoding.
+std::size_t encodedSize(const PeerMessage &Message);
+
+} // namespace currantgauge::membership
+
+#endif // CURRANTGAUGE_MEMBERSHIP_SIZE_H
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -174,7 +174,7 @@
   To.RecordHashes.assign(From.record_hashes().begin(),
                          From.record_hashes().end());
   To.Wanted.assign(From.wanted().begin(), From.wanted().end());
-  return enumFromWire(From.kind(), MessageKind::Sync, To.Kind) &&
+  return enumFromWire(From.kind(), MessageKind::Rumours, To.Kind) &&
          listFromWire(From.members(), To.Members) &&
          listFromWire(From.backends(), To.Backends) &&
          listFromWire(From.quarantine(), To.Quarantine);
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -1,9 +1,11 @@
 #include "currantgauge/peer/codec.h"
 
+#include "currantgauge/membership/size.h"
 #include "currantgauge/peer/generated/peer.pb.h"
 
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -73,6 +75,20 @@
   CHECK(Back.BucketHashes.at(1) == ~0ULL);
 }
 
+TEST_CASE("the size of a message is known without encoding it") {
+  membership::PeerMessage Message;
+  for (int Round = 0; Round < 3; ++Round) {
+    CHECK(membership::encodedSize(Message) ==
+          bytesOf<v1::PeerMessage>(Message).size());
+    Message = sampleMessage();
+    Message.Backends[0].ColdStart = base::milliseconds(-70000 * Round);
+    Message.Backends[0].Life = base::Incarnation(1733310000000000ULL);
+    Message.Members[0].Name.Value.append(200, 'x');
+    Message.Buckets.assign(300, 1000);
+    Message.Wanted.assign(static_cast<std::size_t>(200) * Round, 1);
+  }
+}
+
 TEST_CASE("facts, outcome and configuration come back whole") {
   core::AttemptFacts Facts;
   Facts.Attempt = base::AttemptId{1, 2};
@@ -108,7 +124,7 @@
   membership::PeerMessage ToMessage;
   v1::PeerMessage Message;
   toWire(sampleMessage(), Message);
-  Message.set_kind(5);
+  Message.set_kind(6);
   CHECK_FALSE(fromWire(Message, ToMessage));
   toWire(sampleMessage(), Message);
   Message.mutable_members(0)->set_phase(0);
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -82,6 +82,23 @@
   return true;
 }
 
+void forgetServer(RoutingState &State, const base::BackendName &Name) {
+  auto Found = State.Servers.find(Name);
+  if (Found == State.Servers.end())
+    return;
+  State.ByService[Found->second.Record.Service].erase(Name);
+  State.Owned.erase(Name);
+  State.Servers.erase(Found);
+}
+
+BackendRecord disownServer(RoutingState &State, BackendRecord Record) {
+  Record.Phase = BackendPhase::Gone;
+  ++Record.Revision;
+  State.ByService[Record.Service].insert(Record.Name);
+  State.Servers[Record.Name].Record = Record;
+  return Record;
+}
+
 void forgetOwner(RoutingState &State, const base::NodeName &Owner) {
   for (auto It = State.Servers.begin(); It != State.Servers.end();) {
     if (It->second.Record.Owner != Owner) {
--- a/currantgauge/routing/registry.h
+++ b/currantgauge/routing/registry.h
@@ -28,6 +28,13 @@
 bool mergeRecord(RoutingState &State, const BackendRecord &Record,
                  base::TimePoint Now);
 
+// forgetServer() drops a server that is gone.
+void forgetServer(RoutingState &State, const base::BackendName &Name);
+
+// disownServer() takes a server that other nodes count as this node's, which
+// this node does not know. Returns its record, gone.
+BackendRecord disownServer(RoutingState &State, BackendRecord Record);
+
 // forgetOwner() drops every server of a node that is gone.
 void forgetOwner(RoutingState &State, const base::NodeName &Owner);
 
