bench: bytes, delays and decision time of membership by fleet size

build/membership_bench 3 12 24 48 200 prints JSON: start of a whole fleet, idle rates, cost and delay of a server's change, cost of a replaced node, detection of a killed one.

--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -82,17 +82,26 @@
   return "cutlist-" + std::to_string(Owner) + "-" + std::to_string(Index);
 }
 
-FakeNetwork &settledFleet(FakeNetwork &Net, std::size_t Count,
-                          std::size_t Servers) {
+// A fleet that starts at once, left alone until no rumour is under way. Returns
+// how long that took, and what it cost.
+json settleFleet(FakeNetwork &Net, std::size_t Count, std::size_t Servers) {
   Net.Clock = steadyNanos;
+  base::TimePoint Start = Net.Now;
   addNodes(Net, Count);
   membership::timeUntil(Net, base::minutes(5),
                         [&] { return knownEverywhere(Net); });
   for (std::size_t Owner = 0; Owner < Count; ++Owner)
     for (std::size_t Index = 0; Index < Servers; ++Index)
       announce(Net, Owner, serverName(Owner, Index));
-  run(Net, base::seconds(120));
-  return Net;
+  membership::timeUntil(Net, base::minutes(30), [&] {
+    return countNodes(Net, [](const core::State &Node) {
+             return !Node.Membership.Rumours.Pending.empty();
+           }) == 0;
+  });
+  run(Net, base::seconds(30));
+  Totals Now = totals(Net);
+  return json{{"seconds", base::toSeconds(Net.Now - Start) - 30},
+              {"bytes_per_node", Now.Bytes / Now.Nodes}};
 }
 
 json measureIdle(FakeNetwork &Net) {
@@ -205,8 +214,8 @@
 
 json measureSize(std::size_t Count, std::size_t Servers) {
   FakeNetwork Net;
-  settledFleet(Net, Count, Servers);
   json Result{{"nodes", Count}, {"servers", Count * Servers}};
+  Result["fleet_start"] = settleFleet(Net, Count, Servers);
   Result["idle"] = measureIdle(Net);
   double Idle = Result["idle"]["bytes_per_second"];
   Result["server_change"] = measureChanges(Net, Idle);
