--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -27,7 +27,7 @@
 using nlohmann::json;
 
 constexpr base::Duration Window = base::seconds(60);
-constexpr int ChangesMeasured = 20;
+constexpr int ChangesMeasured = 100;
 constexpr int ReplacementsMeasured = 5;
 constexpr int KillsMeasured = 30;
 
--- a/currantgauge/membership/member.cc
+++ b/currantgauge/membership/member.cc
@@ -56,7 +56,7 @@
   if (Record.Life == State.Self.Life && Record.Phase == MemberPhase::Alive)
     return false;
   State.Self.Life = base::Incarnation(Record.Life.Value + 1);
-  queueRumour(State, State.Self);
+  queueRumour(State, State.Self, Spread::Firm);
   return true;
 }
 
@@ -170,12 +170,15 @@
     State.UnknownOwners.erase(Record.Name);
     return true;
   }
-  if (!isNews(Found->second.Record, Record))
+  if (!isNews(Found->second.Record, Record)) {
+    if (!isNews(Record, Found->second.Record))
+      hearAgain(State, keyOf(Record));
     return false;
+  }
   // A change of a known member may be a refutation that must overtake a
   // suspicion, however it came here.
-  take(Node, Found->second, joined(Found->second.Record, Record),
-       Spread::Urgent, Effects);
+  take(Node, Found->second, joined(Found->second.Record, Record), Spread::Firm,
+       Effects);
   return true;
 }
 
--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -14,7 +14,7 @@
 namespace currantgauge::membership {
 namespace {
 
-constexpr double RetransmitFactor = 3;
+constexpr double RetransmitFactor = 4;
 // Nodes that get an urgent rumour from each node that learns of it.
 constexpr std::size_t FlushPeers = 4;
 // Expected copies of a flushed rumour into each other region, all nodes of this
@@ -34,10 +34,10 @@
 void enqueue(RumourQueue &Queue, const RecordKey &Key, Spread How) {
   if (How == Spread::Quiet)
     return;
-  bool Urgent = How == Spread::Urgent;
+  bool Urgent = How <= Spread::Urgent;
   Rumour &Item = Queue.Pending[Key];
   Queue.Ranked.erase(rankOf(Key, Item));
-  Item = Rumour{0, Urgent, ++Queue.Arrivals};
+  Item = Rumour{0, Urgent, How == Spread::Firm, ++Queue.Arrivals};
   Queue.Ranked.insert(rankOf(Key, Item));
   if (Urgent)
     Queue.FlushWanted = true;
@@ -128,6 +128,12 @@
   enqueue(State.Rumours, keyOf(Record), How);
 }
 
+void hearAgain(MembershipState &State, const RecordKey &Key) {
+  auto Found = State.Rumours.Pending.find(Key);
+  if (Found != State.Rumours.Pending.end() && !Found->second.Firm)
+    countSent(State.Rumours, Key, 1, retransmitLimit(State));
+}
+
 std::uint32_t retransmitLimit(const MembershipState &State) {
   double Size = static_cast<double>(State.LiveMembers) + 2;
   return static_cast<std::uint32_t>(
--- a/currantgauge/membership/rumours.h
+++ b/currantgauge/membership/rumours.h
@@ -20,9 +20,10 @@
 // MessageBudget bounds every message but those of anti-entropy, in bytes.
 constexpr std::size_t MessageBudget = 1400;
 
-// Spread says how a change travels: at once, with the next messages that have
-// room, or not at all because the others know it already.
-enum class Spread { Urgent, Patient, Quiet };
+// Spread says how a change travels: at once and the full number of times, at
+// once, with the next messages that have room, or not at all because the others
+// know it already.
+enum class Spread { Firm, Urgent, Patient, Quiet };
 
 // queueRumour() takes a record's new content into the digest and tells other
 // nodes of it. Call it after every change of a record that this node owns; it
@@ -34,6 +35,10 @@
 void queueRumour(MembershipState &State, const QuarantineRecord &Record,
                  Spread How = Spread::Urgent);
 
+// hearAgain() counts a rumour as passed on once more, since its sender knows it
+// as well. Firm ones are left alone.
+void hearAgain(MembershipState &State, const RecordKey &Key);
+
 // retransmitLimit() returns how often a node passes a rumour on.
 std::uint32_t retransmitLimit(const MembershipState &State);
 
--- a/currantgauge/membership/servers.cc
+++ b/currantgauge/membership/servers.cc
@@ -29,6 +29,11 @@
     Node.Membership.Orphans[Record.Name] = Record;
 }
 
+bool isSameWord(const routing::BackendRecord &A,
+                const routing::BackendRecord &B) {
+  return A.Life == B.Life && A.Revision == B.Revision && A.Owner == B.Owner;
+}
+
 bool endsQuarantine(const QuarantineRecord &Cleared,
                     const QuarantineRecord &Open) {
   return Cleared.Cleared && !Open.Cleared && Cleared.Since >= Open.Since;
@@ -46,7 +51,11 @@
   const Member *Owner = findMember(State, Record.Owner);
   if (Owner && !isLive(Owner->Record.Phase))
     return false;
-  bool Known = findServer(Node, Record.Name) != nullptr;
+  const routing::BackendServer *Known = findServer(Node, Record.Name);
+  if (Known && isSameWord(Known->Record, Record)) {
+    hearAgain(State, keyOf(Record));
+    return false;
+  }
   if (!routing::mergeRecord(Node.Routing, Record, Node.Now))
     return false;
   if (Known)
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -54,10 +54,12 @@
 };
 
 // Rumour is a record that is still passed on. An urgent one is sent at once,
-// the others wait for the next message that has room.
+// the others wait for the next message that has room. A firm one does not stop
+// early when others are heard to know it.
 struct Rumour {
   std::uint32_t Sent = 0;
   bool Urgent = false;
+  bool Firm = false;
   std::uint64_t Arrival = 0;
 };
 
