Fold the bucket hashes of anti-entropy to the fleet's size

A comparison between nodes that differ cost 8 KB of hashes, also with three nodes. The answering node now folds its 1,024 buckets to the power of two above its number of records, 16 at least; a bucket is named by the level's size plus its index.

--- a/currantgauge/membership/anti_entropy.cc
+++ b/currantgauge/membership/anti_entropy.cc
@@ -7,6 +7,7 @@
 #include "currantgauge/membership/send.h"
 #include "currantgauge/membership/size.h"
 
+#include <bit>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -29,12 +30,22 @@
          !Message.Quarantine.empty();
 }
 
-std::vector<std::uint64_t> bucketHashes(const Digest &Records) {
-  std::vector<std::uint64_t> Hashes;
-  Hashes.reserve(Records.Buckets.size());
-  for (const Bucket &Item : Records.Buckets)
-    Hashes.push_back(Item.Hash);
-  return Hashes;
+// A folded bucket travels as the level's size plus its index, which tells both.
+constexpr std::uint32_t nameBucket(Level Which, std::size_t Index) {
+  return static_cast<std::uint32_t>(Which.Size + Index);
+}
+
+// Calls Visit(Key, Hash) for every record of a folded bucket. False: there is
+// no such bucket.
+template <typename Visitor>
+bool visitRecords(const Digest &Records, std::uint32_t Name, Visitor Visit) {
+  std::size_t Size = std::bit_floor(Name);
+  if (!isLevel(Size))
+    return false;
+  for (std::size_t Index = Name - Size; Index < BucketCount; Index += Size)
+    for (const auto &[Key, Hash] : Records.Buckets[Index].Records)
+      Visit(Key, Hash);
+  return true;
 }
 
 void answerRoot(core::State &Node, const PeerMessage &Message,
@@ -45,20 +56,22 @@
   PeerMessage Reply = newMessage(State, MessageKind::Sync);
   Reply.Members.push_back(State.Self);
   addTidings(State, Message.From, Reply);
-  Reply.BucketHashes = bucketHashes(State.Records);
+  Reply.BucketHashes = bucketHashes(State, levelFor(State));
   answer(Message, std::move(Reply), Effects);
 }
 
 // The first bucket is a random one, so that all get their turn.
-std::vector<std::uint32_t> differing(const Digest &Records,
+std::vector<std::uint32_t> differing(const MembershipState &State,
                                      const std::vector<std::uint64_t> &Theirs,
                                      base::Random &Source) {
   std::vector<std::uint32_t> Found;
-  std::size_t First = base::uniformBelow(Source, BucketCount);
-  for (std::size_t Step = 0; Step < BucketCount; ++Step) {
-    std::size_t Index = (First + Step) % BucketCount;
-    if (Records.Buckets[Index].Hash != Theirs[Index])
-      Found.push_back(static_cast<std::uint32_t>(Index));
+  Level Which{Theirs.size()};
+  std::vector<std::uint64_t> Ours = bucketHashes(State, Which);
+  std::size_t First = base::uniformBelow(Source, Which.Size);
+  for (std::size_t Step = 0; Step < Which.Size; ++Step) {
+    std::size_t Index = (First + Step) % Which.Size;
+    if (Ours[Index] != Theirs[Index])
+      Found.push_back(nameBucket(Which, Index));
   }
   return Found;
 }
@@ -66,10 +79,10 @@
 void answerBuckets(core::State &Node, const PeerMessage &Message,
                    core::EffectList &Effects) {
   MembershipState &State = Node.Membership;
-  if (Message.BucketHashes.size() != BucketCount)
+  if (!isLevel(Message.BucketHashes.size()))
     return;
   std::vector<std::uint32_t> Found =
-      differing(State.Records, Message.BucketHashes, Node.Source);
+      differing(State, Message.BucketHashes, Node.Source);
   if (Found.empty())
     return;
   if (Found.size() > BucketsAtOnce) {
@@ -79,9 +92,11 @@
   }
   PeerMessage Reply = newMessage(State, MessageKind::Sync);
   Reply.Buckets = std::move(Found);
-  for (std::uint32_t Index : Reply.Buckets)
-    for (const auto &[Key, Hash] : State.Records.Buckets[Index].Records)
-      Reply.RecordHashes.push_back(Hash);
+  for (std::uint32_t Name : Reply.Buckets)
+    visitRecords(State.Records, Name,
+                 [&](const RecordKey &, std::uint64_t Hash) {
+                   Reply.RecordHashes.push_back(Hash);
+                 });
   answer(Message, std::move(Reply), Effects);
 }
 
@@ -92,13 +107,13 @@
                                  Message.RecordHashes.end());
   PeerMessage Reply = newMessage(State, MessageKind::Sync);
   std::size_t Size = encodedSize(Reply) + WantedLimit * sizeof(std::uint64_t);
-  for (std::uint32_t Index : Message.Buckets) {
-    if (Index >= BucketCount)
+  auto AddUnlessTheirs = [&](const RecordKey &Key, std::uint64_t Hash) {
+    if (Theirs.erase(Hash) == 0)
+      addRecord(Node, Key, Reply, Size, SyncBudget);
+  };
+  for (std::uint32_t Name : Message.Buckets)
+    if (!visitRecords(State.Records, Name, AddUnlessTheirs))
       return;
-    for (const auto &[Key, Hash] : State.Records.Buckets[Index].Records)
-      if (Theirs.erase(Hash) == 0)
-        addRecord(Node, Key, Reply, Size, SyncBudget);
-  }
   for (std::uint64_t Hash : Theirs)
     if (Reply.Wanted.size() < WantedLimit)
       Reply.Wanted.push_back(Hash);
@@ -115,13 +130,13 @@
   std::set<std::uint64_t> Wanted(Message.Wanted.begin(), Message.Wanted.end());
   PeerMessage Reply = newMessage(State, MessageKind::Sync);
   std::size_t Size = encodedSize(Reply);
-  for (std::uint32_t Index : Message.Buckets) {
-    if (Index >= BucketCount)
+  auto AddIfWanted = [&](const RecordKey &Key, std::uint64_t Hash) {
+    if (Wanted.contains(Hash))
+      addRecord(Node, Key, Reply, Size, SyncBudget);
+  };
+  for (std::uint32_t Name : Message.Buckets)
+    if (!visitRecords(State.Records, Name, AddIfWanted))
       return;
-    for (const auto &[Key, Hash] : State.Records.Buckets[Index].Records)
-      if (Wanted.contains(Hash))
-        addRecord(Node, Key, Reply, Size, SyncBudget);
-  }
   answer(Message, std::move(Reply), Effects);
 }
 
--- a/currantgauge/membership/digest.cc
+++ b/currantgauge/membership/digest.cc
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace currantgauge::membership {
 namespace {
@@ -34,6 +35,8 @@
     Found->second = Hash;
   else if (Hash != 0)
     Where.Records.emplace(Key, Hash);
+  Records.Count -= Before != 0;
+  Records.Count += Hash != 0;
   Where.Hash ^= Before ^ Hash;
   Records.Root ^= Before ^ Hash;
 }
@@ -88,6 +91,21 @@
   setHash(State.Records, Key, Hash);
 }
 
+Level levelFor(const MembershipState &State) {
+  Level Which{LeastLevel};
+  while (Which.Size < BucketCount && Which.Size < State.Records.Count)
+    Which.Size *= 2;
+  return Which;
+}
+
+std::vector<std::uint64_t> bucketHashes(const MembershipState &State,
+                                        Level Which) {
+  std::vector<std::uint64_t> Hashes(Which.Size);
+  for (std::size_t Index = 0; Index < BucketCount; ++Index)
+    Hashes[Index % Which.Size] ^= State.Records.Buckets[Index].Hash;
+  return Hashes;
+}
+
 void dropRecord(MembershipState &State, const RecordKey &Key) {
   setHash(State.Records, Key, 0);
 }
--- a/currantgauge/membership/digest.h
+++ b/currantgauge/membership/digest.h
@@ -11,9 +11,15 @@
 #include "currantgauge/routing/backend_server.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <vector>
 
 namespace currantgauge::membership {
 
+// LeastLevel is the smallest number of hashes of a comparison but for the one
+// over everything.
+constexpr std::size_t LeastLevel = 16;
+
 RecordKey keyOf(const MemberRecord &Record);
 RecordKey keyOf(const routing::BackendRecord &Record);
 RecordKey keyOf(const QuarantineRecord &Record);
@@ -27,6 +33,25 @@
 void noteRecord(MembershipState &State, const routing::BackendRecord &Record);
 void noteRecord(MembershipState &State, const QuarantineRecord &Record);
 
+// Level is a coarser digest: Size folded buckets, a power of two. Bucket Index
+// of it stands for every bucket whose number is Index modulo Size.
+struct Level {
+  std::size_t Size = BucketCount;
+};
+
+// levelFor() returns the level that suits the number of records known here, so
+// that a small fleet sends few hashes.
+Level levelFor(const MembershipState &State);
+
+// isLevel() says whether a number of hashes is one that levelFor() returns.
+constexpr bool isLevel(std::size_t Size) {
+  return Size >= LeastLevel && Size <= BucketCount && (Size & (Size - 1)) == 0;
+}
+
+// bucketHashes() returns the hashes of a level.
+std::vector<std::uint64_t> bucketHashes(const MembershipState &State,
+                                        Level Which);
+
 // dropRecord() takes a record out of the digest.
 void dropRecord(MembershipState &State, const RecordKey &Key);
 
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -22,8 +22,8 @@
 // GossipInterval is the time between two rounds of a node.
 constexpr base::Duration GossipInterval = base::milliseconds(1000);
 
-// BucketCount is the number of buckets that anti-entropy compares, at any size
-// of the fleet.
+// BucketCount is the number of buckets that anti-entropy compares at most, at
+// any size of the fleet.
 constexpr std::size_t BucketCount = 1024;
 
 // Member is another node as this one sees it.
@@ -95,6 +95,7 @@
 struct Digest {
   std::vector<Bucket> Buckets = std::vector<Bucket>(BucketCount);
   std::uint64_t Root = 0;
+  std::size_t Count = 0; // of records
 };
 
 // Probe is a ping that waits for its answer.
