Watch the next member on a ring beside the random probe

With random turns alone nobody pings a member for several seconds now and then. Each node now also pings the member that follows it on its region's ring (hash of the name), so that each member is watched each round; suspected ones are passed over.

--- a/currantgauge/membership/detector.cc
+++ b/currantgauge/membership/detector.cc
@@ -61,6 +61,16 @@
   return nextInTurn(State, State.Self.Region, Node.Source);
 }
 
+// The ring bounds the time until somebody pings a member; the turns let any two
+// nodes meet, which rumours need.
+void watchNextOnRing(core::State &Node,
+                     const std::optional<base::NodeName> &Done,
+                     core::EffectList &Effects) {
+  auto Next = nextOnRing(Node.Membership);
+  if (Next && Next != Done)
+    startProbe(Node, *Next, Effects);
+}
+
 void probeBadPath(core::State &Node, core::EffectList &Effects) {
   const auto &Bad = Node.Membership.BadPaths;
   if (Bad.empty())
@@ -126,8 +136,10 @@
   std::erase_if(State.Relays, [&](const auto &Item) {
     return Item.second.Until <= Node.Now;
   });
-  if (auto Target = regularTarget(Node))
+  auto Target = regularTarget(Node);
+  if (Target)
     startProbe(Node, *Target, Effects);
+  watchNextOnRing(Node, Target, Effects);
   probeBadPath(Node, Effects);
   tryDeadMember(Node, Effects);
 }
--- a/currantgauge/membership/detector.h
+++ b/currantgauge/membership/detector.h
@@ -13,8 +13,9 @@
 
 namespace currantgauge::membership {
 
-// probeRound() pings the next member, and now and then one of another region,
-// one whose path failed and one that is thought dead.
+// probeRound() pings the next member of the ring and the next in turn, and now
+// and then one of another region, one whose path failed and one that is thought
+// dead.
 void probeRound(core::State &Node, core::EffectList &Effects);
 
 // onProbeTimeout() asks other nodes for help, or suspects the member.
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -7,10 +7,13 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::membership {
 namespace {
@@ -66,7 +69,7 @@
              return isReachable(Node.Membership, base::NodeName("node-5"));
            }) == 0;
   };
-  timeUntil(Net, base::seconds(10), Avoided);
+  timeUntil(Net, base::seconds(4), Avoided);
   CHECK(Avoided());
   run(Net, base::seconds(10));
   CHECK(phaseAt(Net, 0, 5) == MemberPhase::Dead);
@@ -253,6 +256,31 @@
   CHECK(digestsAgree(Net));
 }
 
+TEST_CASE("a quarantine merges to the same in any order") {
+  QuarantineRecord First, Second, Cleared;
+  First.Crashed = {base::BackendName("a")};
+  First.Since = base::UnixTime{1000};
+  Second.Crashed = {base::BackendName("b")};
+  Second.Since = base::UnixTime{1500};
+  Cleared = First;
+  Cleared.Cleared = true;
+  Cleared.Since = base::UnixTime{2000};
+  std::vector<const QuarantineRecord *> Order{&First, &Second, &Cleared};
+  std::sort(Order.begin(), Order.end());
+  do {
+    std::map<base::Fingerprint, QuarantineRecord> Table;
+    for (const QuarantineRecord *Record : Order)
+      mergeQuarantine(Table, *Record);
+    CHECK(Table.begin()->second.Cleared);
+    CHECK_FALSE(mergeQuarantine(Table, Second));
+    CHECK_FALSE(mergeQuarantine(Table, Cleared));
+    QuarantineRecord Later = First;
+    Later.Since = base::UnixTime{3000};
+    CHECK(mergeQuarantine(Table, Later));
+    CHECK_FALSE(Table.begin()->second.Cleared);
+  } while (std::next_permutation(Order.begin(), Order.end()));
+}
+
 TEST_CASE("a quarantine reaches every node, and so does its end") {
   FakeNetwork Net;
   addNodes(Net, 12);
--- a/currantgauge/membership/roster.cc
+++ b/currantgauge/membership/roster.cc
@@ -1,6 +1,9 @@
 #include "currantgauge/membership/roster.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace currantgauge::membership {
@@ -12,6 +15,10 @@
   return Found == State.Rosters.end() ? nullptr : &Found->second;
 }
 
+std::uint64_t placeOf(const base::NodeName &Name) {
+  return XXH64(Name.Value.data(), Name.Value.size(), 0);
+}
+
 void swapPlaces(MembershipState &State, Roster &List, std::size_t A,
                 std::size_t B) {
   std::swap(List.Names[A], List.Names[B]);
@@ -34,6 +41,7 @@
   List.Names.push_back(Who.Record.Name);
   swapPlaces(State, List, Who.Slot,
              base::uniformBelow(Source, List.Names.size()));
+  List.Ring[placeOf(Who.Record.Name)] = Who.Record.Name;
   ++State.LiveMembers;
 }
 
@@ -42,6 +50,7 @@
   Roster &List = State.Rosters.at(Region);
   swapPlaces(State, List, Who.Slot, List.Names.size() - 1);
   List.Names.pop_back();
+  List.Ring.erase(placeOf(Who.Record.Name));
   --State.LiveMembers;
   if (List.Names.empty())
     State.Rosters.erase(Region);
@@ -102,6 +111,21 @@
   return List.Names[List.Next++];
 }
 
+// Suspected members are passed over, so that a watch goes on beyond them.
+std::optional<base::NodeName> nextOnRing(const MembershipState &State) {
+  const Roster *List = findRoster(State, State.Self.Region);
+  if (!List)
+    return std::nullopt;
+  auto Next = List->Ring.upper_bound(placeOf(State.Self.Name));
+  for (std::size_t Step = 0; Step < List->Ring.size(); ++Step, ++Next) {
+    if (Next == List->Ring.end())
+      Next = List->Ring.begin();
+    if (!State.Suspects.contains(Next->second))
+      return Next->second;
+  }
+  return std::nullopt;
+}
+
 std::size_t nearCount(const MembershipState &State) {
   const Roster *List = findRoster(State, State.Self.Region);
   return List ? List->Names.size() : 0;
--- a/currantgauge/membership/roster.h
+++ b/currantgauge/membership/roster.h
@@ -40,6 +40,11 @@
                                          const base::RegionName &Region,
                                          base::Random &Source);
 
+// nextOnRing() returns the live member that follows this node on the ring of
+// its region. Each is followed by one, so that each is watched by one at any
+// time.
+std::optional<base::NodeName> nextOnRing(const MembershipState &State);
+
 // nearCount() returns the number of other live members of this region.
 std::size_t nearCount(const MembershipState &State);
 
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -39,6 +39,8 @@
 struct Roster {
   std::vector<base::NodeName> Names;
   std::size_t Next = 0;
+  // Ring orders them by a hash of their names, the same at every node.
+  std::map<std::uint64_t, base::NodeName> Ring;
 };
 
 // RecordKind says which table a record belongs to.
