--- a/currantgauge/membership/digest.cc
+++ b/currantgauge/membership/digest.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/membership/member.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <cstdint>
--- a/currantgauge/membership/roster.cc
+++ b/currantgauge/membership/roster.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/membership/roster.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
