--- a/currantgauge/membership/gossip.cc
+++ b/currantgauge/membership/gossip.cc
@@ -19,10 +19,6 @@
 
 // Peers that a stopping node tells itself; they pass it on.
 constexpr std::size_t LeavingPeers = 8;
-// All nodes together send this many news of versions in force a second; more
-// would fill the budget of a large fleet.
-constexpr std::int64_t VersionNewsPerSecond = 40;
-constexpr base::Duration VersionNewsAgain = base::seconds(30);
 
 // A paused node must not blame others for its own silence.
 void forgivePause(core::State &Node) {
@@ -42,14 +38,27 @@
   if (Node.Now < State.NextVersionNews)
     return;
   bool Changed = State.Self.Version != State.AnnouncedVersion;
-  if (!Changed && State.NextVersionNews == base::TimePoint{})
+  if (!Changed && !State.VersionAgain)
     return;
   queueRumour(State, State.Self, Spread::Patient);
   State.AnnouncedVersion = State.Self.Version;
-  auto Members = static_cast<std::int64_t>(State.LiveMembers);
-  base::Duration Gap = base::seconds(Members) / VersionNewsPerSecond;
-  State.NextVersionNews =
-      Changed ? Node.Now + std::max(Gap, GossipInterval) : base::TimePoint{};
+  State.VersionAgain = Changed;
+  State.NextVersionNews = Node.Now + std::max(newsGap(State), GossipInterval);
+}
+
+void tellSlowNews(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  // What was not used in the last round does not add up.
+  State.NextSlowNews = std::max(State.NextSlowNews, Node.Now - GossipInterval);
+  while (!State.SlowNews.empty() && State.NextSlowNews <= Node.Now) {
+    base::BackendName Name = *State.SlowNews.begin();
+    State.SlowNews.erase(State.SlowNews.begin());
+    State.NextSlowNews = State.NextSlowNews + newsGap(State);
+    auto Found = Node.Routing.Servers.find(Name);
+    if (Found != Node.Routing.Servers.end() &&
+        Found->second.Record.Owner == State.Self.Name)
+      queueRumour(State, Found->second.Record, Spread::Patient);
+  }
 }
 
 void noteSender(core::State &Node, const PeerMessage &Message,
@@ -114,6 +123,7 @@
   forgetServersOfStrangers(Node);
   buryOrphans(Node);
   tellVersion(Node);
+  tellSlowNews(Node);
   seekMembers(Node, Effects);
   probeRound(Node, Effects);
   syncRound(Node, Effects);
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -306,6 +306,27 @@
   CHECK(CountCleared(true) == 12);
 }
 
+TEST_CASE("changes that may wait reach all, at a bounded rate") {
+  FakeNetwork Net;
+  addNodes(Net, 12);
+  for (int Index = 0; Index < 30; ++Index)
+    announce(Net, 3, "cutlist-" + std::to_string(Index));
+  run(Net, base::seconds(30));
+  core::State &Owner = Net.Nodes[3]->Node;
+  for (auto &[Name, Server] : Owner.Routing.Servers) {
+    Server.Record.Suspicion = 0.5;
+    ++Server.Record.Revision;
+    queueSlowRumour(Owner.Membership, Name);
+  }
+  run(Net, GossipInterval);
+  CHECK(Owner.Membership.SlowNews.size() >= 26);
+  run(Net, base::seconds(20));
+  CHECK(countNodes(Net, [](const core::State &Node) {
+          return Node.Routing.Servers.at(base::BackendName("cutlist-29"))
+                     .Record.Suspicion == 0.5;
+        }) == 12);
+}
+
 TEST_CASE("the version in force at each node becomes known") {
   FakeNetwork Net;
   addNodes(Net, 12);
--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -128,6 +128,15 @@
   enqueue(State.Rumours, keyOf(Record), How);
 }
 
+void queueSlowRumour(MembershipState &State, const base::BackendName &Server) {
+  State.SlowNews.insert(Server);
+}
+
+base::Duration newsGap(const MembershipState &State) {
+  auto Size = static_cast<std::int64_t>(State.LiveMembers) + 1;
+  return base::seconds(Size) / NewsPerSecond;
+}
+
 void hearAgain(MembershipState &State, const RecordKey &Key) {
   auto Found = State.Rumours.Pending.find(Key);
   if (Found != State.Rumours.Pending.end() && !Found->second.Firm)
--- a/currantgauge/membership/rumours.h
+++ b/currantgauge/membership/rumours.h
@@ -6,6 +6,8 @@
 #ifndef CURRANTGAUGE_MEMBERSHIP_RUMOURS_H
 #define CURRANTGAUGE_MEMBERSHIP_RUMOURS_H
 
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
 #include "currantgauge/core/effect.h"
 #include "currantgauge/core/state.h"
 #include "currantgauge/membership/message.h"
@@ -20,6 +22,13 @@
 // MessageBudget bounds every message but those of anti-entropy, in bytes.
 constexpr std::size_t MessageBudget = 1400;
 
+// NewsPerSecond bounds what all nodes together tell of changes that may wait;
+// more would fill the budget of a large fleet.
+constexpr std::int64_t NewsPerSecond = 40;
+
+// newsGap() returns the time between two such news of one node.
+base::Duration newsGap(const MembershipState &State);
+
 // Spread says how a change travels: at once and the full number of times, at
 // once, with the next messages that have room, or not at all because the others
 // know it already.
@@ -35,6 +44,11 @@
 void queueRumour(MembershipState &State, const QuarantineRecord &Record,
                  Spread How = Spread::Urgent);
 
+// queueSlowRumour() is for changes of an own server that may wait and come
+// often, such as its usual times. All nodes together send NewsPerSecond of
+// them.
+void queueSlowRumour(MembershipState &State, const base::BackendName &Server);
+
 // hearAgain() counts a rumour as passed on once more, since its sender knows it
 // as well. Firm ones are left alone.
 void hearAgain(MembershipState &State, const RecordKey &Key);
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -135,7 +135,10 @@
   base::ConfigVersion Accepted;
   base::NodeName AcceptedAt;
   base::ConfigVersion AnnouncedVersion;
+  bool VersionAgain = false; // it is announced once more
   base::TimePoint NextVersionNews;
+  std::set<base::BackendName> SlowNews; // own servers with news that may wait
+  base::TimePoint NextSlowNews;
 
   std::map<base::RegionName, Roster> Rosters; // other live members
   std::size_t LiveMembers = 0;
