--- a/currantgauge/membership/gossip.cc
+++ b/currantgauge/membership/gossip.cc
@@ -1,59 +1,158 @@
 #include "currantgauge/membership/gossip.h"
 
-#include "currantgauge/routing/registry.h"
+#include "currantgauge/membership/anti_entropy.h"
+#include "currantgauge/membership/detector.h"
+#include "currantgauge/membership/digest.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/roster.h"
+#include "currantgauge/membership/rumours.h"
+#include "currantgauge/membership/seeds.h"
+#include "currantgauge/membership/send.h"
+#include "currantgauge/membership/servers.h"
+#include "currantgauge/routing/state.h"
 
-#include <set>
+#include <algorithm>
 #include <utility>
 
 namespace currantgauge::membership {
 namespace {
 
-PeerMessage ownNews(const MembershipState &State,
-                    const routing::RoutingState &Routing, MessageKind Kind) {
-  PeerMessage Message;
-  Message.From = State.Self.Name;
-  Message.FromAddress = State.Self.PeerAddress;
-  Message.Kind = Kind;
-  Message.Version = State.Self.Version;
-  Message.Members.push_back(State.Self);
-  for (const auto &[Name, Member] : State.Members)
-    Message.Members.push_back(Member.Record);
-  for (const base::BackendName &Name : Routing.Owned)
-    Message.Backends.push_back(Routing.Servers.at(Name).Record);
-  return Message;
+// Peers that a stopping node tells itself; they pass it on.
+constexpr std::size_t LeavingPeers = 8;
+
+// A paused node must not blame others for its own silence.
+void forgivePause(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  base::Duration Late = Node.Now - (State.LastRound + GossipInterval);
+  if (State.Round == 0 || Late < GossipInterval)
+    return;
+  State.Probes.clear();
+  for (auto &[Name, Deadline] : State.Suspects)
+    Deadline = Deadline + Late;
 }
 
-} // namespace
+// The version in force here goes to the others when it changes and once more
+// later, but not more often than the fleet's size allows.
+void tellVersion(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  if (Node.Now < State.NextVersionNews)
+    return;
+  bool Changed = State.Self.Version != State.AnnouncedVersion;
+  if (!Changed && !State.VersionAgain)
+    return;
+  queueRumour(State, State.Self, Spread::Patient);
+  State.AnnouncedVersion = State.Self.Version;
+  State.VersionAgain = Changed;
+  State.NextVersionNews = Node.Now + std::max(newsGap(State), GossipInterval);
+}
 
-void startRound(MembershipState &State, const routing::RoutingState &Routing,
-                base::Random &Source, base::TimePoint Now,
-                core::EffectList &Effects) {
-  std::set<base::NetAddress> Reached;
-  for (const auto &[Name, Member] : State.Members) {
-    Effects.push_back(
-        core::SendPeerMessage{Name, Member.Record.PeerAddress,
-                              ownNews(State, Routing, MessageKind::Sync)});
-    Reached.insert(Member.Record.PeerAddress);
+void tellSlowNews(core::State &Node) {
+  MembershipState &State = Node.Membership;
+  // What was not used in the last round does not add up.
+  State.NextSlowNews = std::max(State.NextSlowNews, Node.Now - GossipInterval);
+  while (!State.SlowNews.empty() && State.NextSlowNews <= Node.Now) {
+    base::BackendName Name = *State.SlowNews.begin();
+    State.SlowNews.erase(State.SlowNews.begin());
+    State.NextSlowNews = State.NextSlowNews + newsGap(State);
+    auto Found = Node.Routing.Servers.find(Name);
+    if (Found != Node.Routing.Servers.end() &&
+        Found->second.Record.Owner == State.Self.Name)
+      queueRumour(State, Found->second.Record, Spread::Patient);
   }
-  for (const base::NetAddress &Seed : State.Seeds)
-    if (!Reached.contains(Seed) && Seed != State.Self.PeerAddress)
-      Effects.push_back(core::SendPeerMessage{
-          base::NodeName(), Seed, ownNews(State, Routing, MessageKind::Sync)});
 }
 
-void onMessage(MembershipState &State, routing::RoutingState &Routing,
-               const PeerMessage &Message, base::TimePoint Now,
-               core::EffectList &Effects) {
-  for (const MemberRecord &Record : Message.Members) {
-    if (Record.Name == State.Self.Name)
-      continue;
-    Member &Known = State.Members[Record.Name];
-    if (Known.Record.Name.empty() || Record.Life >= Known.Record.Life)
-      Known.Record = Record;
+void noteSender(core::State &Node, const PeerMessage &Message,
+                core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (Message.Version > State.Accepted) {
+    State.Accepted = Message.Version;
+    State.AcceptedAt = Message.From;
+    State.Rumours.FlushWanted = true;
   }
-  State.Members[Message.From].LastHeard = Now;
+  auto Found = State.Members.find(Message.From);
+  if (Found != State.Members.end())
+    Found->second.LastHeard = Node.Now;
+  else if (Message.Kind != MessageKind::Sync)
+    startSync(Node, Message.From, Message.FromAddress, Effects);
+}
+
+// What a comparison adds is mostly old news to the fleet, but for the sender's
+// own record that comes with the hashes.
+void mergeRecords(core::State &Node, const PeerMessage &Message,
+                  core::EffectList &Effects) {
+  bool OldNews =
+      Message.Kind == MessageKind::Sync && Message.BucketHashes.empty();
+  Spread How = OldNews ? Spread::Quiet : Spread::Urgent;
+  for (const MemberRecord &Record : Message.Members)
+    mergeMember(Node, Record, How, Effects);
   for (const routing::BackendRecord &Record : Message.Backends)
-    routing::mergeRecord(Routing, Record, Now);
+    mergeBackend(Node, Record, How);
+  for (const QuarantineRecord &Record : Message.Quarantine)
+    mergeQuarantine(Node, Record, How);
+}
+
+void answerByKind(core::State &Node, const PeerMessage &Message,
+                  core::EffectList &Effects) {
+  switch (Message.Kind) {
+  case MessageKind::Ping:
+    return onPing(Node, Message, Effects);
+  case MessageKind::Ack:
+    return onAck(Node, Message, Effects);
+  case MessageKind::PingRequest:
+    return onPingRequest(Node, Message, Effects);
+  case MessageKind::Sync:
+    return onSync(Node, Message, Effects);
+  case MessageKind::Rumours:
+    return;
+  }
+}
+
+} // namespace
+
+void startRound(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (State.Round == 0) {
+    queueRumour(State, State.Self);
+    State.OrphansDue = Node.Now + routing::LeaseTime;
+  }
+  forgivePause(Node);
+  State.LastRound = Node.Now;
+  ++State.Round;
+  endSuspicions(Node, Effects);
+  forgetMembers(Node, Effects);
+  forgetServersOfStrangers(Node);
+  buryOrphans(Node);
+  tellVersion(Node);
+  tellSlowNews(Node);
+  seekMembers(Node, Effects);
+  probeRound(Node, Effects);
+  syncRound(Node, Effects);
+}
+
+void onMessage(core::State &Node, const PeerMessage &Message,
+               core::EffectList &Effects) {
+  if (Message.From.empty() || Message.From == Node.Membership.Self.Name)
+    return;
+  mergeRecords(Node, Message, Effects);
+  noteSender(Node, Message, Effects);
+  answerByKind(Node, Message, Effects);
+}
+
+void announceLeaving(core::State &Node, core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  if (State.Self.Phase == MemberPhase::Left)
+    return;
+  State.Self.Phase = MemberPhase::Left;
+  noteRecord(State, State.Self);
+  for (const auto &[Region, List] : State.Rosters)
+    for (const base::NodeName &Peer :
+         pickPeers(State, Region, LeavingPeers, Node.Source)) {
+      PeerMessage Message = newMessage(State, MessageKind::Rumours);
+      Message.Members.push_back(State.Self);
+      addRumours(Node, Message, 1);
+      sendTo(State, Peer, std::move(Message), Effects);
+    }
+  removeRow(Node, State.Self.Name, Effects);
 }
 
 } // namespace currantgauge::membership
