--- /dev/null
+++ b/bench/health_bench.cc
@@ -0,0 +1,383 @@
+// Detection time, false ejections and capacity left, in virtual time, beside
+// two baselines: five consecutive failures, and a plain error-rate window.
+//
+//   health_bench [trials a kind] [requests a healthy case] [threads] [case]
+#include "health_fleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <memory>
+#include <set>
+#include <thread>
+
+namespace currantgauge::bench {
+namespace {
+
+constexpr double Floor = 50; // percent
+constexpr Duration WarmUp = base::seconds(90);
+constexpr Duration FaultTime = base::seconds(20);
+constexpr Duration RestTime = base::seconds(40);
+constexpr Duration BaselineHoldOff = base::seconds(5);
+constexpr Duration BaselineWindow = base::seconds(10);
+constexpr std::uint32_t BaselineStreak = 5;
+constexpr double BaselineShare = 0.2;
+constexpr std::size_t BaselineLeast = 10; // requests in the window
+
+enum class Policy { Sequential, Consecutive, Window };
+constexpr const char *PolicyNames[] = {"currantgauge", "five_consecutive",
+                                       "error_rate_window"};
+
+// Track is a baseline's memory of one server at one entry.
+struct Track {
+  std::uint32_t Streak = 0;
+  std::deque<std::pair<TimePoint, bool>> Recent;
+  TimePoint OutUntil;
+};
+
+// Run is one fleet under one policy, with what was seen of it.
+struct Run {
+  Fleet World;
+  Policy Which = Policy::Sequential;
+  std::map<std::pair<std::size_t, base::BackendName>, Track> Tracks;
+  std::map<std::pair<std::size_t, base::BackendName>, TimePoint> OutSince;
+  std::uint64_t Ejections = 0;
+  std::uint64_t Outcomes = 0, Failures = 0;
+  double LeastCapacity = 100; // percent of announced slots, in any entry
+  std::uint64_t FloorBroken = 0;
+};
+
+bool isFailure(const core::AttemptOutcome &Outcome) {
+  return Outcome.Status >= 500 ||
+         (Outcome.Why != base::Reason::None && Outcome.Status == 0 &&
+          Outcome.What != base::Verdict::NotRun);
+}
+
+void noteCapacity(Run &Now, std::size_t Entry) {
+  const core::State &Node = Now.World.Nodes[Entry];
+  double All = 0, Left = 0;
+  for (const auto &[Name, Server] : Node.Routing.Servers) {
+    All += Server.Record.Slots;
+    if (!Now.OutSince.contains({Entry, Name}))
+      Left += Server.Record.Slots;
+  }
+  double Share = All > 0 ? 100 * Left / All : 100;
+  Now.LeastCapacity = std::min(Now.LeastCapacity, Share);
+  if (Share < Floor)
+    ++Now.FloorBroken;
+}
+
+void markOut(Run &Now, std::size_t Entry, const base::BackendName &Server) {
+  if (Now.OutSince.try_emplace({Entry, Server}, Now.World.Now).second)
+    ++Now.Ejections;
+  noteCapacity(Now, Entry);
+}
+
+void onLog(Run &Now, std::size_t Node, const core::LogLine &Line) {
+  if (Line.What.rfind("server_", 0) != 0)
+    return;
+  base::BackendName Server(Line.Fields[1].second);
+  if (Line.What == "server_ejected")
+    markOut(Now, Node, Server);
+  else if (Line.What != "server_trial")
+    Now.OutSince.erase({Node, Server});
+}
+
+bool baselineTrips(Run &Now, Track &Seen, bool Failed) {
+  Seen.Streak = Failed ? Seen.Streak + 1 : 0;
+  Seen.Recent.emplace_back(Now.World.Now, Failed);
+  while (Seen.Recent.front().first < Now.World.Now - BaselineWindow)
+    Seen.Recent.pop_front();
+  if (Now.Which == Policy::Consecutive)
+    return Seen.Streak >= BaselineStreak;
+  auto Bad = std::count_if(Seen.Recent.begin(), Seen.Recent.end(),
+                           [](const auto &One) { return One.second; });
+  return Seen.Recent.size() >= BaselineLeast &&
+         static_cast<double>(Bad) >=
+             BaselineShare * static_cast<double>(Seen.Recent.size());
+}
+
+void onOutcome(Run &Now, std::size_t Entry,
+               const core::AttemptOutcome &Outcome) {
+  if (Outcome.Server.empty())
+    return;
+  ++Now.Outcomes;
+  Now.Failures += isFailure(Outcome) ? 1 : 0;
+  if (Now.Which == Policy::Sequential)
+    return;
+  Track &Seen = Now.Tracks[{Entry, Outcome.Server}];
+  if (Now.World.Now < Seen.OutUntil ||
+      !baselineTrips(Now, Seen, isFailure(Outcome)))
+    return;
+  Seen = Track();
+  Seen.OutUntil = Now.World.Now + BaselineHoldOff;
+  Now.World.Nodes[Entry].Routing.Servers[Outcome.Server].Drained = true;
+  markOut(Now, Entry, Outcome.Server);
+}
+
+void returnBaselines(Run &Now) {
+  for (auto &[Key, Seen] : Now.Tracks)
+    if (Seen.OutUntil > TimePoint{} && Now.World.Now >= Seen.OutUntil) {
+      Seen.OutUntil = TimePoint{};
+      Now.World.Nodes[Key.first].Routing.Servers[Key.second].Drained = false;
+      Now.OutSince.erase(Key);
+    }
+}
+
+std::unique_ptr<Run> makeRun(const Shape &What, Policy Which,
+                             std::uint64_t Seed) {
+  auto Made = std::make_unique<Run>();
+  Made->World = makeFleet(What, Seed, Floor);
+  Made->Which = Which;
+  Made->World.TellSuspicion = Which == Policy::Sequential;
+  Run *Now = Made.get();
+  Made->World.OnOutcome = [Now](std::size_t Entry, const auto &Outcome) {
+    onOutcome(*Now, Entry, Outcome);
+  };
+  Made->World.OnLog = [Now](std::size_t Node, const auto &Line) {
+    onLog(*Now, Node, Line);
+  };
+  return Made;
+}
+
+// pass() lets virtual time run, in steps that baselines return in.
+template <typename Step> void pass(Run &Now, Duration Span, Step Each) {
+  TimePoint End = Now.World.Now + Span;
+  while (Now.World.Now < End) {
+    runUntil(Now.World, std::min(End, Now.World.Now + base::milliseconds(100)));
+    returnBaselines(Now);
+    Each();
+  }
+}
+
+void pass(Run &Now, Duration Span) {
+  pass(Now, Span, [] {});
+}
+
+// Gray is a kind of sickness and its rhythm.
+struct Gray {
+  const char *Name;
+  Sickness How;
+  Duration On; // zero: all the time
+  Duration Off;
+};
+
+const std::vector<Gray> &grayKinds() {
+  static const std::vector<Gray> Kinds = {
+      {"stalls_all", {1, 0, 0, 1}, {}, {}},
+      {"stalls_30_percent", {0.3, 0, 0, 1}, {}, {}},
+      {"fails_30_percent", {0, 0.3, 0, 1}, {}, {}},
+      {"slow_by_5", {0, 0, 0, 5}, {}, {}},
+      {"flaps_3s_of_6s", {1, 0, 0, 1}, base::seconds(3), base::seconds(3)}};
+  return Kinds;
+}
+
+struct Detection {
+  std::vector<double> Seconds;
+  std::uint64_t Missed = 0;
+  double LeastCapacity = 100;
+  std::uint64_t FloorBroken = 0;
+};
+
+void trial(Run &Now, const Gray &Kind, Detection &Found) {
+  pass(Now, RestTime + base::milliseconds(static_cast<std::int64_t>(
+                           base::uniformBelow(Now.World.Source, 1000))));
+  Fake &Sick =
+      Now.World
+          .Fakes[base::uniformBelow(Now.World.Source, Now.World.Fakes.size())];
+  TimePoint Start = Now.World.Now;
+  std::set<std::size_t> Done;
+  pass(Now, FaultTime, [&] {
+    Duration Since = Now.World.Now - Start;
+    bool On = Kind.On == Duration{} ||
+              Since.Micros % (Kind.On + Kind.Off).Micros < Kind.On.Micros;
+    Sick.Now = On ? Kind.How : Sickness();
+    for (std::size_t Entry = 0; Entry < EntryCount; ++Entry) {
+      auto Out = Now.OutSince.find({Entry, Sick.Name});
+      if (Out == Now.OutSince.end() || Out->second < Start ||
+          !Done.insert(Entry).second)
+        continue;
+      Found.Seconds.push_back(base::toSeconds(Out->second - Start));
+    }
+  });
+  Sick.Now = Sickness();
+  Found.Missed += EntryCount - Done.size();
+}
+
+double percentile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return -1;
+  std::sort(Values.begin(), Values.end());
+  auto At =
+      static_cast<std::size_t>(Share * static_cast<double>(Values.size() - 1));
+  return Values[At];
+}
+
+nlohmann::json detect(const Shape &What, Policy Which, const Gray &Kind,
+                      std::size_t Trials) {
+  auto Now = makeRun(What, Which, 11);
+  pass(*Now, WarmUp);
+  Detection Found;
+  for (std::size_t I = 0; I < Trials; ++I)
+    trial(*Now, Kind, Found);
+  // What was missed took longer than the fault lasted.
+  std::vector<double> All = Found.Seconds;
+  All.insert(All.end(), Found.Missed, base::toSeconds(FaultTime));
+  return {{"p50_s", percentile(All, 0.5)},
+          {"p99_s", percentile(All, 0.99)},
+          {"samples", All.size()},
+          {"missed", Found.Missed},
+          {"least_capacity_percent", Now->LeastCapacity},
+          {"floor_broken", Now->FloorBroken}};
+}
+
+void setAll(Run &Now, const Sickness &How) {
+  for (Fake &Server : Now.World.Fakes)
+    Server.Now = How;
+}
+
+void restartOne(Run &Now, std::size_t Number) {
+  Fake &Server = Now.World.Fakes[Number % Now.World.Fakes.size()];
+  ++Server.Life;
+  Server.ColdStart = base::seconds(20);
+  Server.WarmAt = Now.World.Now + Server.ColdStart;
+  Now.World.NextRenewal = Now.World.Now;
+}
+
+// Healthy cases: a minute of each, until the requests are through.
+void healthyMinute(Run &Now, const std::string &Case, std::size_t Minute) {
+  double Usual = Now.World.What.PerServer;
+  if (Case == "service_slow_by_5")
+    setAll(Now, {0, 0, 0, 5});
+  if (Case == "service_stalls_2s")
+    setAll(Now, {1, 0, 0, 1});
+  if (Case == "flood_with_shedding") {
+    Now.World.What.PerServer = 5 * Usual;
+    setAll(Now, {0, 0, 0.5, 2});
+  }
+  if (Case == "cold_start")
+    restartOne(Now, Minute);
+  pass(Now, base::seconds(Case == "service_stalls_2s" ? 2 : 20));
+  Now.World.What.PerServer = Usual;
+  setAll(Now, {});
+  pass(Now, base::seconds(40));
+}
+
+nlohmann::json healthy(const Shape &What, Policy Which, const std::string &Case,
+                       std::uint64_t Requests) {
+  auto Now = makeRun(What, Which, 23);
+  pass(*Now, WarmUp);
+  std::uint64_t Before = Now->World.Requests, Early = Now->Ejections;
+  for (std::size_t Minute = 0; Now->World.Requests - Before < Requests;
+       ++Minute)
+    healthyMinute(*Now, Case, Minute);
+  auto Ran = static_cast<double>(Now->World.Requests - Before);
+  auto False = static_cast<double>(Now->Ejections - Early);
+  return {{"requests", Ran},
+          {"false_ejections", False},
+          {"per_million", False * 1e6 / Ran},
+          {"least_capacity_percent", Now->LeastCapacity},
+          {"floor_broken", Now->FloorBroken}};
+}
+
+// Seven of ten servers stall: the floor must keep half of the slots in.
+nlohmann::json manySick(const Shape &What, Policy Which, std::size_t Trials) {
+  auto Now = makeRun(What, Which, 31);
+  pass(*Now, WarmUp);
+  for (std::size_t I = 0; I < Trials; ++I) {
+    std::size_t Sick = 1 + I % Now->World.Fakes.size();
+    for (std::size_t J = 0; J < Sick; ++J)
+      Now->World.Fakes[J].Now.StallShare = 1;
+    pass(*Now, FaultTime);
+    setAll(*Now, {});
+    pass(*Now, RestTime);
+  }
+  return {{"least_capacity_percent", Now->LeastCapacity},
+          {"floor_broken", Now->FloorBroken},
+          {"ejections", Now->Ejections}};
+}
+
+struct Job {
+  std::string Case;
+  Shape What;
+  Policy Which;
+  std::function<nlohmann::json()> Run;
+  nlohmann::json Result;
+};
+
+std::vector<Job> makeJobs(std::size_t Trials, std::uint64_t Requests) {
+  const std::vector<Shape> Shapes = {
+      {"cutlist", 11, 4, base::microseconds(500)},
+      {"stocktally", 8, 4, base::microseconds(500)},
+      {"field-ops", 14, 3, base::microseconds(1500)},
+      {"asset-registry", 8, 3, base::microseconds(1500)}};
+  std::vector<Job> Jobs;
+  for (const Shape &What : Shapes)
+    for (Policy Which :
+         {Policy::Sequential, Policy::Consecutive, Policy::Window}) {
+      for (const Gray &Kind : grayKinds())
+        Jobs.push_back({Kind.Name, What, Which,
+                        [=] { return detect(What, Which, Kind, Trials); }});
+      for (const char *Case :
+           {"healthy_long_tail", "service_slow_by_5", "service_stalls_2s",
+            "flood_with_shedding", "cold_start"})
+        Jobs.push_back({Case, What, Which,
+                        [=] { return healthy(What, Which, Case, Requests); }});
+      Jobs.push_back({"many_sick", What, Which,
+                      [=] { return manySick(What, Which, Trials); }});
+    }
+  return Jobs;
+}
+
+void runAll(std::vector<Job> &Jobs, std::size_t Threads) {
+  std::atomic<std::size_t> Next = 0;
+  std::vector<std::thread> Workers;
+  for (std::size_t I = 0; I < Threads; ++I)
+    Workers.emplace_back([&] {
+      for (std::size_t J = Next++; J < Jobs.size(); J = Next++)
+        Jobs[J].Result = Jobs[J].Run();
+    });
+  for (std::thread &Worker : Workers)
+    Worker.join();
+}
+
+void print(const std::vector<Job> &Jobs) {
+  nlohmann::json All = nlohmann::json::array();
+  std::printf("%-20s %-15s %-18s figures\n", "case", "service", "policy");
+  for (const Job &One : Jobs) {
+    const char *Name = PolicyNames[static_cast<int>(One.Which)];
+    std::printf("%-20s %-15s %-18s", One.Case.c_str(), One.What.Service.c_str(),
+                Name);
+    nlohmann::json Row = One.Result;
+    for (const auto &[Key, Value] : Row.items())
+      std::printf(" %s=%.6g", Key.c_str(), Value.get<double>());
+    std::printf("\n");
+    Row["case"] = One.Case;
+    Row["service"] = One.What.Service;
+    Row["policy"] = Name;
+    All.push_back(Row);
+  }
+  std::printf("%s\n", All.dump().c_str());
+}
+
+} // namespace
+} // namespace currantgauge::bench
+
+int main(int Count, char **Words) {
+  auto Number = [&](int At, std::uint64_t Default) {
+    return Count > At ? std::strtoull(Words[At], nullptr, 10) : Default;
+  };
+  auto Jobs = currantgauge::bench::makeJobs(Number(1, 100), Number(2, 1000000));
+  std::string Only = Count > 4 ? Words[4] : "";
+  std::erase_if(Jobs, [&](const auto &One) {
+    return (One.Case + "/" + One.What.Service + "/" +
+            currantgauge::bench::PolicyNames[static_cast<int>(One.Which)])
+               .find(Only) == std::string::npos;
+  });
+  currantgauge::bench::runAll(Jobs, Number(3, 4));
+  currantgauge::bench::print(Jobs);
+}
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/routing/choose.h"
+#include "currantgauge/routing/health.h"
 
 #include <algorithm>
 #include <string>
@@ -27,13 +28,30 @@
                                              : findRequest(Node, Found->second);
 }
 
-void countEnd(const EntryRequest &Request, base::Verdict What, base::Reason Why,
-              base::TimePoint Now, EffectList &Effects) {
+void rememberEnd(State &Node, const EntryRequest &Request, base::Verdict What,
+                 base::Reason Why) {
+  RequestTrace Trace;
+  Trace.Request = Request.Facts.Request;
+  Trace.Kind = Request.Kind.Name;
+  Trace.Service = Request.Kind.Service;
+  Trace.Rank = Request.Kind.Rank;
+  Trace.Arrived = Request.Arrived;
+  Trace.Took = Node.Now - Request.Arrived;
+  Trace.Ended = true;
+  Trace.What = What;
+  Trace.Why = Why;
+  Trace.Attempts = Request.Trace;
+  remember(Node.Entry.Recent, std::move(Trace));
+}
+
+void countEnd(State &Node, const EntryRequest &Request, base::Verdict What,
+              base::Reason Why, EffectList &Effects) {
+  rememberEnd(Node, Request, What, Why);
   Effects.push_back(Measure{Metric::Requests, Request.Kind.Name.Value,
                             std::string(base::verdictName(What)), 1});
   Effects.push_back(Measure{Metric::RequestSeconds, Request.Kind.Rank.Value,
                             Request.Kind.Service.Value,
-                            base::toSeconds(Now - Request.Arrived)});
+                            base::toSeconds(Node.Now - Request.Arrived)});
   if (Why != base::Reason::None)
     Effects.push_back(Measure{Metric::Refusals,
                               std::string(base::reasonName(Why)),
@@ -42,6 +60,7 @@
 
 void endCurrentAttempt(State &Node, EntryRequest &Request) {
   Node.Entry.ByAttempt.erase(Request.Current);
+  routing::onAttemptOver(Node.Routing, Request.CurrentServer, Request.Current);
   auto Server = Node.Routing.Servers.find(Request.CurrentServer);
   if (Server != Node.Routing.Servers.end() &&
       Server->second.Record.Owner != Node.Self.Name &&
@@ -61,7 +80,7 @@
             base::Duration RetryAfter, EffectList &Effects) {
   base::Verdict What =
       Request.MayHaveRun ? base::Verdict::MayHaveRun : base::Verdict::NotRun;
-  countEnd(Request, What, Why, Node.Now, Effects);
+  countEnd(Node, Request, What, Why, Effects);
   Effects.push_back(
       RefuseRequest{Request.Facts.Request, What, Why, RetryAfter});
   forget(Node, Request.Facts.Request);
@@ -89,17 +108,26 @@
   return Facts;
 }
 
-void startNextAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
+routing::Choice chooseFor(State &Node, const EntryRequest &Request,
+                          EffectList &Effects) {
+  static const config::ServiceSettings Defaults;
   routing::ChoiceQuery Query;
   Query.Service = Request.Kind.Service;
+  Query.Pressures = &Node.Admission.Pressures;
   Query.Worth = Request.Kind.Worth;
+  Query.Idempotent = Request.Kind.Idempotent;
   Query.Tried = Request.Tried;
   Query.Now = Node.Now;
   const auto &Services = Node.Config.Current->Services;
-  if (auto Found = Services.find(Query.Service); Found != Services.end())
-    Query.Settings = &Found->second;
-  const routing::BackendServer *Server =
-      routing::chooseServer(Node.Routing, Query, Node.Source);
+  auto Found = Services.find(Query.Service);
+  return routing::selectServer(
+      Node.Routing, Query, Found == Services.end() ? Defaults : Found->second,
+      Node.Source, Effects);
+}
+
+void startNextAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
+  routing::Choice Chosen = chooseFor(Node, Request, Effects);
+  const routing::BackendServer *Server = Chosen.Server;
   if (!Server) {
     refuse(Node, Request, base::Reason::NoBackend, base::seconds(1), Effects);
     return;
@@ -110,6 +138,10 @@
   Request.CurrentServer = Server->Record.Name;
   Request.Tried.push_back(Server->Record.Name);
   Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
+  routing::onAttemptStarted(Node.Routing, Chosen, Request.Current);
+  Request.Trace.push_back({Request.Current, Server->Record.Name,
+                           Server->Record.Owner,
+                           routing::choiceName(Chosen.Why), Node.Now});
   base::NetAddress Address;
   if (Server->Record.Owner != Node.Self.Name) {
     ++Node.Routing.Servers.at(Server->Record.Name).Running;
@@ -176,7 +208,7 @@
 
 void deliver(State &Node, EntryRequest &Request, base::AttemptId Attempt,
              const AttemptOutcome &Outcome, EffectList &Effects) {
-  countEnd(Request, base::Verdict::Ran, Outcome.Why, Node.Now, Effects);
+  countEnd(Node, Request, base::Verdict::Ran, Outcome.Why, Effects);
   if (!Request.Committed)
     Effects.push_back(DeliverAnswer{Request.Facts.Request, Attempt,
                                     Outcome.Server, base::Verdict::Ran});
@@ -230,8 +262,8 @@
     return;
   if (Request->Current.Sequence != 0)
     Effects.push_back(CancelAttempt{Request->Current});
-  countEnd(*Request, base::Verdict::MayHaveRun, base::Reason::CallerGone,
-           Node.Now, Effects);
+  countEnd(Node, *Request, base::Verdict::MayHaveRun, base::Reason::CallerGone,
+           Effects);
   forget(Node, Gone.Request);
 }
 
@@ -249,10 +281,14 @@
 void onAttemptEnded(State &Node, const AttemptEnded &Ended,
                     EffectList &Effects) {
   admission::notePressure(Node.Admission, Ended.Outcome.Load, Node.Now);
+  routing::onOwnerHeard(Node.Routing, Ended.Outcome.Load.Owner);
   EntryRequest *Request = findByAttempt(Node, Ended.Attempt);
   if (!Request)
     return;
   const AttemptOutcome &Outcome = Ended.Outcome;
+  routing::onAttemptOutcome(Node.Routing, Request->CurrentServer, Ended.Attempt,
+                            Outcome, Node.Now);
+  noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now);
   endCurrentAttempt(Node, *Request);
   Request->LastWhy = Outcome.Why;
   if (Outcome.What != base::Verdict::NotRun)
@@ -273,6 +309,8 @@
     return;
   if (Request->Current.Sequence != 0) {
     Effects.push_back(CancelAttempt{Request->Current});
+    routing::onAttemptSilent(Node.Routing, Request->CurrentServer,
+                             Request->Current, Node.Now);
     Request->MayHaveRun = true;
   }
   refuse(Node, *Request, base::Reason::DeadlinePassed, base::Duration{},
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -1,8 +1,11 @@
 #include "currantgauge/core/operations.h"
 
 #include "currantgauge/core/entry.h"
+#include "currantgauge/core/explain.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/membership/gossip.h"
+#include "currantgauge/routing/health.h"
+#include "currantgauge/routing/health_report.h"
 #include "currantgauge/routing/registry.h"
 
 #include <string>
@@ -28,7 +31,14 @@
   setTimer(Node.Timers, Node.Now + membership::GossipInterval, GossipRound{});
 }
 
-void onTimer(State &Node, const HealthRound &, EffectList &Effects) {}
+// Rounds go on only while an exchange runs or an alarm fades.
+void onTimer(State &Node, const HealthRound &, EffectList &Effects) {
+  bool Again =
+      routing::healthRound(Node.Routing, Node.Membership, Node.Now, Effects);
+  if (Again && routing::armRound(Node.Routing))
+    setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
+}
+
 void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
 void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
 
@@ -65,15 +75,8 @@
       {"config_version", std::to_string(Node.Config.Document.Version.Value)},
       {"stopping", Node.Stopping ? "true" : "false"},
   };
-  OperatorTable Servers{
-      "servers",
-      {"server", "service", "owner", "phase", "slots", "running"},
-      {}};
-  for (const auto &[Name, Server] : Node.Routing.Servers)
-    Servers.Rows.push_back(
-        {Name.Value, Server.Record.Service.Value, Server.Record.Owner.Value,
-         phaseName(Server.Record.Phase), std::to_string(Server.Record.Slots),
-         std::to_string(Server.Running)});
+  OperatorTable Servers =
+      routing::healthRows(Node.Routing, base::ServiceName(), Node.Now);
   OperatorTable Nodes{"nodes", {"node", "region", "failure_domain"}, {}};
   for (const auto &[Name, Member] : Node.Membership.Members)
     Nodes.Rows.push_back(
@@ -82,6 +85,10 @@
   return Reply;
 }
 
+OperatorReply answer(State &Node, const AskExplain &Asked) {
+  return explain(Node, Asked.Request);
+}
+
 OperatorReply answer(State &Node, const AskDrain &Asked) {
   OperatorReply Reply;
   auto Found = Node.Routing.Servers.find(Asked.Server);
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -3,6 +3,7 @@
 #include "currantgauge/actions/guard.h"
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/routing/choose.h"
+#include "currantgauge/routing/health.h"
 
 #include <utility>
 
@@ -120,8 +121,11 @@
   Send.Server = Attempt.Server;
   Send.Address = Server.Record.Address;
   Send.TimeLeft = Attempt.Deadline - Node.Now;
-  Send.NewConnection = Attempt.Facts.Number > 1;
+  Send.NewConnection =
+      routing::onExchangeStarted(Node.Routing, Attempt, Node.Now);
   Effects.push_back(std::move(Send));
+  if (routing::armRound(Node.Routing))
+    setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
 }
 
 void endAttempt(State &Node, base::AttemptId Id, AttemptOutcome Outcome,
@@ -170,7 +174,10 @@
   if (Found == Node.Owner.Attempts.end())
     return;
   base::ServiceName Service = Found->second->Facts.Service;
-  endAttempt(Node, Ended.Attempt, outcomeOf(Ended.Outcome), Effects);
+  AttemptOutcome Outcome = outcomeOf(Ended.Outcome);
+  routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
+                           Ended.Outcome, Outcome.Why, Node.Now, Effects);
+  endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   runQueued(Node, Service, Effects);
 }
 
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -11,6 +11,7 @@
 #include "currantgauge/base/random.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/config/state.h"
+#include "currantgauge/core/explain.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/core/timer.h"
 #include "currantgauge/membership/state.h"
@@ -48,6 +49,7 @@
   bool Committed = false;  // bytes of an answer went to the caller
   bool MayHaveRun = false; // some attempt may have run
   base::Reason LastWhy = base::Reason::None;
+  std::vector<AttemptTrace> Trace; // for explain
 };
 
 // EntryState is the entry's side of a node.
@@ -55,6 +57,7 @@
   std::map<base::RequestId, EntryRequest> Requests;
   std::map<base::AttemptId, base::RequestId> ByAttempt;
   std::uint64_t LastAttempt = 0;
+  RecentRequests Recent;
 };
 
 // OwnerState is the owner's side of a node.
--- a/currantgauge/routing/backend_server.h
+++ b/currantgauge/routing/backend_server.h
@@ -7,8 +7,10 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
+#include "currantgauge/routing/time_profile.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace currantgauge::routing {
 
@@ -39,7 +41,9 @@
   std::uint32_t Slots = 1;
   BackendPhase Phase = BackendPhase::Ready;
   base::Duration ColdStart;
-  double Suspicion = 0; // owner's evidence, 0 (well) to 1 (sick)
+  double Suspicion = 0;        // owner's evidence, 0 (well) to 1 (sick)
+  double FailShare = 0;        // of recent exchanges, 0 to 1
+  std::vector<KindTime> Times; // usual times, of the busiest kinds alone
 };
 
 } // namespace currantgauge::routing
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -1,6 +1,7 @@
 // The entry's choice of a backend server, and the owner's among its own.
 //
-//   const BackendServer *Server = chooseServer(State, Query, Source);
+//   Choice Chosen = chooseServer(State, Query, Source);
+//   if (Chosen.Server && Chosen.Trial) ...
 #ifndef CURRANTGAUGE_ROUTING_CHOOSE_H
 #define CURRANTGAUGE_ROUTING_CHOOSE_H
 
@@ -8,31 +9,57 @@
 #include "currantgauge/base/random.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/config/model.h"
+#include "currantgauge/core/request.h"
 #include "currantgauge/routing/state.h"
 
+#include <map>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace currantgauge::routing {
 
+// PressureTable is what owners said of their queues.
+using PressureTable =
+    std::map<std::pair<base::ServiceName, base::NodeName>, core::Pressure>;
+
 // ChoiceQuery is what a choice depends on.
 struct ChoiceQuery {
   base::ServiceName Service;
-  const config::ServiceSettings *Settings = nullptr; // null: defaults
+  const PressureTable *Pressures = nullptr; // null: none known
   double Worth = 1;
+  bool Idempotent = false;              // may be a trial request
   std::vector<base::BackendName> Tried; // avoided while others remain
   base::TimePoint Now;
 };
 
-// chooseServer() returns the server to try, null when the service has none.
-const BackendServer *chooseServer(const RoutingState &State,
-                                  const ChoiceQuery &Query,
-                                  base::Random &Source);
+// ChoiceWhy says which rule chose the server.
+enum class ChoiceWhy { Local, Spill, Trial, LastResort };
+
+// choiceName() returns the snake_case name used by explain.
+std::string_view choiceName(ChoiceWhy Why);
+
+// Choice is a server to try; Server is null when the service has none.
+struct Choice {
+  const BackendServer *Server = nullptr;
+  ChoiceWhy Why = ChoiceWhy::Local;
+};
+
+// chooseServer() returns the least loaded of a few servers of the routing set,
+// in the own region while it has capacity that the work is worth waiting for.
+// A trial is to be recorded by the caller in the routing set.
+Choice chooseServer(const RoutingState &State, const ChoiceQuery &Query,
+                    base::Random &Source);
 
 // chooseOwnServer() returns an owned server with a free slot that may take
 // work of the service now; Preferred wins when it is one. Null: none.
 BackendServer *chooseOwnServer(RoutingState &State, const ChoiceQuery &Query,
                                const base::BackendName &Preferred);
 
+// effectiveSlots() returns a server's slots, fewer during its slow start.
+double effectiveSlots(const BackendServer &Server, const ServerStanding *Place,
+                      base::TimePoint Now);
+
 } // namespace currantgauge::routing
 
 #endif // CURRANTGAUGE_ROUTING_CHOOSE_H
--- /dev/null
+++ b/currantgauge/routing/choose_test.cc
@@ -0,0 +1,123 @@
+#include "currantgauge/routing/choose.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace currantgauge::routing {
+namespace {
+
+const base::ServiceName Cutlist("cutlist");
+
+BackendServer &addServer(RoutingState &State, const std::string &Name,
+                         const std::string &Region) {
+  BackendServer &Server = State.Servers[base::BackendName(Name)];
+  Server.Record.Name = base::BackendName(Name);
+  Server.Record.Service = Cutlist;
+  Server.Record.Owner = base::NodeName("owner-" + Name);
+  Server.Record.Region = base::RegionName(Region);
+  Server.Record.Slots = 4;
+  State.ByService[Cutlist].insert(Server.Record.Name);
+  return Server;
+}
+
+RoutingState twoRegions() {
+  RoutingState State;
+  State.Self = base::NodeName("entry");
+  State.Region = base::RegionName("north");
+  for (const char *Name : {"n1", "n2", "n3"})
+    addServer(State, Name, "north");
+  for (const char *Name : {"s1", "s2", "s3"})
+    addServer(State, Name, "south");
+  return State;
+}
+
+ChoiceQuery query(double Worth = 1) {
+  ChoiceQuery Query;
+  Query.Service = Cutlist;
+  Query.Worth = Worth;
+  Query.Idempotent = true;
+  Query.Now = base::TimePoint{1000000};
+  return Query;
+}
+
+} // namespace
+
+TEST_CASE("work stays in its region until it is worth the link") {
+  RoutingState State = twoRegions();
+  base::Random Source(1);
+  auto Where = [&](double Worth) {
+    return chooseServer(State, query(Worth), Source).Server->Record.Region;
+  };
+  CHECK(Where(1) == State.Region);
+  for (const char *Name : {"n1", "n2", "n3"})
+    State.Servers[base::BackendName(Name)].Running = 6;
+  CHECK(Where(1) == State.Region);
+  CHECK(Where(10) == base::RegionName("south"));
+  for (const char *Name : {"n1", "n2", "n3"})
+    State.Servers[base::BackendName(Name)].Running = 9;
+  CHECK(Where(1) == base::RegionName("south"));
+  CHECK(Where(0.1) == State.Region);
+}
+
+TEST_CASE("a bad path and tried servers are avoided while others remain") {
+  RoutingState State = twoRegions();
+  base::Random Source(1);
+  ChoiceQuery Query = query();
+  Query.Tried = {base::BackendName("n1")};
+  for (int I = 0; I < 2; ++I)
+    notePathFailure(State.Paths[base::NodeName("owner-n2")], Query.Now);
+  for (int I = 0; I < 50; ++I)
+    CHECK(chooseServer(State, Query, Source).Server->Record.Name ==
+          base::BackendName("n3"));
+  for (auto &[Name, Server] : State.Servers)
+    Server.Drained = Name != base::BackendName("n2");
+  CHECK(chooseServer(State, Query, Source).Why == ChoiceWhy::LastResort);
+}
+
+TEST_CASE("an ejected server gets one trial at a time, of idempotent work") {
+  RoutingState State = twoRegions();
+  base::Random Source(1);
+  ServerStanding &Place = State.Sets[Cutlist].Servers[base::BackendName("n1")];
+  Place.Where = Standing::Ejected;
+  for (int I = 0; I < 50; ++I)
+    CHECK(chooseServer(State, query(), Source).Server->Record.Name !=
+          base::BackendName("n1"));
+  Place.Where = Standing::Trial;
+  ChoiceQuery Action = query();
+  Action.Idempotent = false;
+  CHECK(chooseServer(State, Action, Source).Why == ChoiceWhy::Local);
+  CHECK(chooseServer(State, query(), Source).Why == ChoiceWhy::Trial);
+  Place.Trial = base::AttemptId{1, 1};
+  CHECK(chooseServer(State, query(), Source).Why == ChoiceWhy::Local);
+}
+
+TEST_CASE("one lost attempt is a dead connection, two are a bad path") {
+  std::map<base::NodeName, PathEvidence> Paths;
+  base::NodeName Owner("b");
+  base::TimePoint Now{1000000};
+  notePathFailure(Paths[Owner], Now);
+  CHECK_FALSE(isPathBad(Paths, Owner, Now));
+  notePathFailure(Paths[Owner], Now);
+  CHECK(isPathBad(Paths, Owner, Now));
+  CHECK_FALSE(isPathBad(Paths, Owner, Now + base::seconds(1)));
+  notePathFailure(Paths[Owner], Now + base::seconds(1));
+  CHECK(isPathBad(Paths, Owner, Now + base::milliseconds(1900)));
+  notePathOk(Paths, Owner);
+  CHECK_FALSE(isPathBad(Paths, Owner, Now));
+}
+
+TEST_CASE("slow start gives a growing share of the slots") {
+  RoutingState State = twoRegions();
+  BackendServer &Server = State.Servers[base::BackendName("n1")];
+  Server.Record.ColdStart = base::seconds(10);
+  Server.ReadySince = base::TimePoint{0};
+  auto At = [&](std::int64_t Seconds) {
+    return effectiveSlots(Server, nullptr, base::TimePoint{Seconds * 1000000});
+  };
+  CHECK(At(0) == doctest::Approx(0.4));
+  CHECK(At(5) == doctest::Approx(2));
+  CHECK(At(20) == doctest::Approx(4));
+}
+
+} // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/ejection.cc
@@ -0,0 +1,303 @@
+#include "currantgauge/routing/ejection.h"
+
+#include "currantgauge/routing/state.h"
+
+#include <algorithm>
+
+namespace currantgauge::routing {
+namespace {
+
+// Suspicion of a server that is to go, and of the median of its peers from
+// which on the service as a whole is slow.
+constexpr double SickLevel = 1;
+constexpr double ServiceLevel = 0.25;
+constexpr std::uint32_t TrialsToReturn = 3;
+constexpr base::Duration TrialPatience = base::seconds(10);
+constexpr base::Duration ShortestSlowStart = base::seconds(2);
+constexpr std::uint32_t DoublingLimit = 16;
+constexpr double HoldOffJitter = 0.1; // of the hold-off
+// Ejections are recent until a server was in the set for this many hold-offs.
+constexpr std::int64_t RecentHoldOffs = 10;
+
+// Member is an announced server of the service during an update.
+struct Member {
+  const BackendServer *Server = nullptr;
+  ServerStanding *Place = nullptr;
+  EjectionCandidate Candidate;
+};
+
+struct Update {
+  const config::ServiceSettings &Settings;
+  base::Random &Source;
+  base::TimePoint Now;
+  std::vector<StandingChange> Changes;
+};
+
+bool isOut(const ServerStanding &Place) {
+  return Place.Where == Standing::Ejected || Place.Where == Standing::Trial;
+}
+
+void moveTo(Update &Step, const Member &One, Standing To, StandingWhy Why) {
+  ServerStanding &Place = *One.Place;
+  StandingChange Change{One.Server->Record.Name, Place.Where, To, Why,
+                        One.Server->Record.Suspicion};
+  Step.Changes.push_back(Change);
+  Place.Where = To;
+  Place.Why = Why;
+  Place.Since = Step.Now;
+  Place.TrialsPassed = 0;
+  Place.Trial = base::AttemptId();
+  Place.TrialFailed = false;
+}
+
+void eject(Update &Step, const Member &One) {
+  ServerStanding &Place = *One.Place;
+  std::uint32_t Doublings = std::min(Place.RecentEjections++, DoublingLimit);
+  Place.HoldOff =
+      std::min(Step.Settings.HoldOff * (std::int64_t{1} << Doublings),
+               Step.Settings.HoldOffLimit);
+  moveTo(Step, One, Standing::Ejected, StandingWhy::Suspicious);
+  // Entries that ejected together should not all come back together.
+  double Jitter = 1 + HoldOffJitter * (2 * base::uniformUnit(Step.Source) - 1);
+  Place.Until = Step.Now + base::scaled(Place.HoldOff, Jitter);
+}
+
+void startSlowly(Update &Step, const Member &One, StandingWhy Why) {
+  moveTo(Step, One, Standing::SlowStart, Why);
+  One.Place->Until =
+      Step.Now + std::max(One.Server->Record.ColdStart, ShortestSlowStart);
+}
+
+// Medians of the others come from the sorted list: leaving one out shifts the
+// middle by at most one place.
+double medianOfOthers(const std::vector<double> &Sorted, double Own) {
+  if (Sorted.size() < 2)
+    return 0;
+  auto OwnAt = static_cast<std::size_t>(
+      std::lower_bound(Sorted.begin(), Sorted.end(), Own) - Sorted.begin());
+  std::size_t Middle = (Sorted.size() - 1) / 2;
+  return Sorted[Middle < OwnAt ? Middle : Middle + 1];
+}
+
+std::vector<Member> collect(RoutingState &State, RoutingSet &Set,
+                            const base::ServiceName &Service) {
+  std::vector<Member> Members;
+  auto Names = State.ByService.find(Service);
+  if (Names == State.ByService.end())
+    return Members;
+  for (const base::BackendName &Name : Names->second) {
+    const BackendServer &Server = State.Servers.at(Name);
+    if (Server.Record.Phase == BackendPhase::Gone)
+      continue;
+    bool Takes = Server.Record.Phase == BackendPhase::Ready && !Server.Drained;
+    Members.push_back(
+        {&Server,
+         &Set.Servers[Name],
+         {Server.Record.Slots, Takes, false, Server.Record.Suspicion}});
+  }
+  if (Set.Servers.size() > Members.size())
+    std::erase_if(Set.Servers, [&](const auto &Place) {
+      auto Known = State.Servers.find(Place.first);
+      return Known == State.Servers.end() ||
+             Known->second.Record.Service != Service ||
+             Known->second.Record.Phase == BackendPhase::Gone;
+    });
+  return Members;
+}
+
+void comparePeers(std::vector<Member> &Members) {
+  std::vector<double> Sorted;
+  for (const Member &One : Members)
+    Sorted.push_back(One.Candidate.Suspicion);
+  std::sort(Sorted.begin(), Sorted.end());
+  for (Member &One : Members)
+    One.Place->PeerSuspicion = medianOfOthers(Sorted, One.Candidate.Suspicion);
+}
+
+void forgetOldEjections(const Update &Step, ServerStanding &Place) {
+  if (Place.RecentEjections > 0 &&
+      Step.Now - Place.Since > Place.HoldOff * RecentHoldOffs)
+    Place.RecentEjections = 0;
+}
+
+// Where the passing of time and of trials alone moves a server.
+void advance(Update &Step, const Member &One) {
+  ServerStanding &Place = *One.Place;
+  if (Place.Life != One.Server->Record.Life) {
+    bool Back = Place.Where != Standing::In;
+    Place.Life = One.Server->Record.Life;
+    if (Back)
+      moveTo(Step, One, Standing::In, StandingWhy::Restarted);
+  }
+  bool Sick = One.Candidate.Suspicion >= SickLevel;
+  switch (Place.Where) {
+  case Standing::Ejected:
+    if (Step.Now >= Place.Until && !Sick)
+      moveTo(Step, One, Standing::Trial, StandingWhy::HoldOffOver);
+    return;
+  case Standing::Trial:
+    if (Place.TrialsPassed >= TrialsToReturn && !Sick)
+      startSlowly(Step, One, StandingWhy::TrialsPassed);
+    else if (Place.TrialsPassed == 0 && Place.Trial.Sequence == 0 &&
+             Step.Now - Place.Since > TrialPatience)
+      startSlowly(Step, One, StandingWhy::NoTrials);
+    return;
+  case Standing::SlowStart:
+    if (Step.Now >= Place.Until)
+      moveTo(Step, One, Standing::In, StandingWhy::Healthy);
+    return;
+  case Standing::In:
+    forgetOldEjections(Step, Place);
+    return;
+  }
+}
+
+// An ejected server whose peers turn out as bad comes back at once, and the
+// ejection doesn't count.
+bool isSick(Update &Step, const Member &One) {
+  ServerStanding &Place = *One.Place;
+  bool Sick = One.Candidate.Suspicion >= SickLevel;
+  if (Place.PeerSuspicion < ServiceLevel)
+    return Sick || isOut(Place);
+  if (isOut(Place)) {
+    if (Place.RecentEjections > 0)
+      --Place.RecentEjections;
+    moveTo(Step, One, Standing::In, StandingWhy::WholeService);
+  } else if (Sick) {
+    Place.Why = StandingWhy::WholeService;
+  }
+  return false;
+}
+
+void place(Update &Step, const Member &One, bool Out) {
+  ServerStanding &Place = *One.Place;
+  if (Out) {
+    bool SickInTrial =
+        Place.Where == Standing::Trial &&
+        (Place.TrialFailed || One.Candidate.Suspicion >= SickLevel);
+    if (!isOut(Place) || SickInTrial)
+      eject(Step, One);
+    return;
+  }
+  if (isOut(Place))
+    moveTo(Step, One, Standing::In, StandingWhy::Floor);
+  else if (One.Candidate.Sick)
+    Place.Why = StandingWhy::Floor;
+  else if (One.Candidate.Suspicion < SickLevel && Place.Where == Standing::In)
+    Place.Why = StandingWhy::Healthy;
+}
+
+void countSlots(RoutingSet &Set, const std::vector<Member> &Members) {
+  Set.AnnouncedSlots = 0;
+  Set.HealthySlots = 0;
+  for (const Member &One : Members) {
+    Set.AnnouncedSlots += One.Candidate.Slots;
+    if (One.Candidate.TakesWork && !isOut(*One.Place))
+      Set.HealthySlots += One.Candidate.Slots;
+  }
+}
+
+} // namespace
+
+std::string_view standingName(Standing Where) {
+  switch (Where) {
+  case Standing::In:
+    return "in";
+  case Standing::Ejected:
+    return "ejected";
+  case Standing::Trial:
+    return "trial";
+  case Standing::SlowStart:
+    return "slow_start";
+  }
+  return "";
+}
+
+std::string_view whyName(StandingWhy Why) {
+  switch (Why) {
+  case StandingWhy::Healthy:
+    return "healthy";
+  case StandingWhy::Suspicious:
+    return "suspicious";
+  case StandingWhy::WholeService:
+    return "whole_service";
+  case StandingWhy::Floor:
+    return "floor";
+  case StandingWhy::HoldOffOver:
+    return "hold_off_over";
+  case StandingWhy::TrialsPassed:
+    return "trials_passed";
+  case StandingWhy::NoTrials:
+    return "no_trials";
+  case StandingWhy::Restarted:
+    return "restarted";
+  }
+  return "";
+}
+
+std::vector<bool>
+selectEjected(const std::vector<EjectionCandidate> &Candidates,
+              base::Percent Floor) {
+  double Announced = 0, Left = 0;
+  std::vector<std::size_t> Order;
+  for (std::size_t I = 0; I < Candidates.size(); ++I) {
+    Announced += Candidates[I].Slots;
+    if (!Candidates[I].TakesWork)
+      continue;
+    Left += Candidates[I].Slots;
+    if (Candidates[I].Sick)
+      Order.push_back(I);
+  }
+  std::stable_sort(Order.begin(), Order.end(),
+                   [&](std::size_t A, std::size_t B) {
+                     return Candidates[A].Suspicion > Candidates[B].Suspicion;
+                   });
+  double Least = Announced * Floor.Value / 100;
+  std::vector<bool> Out(Candidates.size(), false);
+  for (std::size_t I : Order) {
+    if (Left - Candidates[I].Slots < Least)
+      continue;
+    Left -= Candidates[I].Slots;
+    Out[I] = true;
+  }
+  return Out;
+}
+
+std::vector<StandingChange>
+updateRoutingSet(RoutingState &State, const base::ServiceName &Service,
+                 const config::ServiceSettings &Settings, base::Random &Source,
+                 base::TimePoint Now) {
+  Update Step{Settings, Source, Now, {}};
+  RoutingSet &Set = State.Sets[Service];
+  std::vector<Member> Members = collect(State, Set, Service);
+  comparePeers(Members);
+  std::vector<EjectionCandidate> Candidates;
+  for (Member &One : Members) {
+    advance(Step, One);
+    One.Candidate.Sick = isSick(Step, One);
+    Candidates.push_back(One.Candidate);
+    // A server that is out and no longer suspect goes before new ones, so that
+    // a set at its floor does not change with every update.
+    if (isOut(*One.Place))
+      Candidates.back().Suspicion += SickLevel;
+  }
+  std::vector<bool> Out = selectEjected(Candidates, Settings.Floor);
+  for (std::size_t I = 0; I < Members.size(); ++I)
+    place(Step, Members[I], Out[I]);
+  countSlots(Set, Members);
+  return std::move(Step.Changes);
+}
+
+void noteTrial(RoutingSet &Set, const base::BackendName &Server,
+               base::AttemptId Attempt, TrialEnd How) {
+  auto Found = Set.Servers.find(Server);
+  if (Found == Set.Servers.end() || Found->second.Trial != Attempt)
+    return;
+  ServerStanding &Place = Found->second;
+  Place.Trial = base::AttemptId();
+  if (How == TrialEnd::Passed)
+    ++Place.TrialsPassed;
+  Place.TrialFailed = How == TrialEnd::Failed;
+}
+
+} // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/ejection_test.cc
@@ -0,0 +1,177 @@
+#include "currantgauge/routing/ejection.h"
+
+#include "currantgauge/routing/state.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace currantgauge::routing {
+namespace {
+
+const base::ServiceName Cutlist("cutlist");
+
+base::BackendName nameOf(std::uint64_t Number) {
+  return base::BackendName("cutlist-" + std::to_string(100 + Number));
+}
+
+BackendServer &addServer(RoutingState &State, std::uint64_t Number,
+                         std::uint32_t Slots) {
+  BackendServer &Server = State.Servers[nameOf(Number)];
+  Server.Record.Name = nameOf(Number);
+  Server.Record.Service = Cutlist;
+  Server.Record.Owner = base::NodeName("n" + std::to_string(Number));
+  Server.Record.Slots = Slots;
+  Server.Record.Life = base::Incarnation(1);
+  State.ByService[Cutlist].insert(Server.Record.Name);
+  return Server;
+}
+
+RoutingState makeService(std::uint64_t Count) {
+  RoutingState State;
+  for (std::uint64_t I = 0; I < Count; ++I)
+    addServer(State, I, 4);
+  return State;
+}
+
+// What the floor demands of a view, worked out apart from the code under test.
+void checkFloor(const RoutingState &State, base::Percent Floor) {
+  double Announced = 0, Usable = 0, Kept = 0;
+  bool AnyOut = false;
+  const RoutingSet &Set = State.Sets.at(Cutlist);
+  for (const auto &[Name, Server] : State.Servers) {
+    if (Server.Record.Phase == BackendPhase::Gone)
+      continue;
+    Announced += Server.Record.Slots;
+    if (Server.Record.Phase != BackendPhase::Ready || Server.Drained)
+      continue;
+    Usable += Server.Record.Slots;
+    Standing Where = Set.Servers.at(Name).Where;
+    bool Out = Where == Standing::Ejected || Where == Standing::Trial;
+    AnyOut = AnyOut || Out;
+    Kept += Out ? 0 : Server.Record.Slots;
+  }
+  double Least = Announced * Floor.Value / 100;
+  if (Usable >= Least)
+    REQUIRE(Kept >= Least);
+  else
+    REQUIRE_FALSE(AnyOut);
+  REQUIRE(Set.HealthySlots == Kept);
+}
+
+void changeOne(RoutingState &State, base::Random &Source) {
+  auto At = State.Servers.begin();
+  std::advance(At, base::uniformBelow(Source, State.Servers.size()));
+  BackendServer &Server = At->second;
+  switch (base::uniformBelow(Source, 5)) {
+  case 0:
+    Server.Record.Phase =
+        static_cast<BackendPhase>(base::uniformBelow(Source, 3));
+    break;
+  case 1:
+    Server.Drained = !Server.Drained;
+    break;
+  case 2:
+    ++Server.Record.Life.Value;
+    break;
+  default:
+    Server.Record.Suspicion =
+        static_cast<double>(base::uniformBelow(Source, 5)) / 4;
+  }
+}
+
+} // namespace
+
+TEST_CASE("every random view holds the floor") {
+  base::Random Source(3);
+  for (int View = 0; View < 300; ++View) {
+    RoutingState State;
+    std::uint64_t Count = 1 + base::uniformBelow(Source, 20);
+    for (std::uint64_t I = 0; I < Count; ++I)
+      addServer(State, I, 1 + base::uniformBelow(Source, 6));
+    config::ServiceSettings Settings;
+    Settings.Floor.Value = static_cast<double>(base::uniformBelow(Source, 121));
+    base::TimePoint Now{1000000};
+    for (int Step = 0; Step < 60; ++Step) {
+      for (std::uint64_t I = 0; I < 1 + Count / 3; ++I)
+        changeOne(State, Source);
+      Now = Now + base::milliseconds(static_cast<std::int64_t>(
+                      base::uniformBelow(Source, 8000)));
+      updateRoutingSet(State, Cutlist, Settings, Source, Now);
+      checkFloor(State, Settings.Floor);
+    }
+  }
+}
+
+TEST_CASE("one sick server goes, a sick service stays whole") {
+  base::Random Source(1);
+  RoutingState State = makeService(8);
+  State.Servers[nameOf(3)].Record.Suspicion = 1;
+  config::ServiceSettings Settings;
+  auto Changes =
+      updateRoutingSet(State, Cutlist, Settings, Source, base::TimePoint{1});
+  REQUIRE(Changes.size() == 1);
+  CHECK(Changes[0].Server == nameOf(3));
+  CHECK(Changes[0].To == Standing::Ejected);
+  for (std::uint64_t I = 0; I < 8; ++I)
+    State.Servers[nameOf(I)].Record.Suspicion = 1;
+  Changes =
+      updateRoutingSet(State, Cutlist, Settings, Source, base::TimePoint{2});
+  REQUIRE(Changes.size() == 1);
+  CHECK(Changes[0].To == Standing::In);
+  CHECK(Changes[0].Why == StandingWhy::WholeService);
+  CHECK(State.Sets[Cutlist].Servers[nameOf(3)].RecentEjections == 0);
+}
+
+TEST_CASE("a server returns by hold-off, trials and slow start") {
+  base::Random Source(1);
+  RoutingState State = makeService(4);
+  config::ServiceSettings Settings;
+  base::TimePoint Now{1000000};
+  auto Update = [&] {
+    updateRoutingSet(State, Cutlist, Settings, Source, Now);
+    return State.Sets[Cutlist].Servers[nameOf(0)];
+  };
+  BackendRecord &Record = State.Servers[nameOf(0)].Record;
+  Record.Suspicion = 1;
+  CHECK(Update().Where == Standing::Ejected);
+  Record.Suspicion = 0;
+  Now = Now + base::seconds(4);
+  CHECK(Update().Where == Standing::Ejected);
+  Now = Now + base::seconds(2);
+  CHECK(Update().Where == Standing::Trial);
+  for (std::uint64_t I = 1; I <= 3; ++I) {
+    base::AttemptId Attempt{1, I};
+    State.Sets[Cutlist].Servers[nameOf(0)].Trial = Attempt;
+    noteTrial(State.Sets[Cutlist], nameOf(0), Attempt, TrialEnd::Passed);
+  }
+  CHECK(Update().Where == Standing::SlowStart);
+  Now = Now + base::seconds(3);
+  CHECK(Update().Where == Standing::In);
+}
+
+TEST_CASE("the hold-off doubles with recent ejections up to its limit") {
+  base::Random Source(1);
+  RoutingState State = makeService(4);
+  config::ServiceSettings Settings;
+  Settings.HoldOffLimit = base::seconds(30);
+  base::TimePoint Now{1000000};
+  updateRoutingSet(State, Cutlist, Settings, Source, Now);
+  ServerStanding &Place = State.Sets[Cutlist].Servers[nameOf(0)];
+  BackendRecord &Record = State.Servers[nameOf(0)].Record;
+  for (std::int64_t Expected : {5, 10, 20, 30, 30}) {
+    Record.Suspicion = 1;
+    updateRoutingSet(State, Cutlist, Settings, Source, Now);
+    CHECK(Place.HoldOff == base::seconds(Expected));
+    Record.Suspicion = 0;
+    Now = Place.Until;
+    updateRoutingSet(State, Cutlist, Settings, Source, Now);
+    REQUIRE(Place.Where == Standing::Trial);
+  }
+  Place.Trial = base::AttemptId{1, 1};
+  noteTrial(State.Sets[Cutlist], nameOf(0), Place.Trial, TrialEnd::Failed);
+  updateRoutingSet(State, Cutlist, Settings, Source, Now);
+  CHECK(Place.Where == Standing::Ejected);
+}
+
+} // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/evidence.cc
@@ -0,0 +1,281 @@
+#include "currantgauge/routing/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantgauge::routing {
+namespace {
+
+// Shares of exchanges that a sick server stalls, under the two alternatives.
+constexpr double StallShare = 0.95;
+constexpr double PartialStallShare = 0.25;
+// Shares of a slow server's exchanges in each tail bin.
+constexpr std::array<double, TailBinCount> SlowShare = {0.35, 0.35, 0.18, 0.06,
+                                                        0.06};
+// A server is taken as healthy up to this failure share beside its peers'.
+constexpr double FailSlack = 0.02;
+constexpr double PeerFailFactor = 1.5;
+constexpr double HighestHealthyFail = 0.6;
+constexpr double SickFailStep = 0.25;
+constexpr double FailShareWeight = 1.0 / 64; // of the newest exchange
+
+// The share of the alarm threshold that silent pooled connections can fill.
+constexpr double SilentLimit = 0.5;
+constexpr std::size_t LateBin = 2;
+constexpr std::uint32_t FreshChecks = 2;
+constexpr std::uint32_t FreshAfterReset = 8; // exchanges
+constexpr base::Duration AlarmHalfLife = base::seconds(2);
+constexpr double NegligibleScore = 0.1; // nats
+
+using Ratios = std::array<double, TailBinCount>;
+
+// TestRatios holds log-likelihood ratios: of an ended exchange by its bin, and
+// of one that is at least in that bin.
+struct TestRatios {
+  Ratios Ended{};
+  Ratios Running{};
+};
+
+double healthyShare(std::size_t Bin) {
+  return Bin + 1 < TailBinCount ? TailShare[Bin] - TailShare[Bin + 1]
+                                : TailShare[Bin];
+}
+
+double sickShare(SicknessTest Test, std::size_t Bin) {
+  if (Test == SicknessTest::Slow)
+    return SlowShare[Bin];
+  double Stalled = Test == SicknessTest::Stall ? StallShare : PartialStallShare;
+  double Rest = (1 - Stalled) * healthyShare(Bin);
+  return Bin + 1 == TailBinCount ? Stalled + Rest : Rest;
+}
+
+TestRatios makeRatios(SicknessTest Test) {
+  TestRatios Made;
+  double Tail = 0;
+  for (std::size_t Bin = TailBinCount; Bin-- > 0;) {
+    Tail += sickShare(Test, Bin);
+    Made.Ended[Bin] = std::log(sickShare(Test, Bin) / healthyShare(Bin));
+    Made.Running[Bin] = std::max(0.0, std::log(Tail / TailShare[Bin]));
+  }
+  return Made;
+}
+
+const TestRatios &ratiosOf(SicknessTest Test) {
+  static const std::array<TestRatios, 3> Tables = {
+      makeRatios(SicknessTest::Stall), makeRatios(SicknessTest::PartialStall),
+      makeRatios(SicknessTest::Slow)};
+  return Tables[static_cast<std::size_t>(Test)];
+}
+
+constexpr std::array<SicknessTest, 3> TimeTests = {
+    SicknessTest::Stall, SicknessTest::PartialStall, SicknessTest::Slow};
+
+// By Lorden's bound a CUSUM of log-likelihood ratios that stops at log(N) runs
+// on healthy samples for N of them in the mean, or longer.
+double threshold() {
+  static const double Nats = std::log(FalseAlarmSamples);
+  return Nats;
+}
+
+// Good news first takes back what a silent connection could explain too.
+void add(TestScore &Score, double Nats, bool Firm) {
+  if (Nats >= 0) {
+    (Firm ? Score.Firm : Score.Silent) += Nats;
+    return;
+  }
+  Score.Silent += Nats;
+  if (Score.Silent < 0) {
+    Score.Firm = std::max(0.0, Score.Firm + Score.Silent);
+    Score.Silent = 0;
+  }
+}
+
+void cap(TestScore &Score) {
+  Score.Firm = std::min(Score.Firm, threshold());
+  Score.Silent = std::min(Score.Silent, threshold() * SilentLimit);
+}
+
+double total(const TestScore &Score) {
+  return Score.Firm + std::min(Score.Silent, threshold() * SilentLimit);
+}
+
+std::size_t binOf(const ServerEvidence &Evidence, const Exchange &One,
+                  base::TimePoint Now) {
+  auto Kind = Evidence.Kinds.find(One.Kind);
+  return Kind == Evidence.Kinds.end() || !One.Counts
+             ? 0
+             : tailBin(Kind->second.Bounds, Now - One.Started);
+}
+
+void noteFailure(ServerEvidence &Evidence, bool Failed) {
+  double Healthy = std::min(FailSlack + PeerFailFactor * Evidence.PeerFailShare,
+                            HighestHealthyFail);
+  double Sick = Healthy + SickFailStep;
+  double Nats =
+      Failed ? std::log(Sick / Healthy) : std::log((1 - Sick) / (1 - Healthy));
+  TestScore &Score =
+      Evidence.Scores[static_cast<std::size_t>(SicknessTest::Failure)];
+  add(Score, Nats, true);
+  cap(Score);
+  Evidence.FailShare +=
+      FailShareWeight * ((Failed ? 1 : 0) - Evidence.FailShare);
+}
+
+void noteTime(ServerEvidence &Evidence, const Exchange &Ended, bool Whole,
+              bool Fresh, base::TimePoint Now) {
+  auto Kind = Evidence.Kinds.find(Ended.Kind);
+  if (Kind == Evidence.Kinds.end() || !Kind->second.Bounds.known())
+    return;
+  std::size_t Bin = binOf(Evidence, Ended, Now);
+  for (SicknessTest Test : TimeTests) {
+    const TestRatios &Ratio = ratiosOf(Test);
+    TestScore &Score = Evidence.Scores[static_cast<std::size_t>(Test)];
+    // A whole answer, however late, proves that its connection works.
+    add(Score, Whole ? Ratio.Ended[Bin] : Ratio.Running[Bin], Whole || Fresh);
+    cap(Score);
+  }
+}
+
+TestScore runningScore(const ServerEvidence &Evidence, SicknessTest Test,
+                       base::TimePoint Now) {
+  TestScore Sum;
+  if (Test == SicknessTest::Failure)
+    return Sum;
+  const TestRatios &Ratio = ratiosOf(Test);
+  for (const auto &[Attempt, One] : Evidence.Running)
+    add(Sum, Ratio.Running[binOf(Evidence, One, Now)], One.Fresh);
+  return Sum;
+}
+
+// Without peers a server is measured by its own past, which must not learn
+// from the time when it was sick.
+void learnTime(ServerEvidence &Evidence, const Exchange &Ended,
+               base::TimePoint Now) {
+  if (!Evidence.HasPeers && suspicionOf(Evidence, Now).Level >= SilentLimit)
+    return;
+  learn(Evidence.Kinds[Ended.Kind].Histogram, Now - Ended.Started);
+}
+
+bool isSilent(const ServerEvidence &Evidence, const Exchange &One,
+              base::TimePoint Now) {
+  return !One.Fresh && binOf(Evidence, One, Now) >= LateBin;
+}
+
+} // namespace
+
+std::string_view testName(SicknessTest Test) {
+  switch (Test) {
+  case SicknessTest::Stall:
+    return "stall";
+  case SicknessTest::PartialStall:
+    return "partial_stall";
+  case SicknessTest::Slow:
+    return "slow";
+  case SicknessTest::Failure:
+    return "failure";
+  }
+  return "";
+}
+
+void noteStart(ServerEvidence &Evidence, const Exchange &Started) {
+  Evidence.Running[Started.Attempt] = Started;
+  Evidence.Kinds.try_emplace(Started.Kind);
+  if (Evidence.FreshLeft > 0)
+    --Evidence.FreshLeft;
+}
+
+void noteEnd(ServerEvidence &Evidence, base::AttemptId Attempt, ExchangeEnd How,
+             bool Fresh, base::TimePoint Now) {
+  auto Found = Evidence.Running.find(Attempt);
+  if (Found == Evidence.Running.end())
+    return;
+  Exchange Ended = Found->second;
+  Evidence.Running.erase(Found);
+  if (How == ExchangeEnd::ConnectionFault)
+    Evidence.FreshLeft = FreshAfterReset;
+  if (!Ended.Counts || How == ExchangeEnd::ConnectionFault ||
+      How == ExchangeEnd::Nothing)
+    return;
+  Evidence.LastSample = Now;
+  if (How != ExchangeEnd::Censored)
+    noteFailure(Evidence, How == ExchangeEnd::Failed);
+  // Who gives up doesn't know which connection it was.
+  bool OnFresh = How == ExchangeEnd::Censored ? Ended.Fresh : Fresh;
+  if (How != ExchangeEnd::Failed)
+    noteTime(Evidence, Ended, How == ExchangeEnd::Whole, OnFresh, Now);
+  if (How == ExchangeEnd::Whole)
+    learnTime(Evidence, Ended, Now);
+}
+
+Suspicion suspicionOf(const ServerEvidence &Evidence, base::TimePoint Now) {
+  Suspicion Worst;
+  for (std::size_t I = 0; I < SicknessTestCount; ++I) {
+    auto Test = static_cast<SicknessTest>(I);
+    TestScore Sum = runningScore(Evidence, Test, Now);
+    Sum.Firm += Evidence.Scores[I].Firm;
+    Sum.Silent += Evidence.Scores[I].Silent;
+    double Level = std::min(1.0, total(Sum) / threshold());
+    if (Level > Worst.Level)
+      Worst = Suspicion{Level, Test};
+  }
+  return Worst;
+}
+
+bool wantsFreshConnection(const ServerEvidence &Evidence, base::TimePoint Now) {
+  if (Evidence.FreshLeft > 0)
+    return true;
+  for (const TestScore &Score : Evidence.Scores)
+    if (Score.Silent > NegligibleScore)
+      return true;
+  return std::any_of(
+      Evidence.Running.begin(), Evidence.Running.end(),
+      [&](const auto &One) { return isSilent(Evidence, One.second, Now); });
+}
+
+std::vector<base::AttemptId> silentExchanges(ServerEvidence &Evidence,
+                                             std::uint32_t FreeSlots,
+                                             base::TimePoint Now) {
+  std::vector<Exchange *> Silent;
+  std::uint32_t Checks = FreeSlots;
+  for (auto &[Attempt, One] : Evidence.Running) {
+    if (One.Fresh || One.CancelAsked)
+      ++Checks;
+    else if (One.Idempotent && isSilent(Evidence, One, Now))
+      Silent.push_back(&One);
+  }
+  std::vector<base::AttemptId> Cancelled;
+  if (Checks >= FreshChecks || suspicionOf(Evidence, Now).Level < SilentLimit)
+    return Cancelled;
+  std::stable_sort(Silent.begin(), Silent.end(),
+                   [](const Exchange *A, const Exchange *B) {
+                     return A->Started < B->Started;
+                   });
+  for (Exchange *One : Silent) {
+    if (Checks++ >= FreshChecks)
+      break;
+    One->CancelAsked = true;
+    Cancelled.push_back(One->Attempt);
+  }
+  return Cancelled;
+}
+
+void fade(ServerEvidence &Evidence, base::TimePoint Now) {
+  if (!Evidence.Alarmed || !Evidence.Running.empty())
+    return;
+  double Periods = base::toSeconds(Now - Evidence.LastSample) /
+                   base::toSeconds(AlarmHalfLife);
+  Evidence.LastSample = Now;
+  bool Left = false;
+  for (TestScore &Score : Evidence.Scores) {
+    Score.Firm *= std::exp2(-Periods);
+    Score.Silent *= std::exp2(-Periods);
+    Left = Left || Score.Firm + Score.Silent > NegligibleScore;
+  }
+  Evidence.Alarmed = Left;
+}
+
+bool isQuiet(const ServerEvidence &Evidence) {
+  return Evidence.Running.empty() && !Evidence.Alarmed;
+}
+
+} // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/health.cc
@@ -0,0 +1,350 @@
+#include "currantgauge/routing/health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace currantgauge::routing {
+namespace {
+
+constexpr double SuspicionSteps = 4; // that are told, of the range 0 to 1
+constexpr double FailShareStep = 0.05;
+constexpr base::Duration LowerAfter = base::seconds(1);
+constexpr base::Duration TimesInterval = base::seconds(5);
+constexpr base::Duration BoundsInterval = base::seconds(1);
+constexpr std::size_t ToldKinds = 4;
+constexpr std::size_t PeersToCompare = 2;
+constexpr std::size_t EntriesToTell = 16;
+constexpr base::Duration EntryMemory = base::seconds(5);
+// The resets of all exchanges with a process that died are one sign, and a
+// process that restarts refuses connections meanwhile.
+constexpr base::Duration DeathWindow = base::milliseconds(500);
+constexpr base::Duration LongestColdStart = base::minutes(2);
+
+bool isCold(const BackendServer &Server, base::TimePoint Now) {
+  return Now - Server.ReadySince <
+         std::min(Server.Record.ColdStart, LongestColdStart);
+}
+
+// The service's other servers are the measure, so that neither a slow server
+// measures itself by its own past nor a slow service looks like slow servers.
+void refreshBounds(RoutingState &State, const BackendServer &Server,
+                   ServerEvidence &Evidence, base::TimePoint Now) {
+  Evidence.BoundsAsOf = Now;
+  std::map<base::KindName, std::vector<TimeProfile>> Others;
+  std::vector<double> FailShares;
+  for (const base::BackendName &Name : State.ByService[Server.Record.Service]) {
+    const BackendRecord &Other = State.Servers.at(Name).Record;
+    if (Name == Server.Record.Name || Other.Phase == BackendPhase::Gone)
+      continue;
+    FailShares.push_back(Other.FailShare);
+    for (const KindTime &Told : Other.Times)
+      Others[Told.Kind].push_back(Told.Times);
+  }
+  std::sort(FailShares.begin(), FailShares.end());
+  Evidence.PeerFailShare =
+      FailShares.empty() ? 0 : FailShares[FailShares.size() / 2];
+  Evidence.HasPeers = false;
+  for (auto &[Kind, Own] : Evidence.Kinds) {
+    bool Enough = Others[Kind].size() >= PeersToCompare;
+    Evidence.HasPeers = Evidence.HasPeers || Enough;
+    Own.Bounds = boundsOf(Enough ? medianProfile(std::move(Others[Kind]))
+                                 : profileOf(Own.Histogram));
+  }
+}
+
+std::vector<KindTime> timesToTell(const ServerEvidence &Evidence) {
+  std::vector<std::pair<std::uint32_t, KindTime>> Known;
+  for (const auto &[Kind, Own] : Evidence.Kinds)
+    if (TimeProfile Times = profileOf(Own.Histogram); Times.known())
+      Known.push_back({Own.Histogram.Total, {Kind, Times}});
+  std::stable_sort(
+      Known.begin(), Known.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
+  Known.resize(std::min(Known.size(), ToldKinds));
+  std::vector<KindTime> Told;
+  for (auto &[Count, Time] : Known)
+    Told.push_back(std::move(Time));
+  return Told;
+}
+
+// The entries that sent work lately hear at once, the others by gossip.
+void tellEntries(const RoutingState &State,
+                 const membership::MembershipState &Peers,
+                 const ServerEvidence &Evidence, const BackendRecord &Record,
+                 core::EffectList &Effects) {
+  for (const auto &[Entry, At] : Evidence.Entries) {
+    auto Peer = Peers.Members.find(Entry);
+    if (Entry == State.Self || Peer == Peers.Members.end())
+      continue;
+    membership::PeerMessage Message;
+    Message.From = Peers.Self.Name;
+    Message.FromAddress = Peers.Self.PeerAddress;
+    Message.Kind = membership::MessageKind::Ack;
+    Message.Version = Peers.Self.Version;
+    Message.Backends.push_back(Record);
+    Effects.push_back(core::SendPeerMessage{
+        Entry, Peer->second.Record.PeerAddress, std::move(Message)});
+  }
+}
+
+// Rising suspicion is told at once, step by step; falling suspicion waits, so
+// that a wavering score makes no stream of rumours.
+bool shouldTell(const BackendRecord &Record, const ServerEvidence &Evidence,
+                double Level, base::TimePoint Now) {
+  if (Level > Record.Suspicion)
+    return true;
+  bool Lower = Level < Record.Suspicion ||
+               std::abs(Evidence.FailShare - Record.FailShare) > FailShareStep;
+  return Lower && Now - Evidence.PublishedAt >= LowerAfter;
+}
+
+void publish(RoutingState &State, const membership::MembershipState &Peers,
+             BackendServer &Server, ServerEvidence &Evidence,
+             base::TimePoint Now, core::EffectList &Effects) {
+  BackendRecord &Record = Server.Record;
+  double Raw = suspicionOf(Evidence, Now).Level;
+  Evidence.Alarmed = Evidence.Alarmed || Raw >= 1;
+  double Level = std::floor(Raw * SuspicionSteps) / SuspicionSteps;
+  bool Tell = shouldTell(Record, Evidence, Level, Now);
+  bool Rises = Level > Record.Suspicion;
+  if (Tell) {
+    Record.Suspicion = Level;
+    Record.FailShare =
+        std::round(Evidence.FailShare / FailShareStep) * FailShareStep;
+    Evidence.PublishedAt = Now;
+  }
+  if (Now - Evidence.TimesPublishedAt >= TimesInterval) {
+    Evidence.TimesPublishedAt = Now;
+    std::vector<KindTime> Times = timesToTell(Evidence);
+    Tell = Tell || Times != Record.Times;
+    Record.Times = std::move(Times);
+  }
+  if (Tell)
+    ++Record.Revision;
+  if (Rises)
+    tellEntries(State, Peers, Evidence, Record, Effects);
+}
+
+ExchangeEnd classify(const core::BackendOutcome &Seen, base::Reason Why,
+                     ServerEvidence &Evidence, base::TimePoint Now) {
+  switch (Why) {
+  case base::Reason::None:
+    return ExchangeEnd::Whole;
+  case base::Reason::BackendError:
+    return ExchangeEnd::Failed;
+  case base::Reason::BackendTimeout:
+  case base::Reason::BackendSilent:
+  case base::Reason::CallerGone:
+  case base::Reason::DeadlinePassed:
+    return ExchangeEnd::Censored;
+  case base::Reason::BackendReset:
+  case base::Reason::BackendRefusedConnection:
+  case base::Reason::AnswerCutShort: {
+    bool SameDeath = Seen.ProcessDied && Now - Evidence.LastDeath < DeathWindow;
+    if (Seen.ProcessDied && !SameDeath)
+      Evidence.LastDeath = Now;
+    if (SameDeath)
+      return ExchangeEnd::Nothing;
+    return Seen.FreshConnection ? ExchangeEnd::Failed
+                                : ExchangeEnd::ConnectionFault;
+  }
+  default:
+    return ExchangeEnd::Nothing;
+  }
+}
+
+void rememberEntry(ServerEvidence &Evidence, const base::NodeName &Entry,
+                   base::TimePoint Now) {
+  Evidence.Entries[Entry] = Now;
+  if (Evidence.Entries.size() <= EntriesToTell)
+    return;
+  auto Oldest = std::min_element(
+      Evidence.Entries.begin(), Evidence.Entries.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  Evidence.Entries.erase(Oldest);
+}
+
+bool roundOf(RoutingState &State, const membership::MembershipState &Peers,
+             BackendServer &Server, ServerEvidence &Evidence,
+             base::TimePoint Now, core::EffectList &Effects) {
+  if (Now - Evidence.BoundsAsOf >= BoundsInterval)
+    refreshBounds(State, Server, Evidence, Now);
+  std::erase_if(Evidence.Entries, [&](const auto &One) {
+    return Now - One.second > EntryMemory;
+  });
+  std::uint32_t Free =
+      Server.Record.Slots - std::min(Server.Record.Slots, Server.Running);
+  for (base::AttemptId Silent : silentExchanges(Evidence, Free, Now))
+    Effects.push_back(core::CancelBackend{Silent, base::Reason::BackendSilent});
+  fade(Evidence, Now);
+  publish(State, Peers, Server, Evidence, Now, Effects);
+  return !isQuiet(Evidence) || Server.Record.Suspicion > 0;
+}
+
+void report(const base::ServiceName &Service, const StandingChange &Change,
+            core::EffectList &Effects) {
+  Effects.push_back(
+      core::LogLine{Change.To == Standing::Ejected ? core::LogLevel::Warn
+                                                   : core::LogLevel::Info,
+                    "server_" + std::string(standingName(Change.To)),
+                    {{"service", Service.Value},
+                     {"server", Change.Server.Value},
+                     {"from", std::string(standingName(Change.From))},
+                     {"why", std::string(whyName(Change.Why))},
+                     {"suspicion", std::to_string(Change.Suspicion)}}});
+  if (Change.To == Standing::Ejected)
+    Effects.push_back(core::Measure{core::Metric::Ejections, Service.Value,
+                                    Change.Server.Value, 1});
+}
+
+TrialEnd trialEnd(const core::AttemptOutcome &Outcome) {
+  switch (Outcome.Why) {
+  case base::Reason::None:
+    return Outcome.What == base::Verdict::Ran ? TrialEnd::Passed
+                                              : TrialEnd::Open;
+  case base::Reason::BackendError:
+  case base::Reason::BackendTimeout:
+  case base::Reason::BackendSilent:
+  case base::Reason::BackendReset:
+  case base::Reason::BackendRefusedConnection:
+  case base::Reason::AnswerCutShort:
+    return TrialEnd::Failed;
+  default:
+    return TrialEnd::Open;
+  }
+}
+
+const BackendServer *findServer(const RoutingState &State,
+                                const base::BackendName &Name) {
+  auto Found = State.Servers.find(Name);
+  return Found == State.Servers.end() ? nullptr : &Found->second;
+}
+
+void endTrial(RoutingState &State, const BackendServer &Server,
+              base::AttemptId Attempt, TrialEnd How) {
+  auto Set = State.Sets.find(Server.Record.Service);
+  if (Set != State.Sets.end())
+    noteTrial(Set->second, Server.Record.Name, Attempt, How);
+}
+
+} // namespace
+
+bool onExchangeStarted(RoutingState &State,
+                       const admission::QueuedAttempt &Attempt,
+                       base::TimePoint Now) {
+  const BackendServer *Server = findServer(State, Attempt.Server);
+  if (!Server)
+    return false;
+  ServerEvidence &Evidence = State.Evidence[Attempt.Server];
+  if (Evidence.Life != Server->Record.Life) {
+    Evidence = ServerEvidence();
+    Evidence.Life = Server->Record.Life;
+  }
+  Exchange Started;
+  Started.Attempt = Attempt.Facts.Attempt;
+  Started.Entry = Attempt.Facts.Entry;
+  Started.Kind = Attempt.Facts.Kind;
+  Started.Started = Now;
+  Started.Idempotent = Attempt.Facts.Idempotent;
+  Started.Counts = !isCold(*Server, Now);
+  Started.Fresh =
+      Attempt.Facts.Number > 1 || wantsFreshConnection(Evidence, Now);
+  noteStart(Evidence, Started);
+  rememberEntry(Evidence, Attempt.Facts.Entry, Now);
+  return Started.Fresh;
+}
+
+void onExchangeEnded(RoutingState &State,
+                     const membership::MembershipState &Peers,
+                     const admission::QueuedAttempt &Attempt,
+                     const core::BackendOutcome &Seen, base::Reason Why,
+                     base::TimePoint Now, core::EffectList &Effects) {
+  auto Server = State.Servers.find(Attempt.Server);
+  auto Evidence = State.Evidence.find(Attempt.Server);
+  if (Server == State.Servers.end() || Evidence == State.Evidence.end())
+    return;
+  ExchangeEnd How = classify(Seen, Why, Evidence->second, Now);
+  noteEnd(Evidence->second, Attempt.Facts.Attempt, How, Seen.FreshConnection,
+          Now);
+  publish(State, Peers, Server->second, Evidence->second, Now, Effects);
+}
+
+bool armRound(RoutingState &State) {
+  return !std::exchange(State.RoundArmed, true);
+}
+
+bool healthRound(RoutingState &State, const membership::MembershipState &Peers,
+                 base::TimePoint Now, core::EffectList &Effects) {
+  State.RoundArmed = false;
+  bool Again = false;
+  for (auto It = State.Evidence.begin(); It != State.Evidence.end();) {
+    auto Server = State.Servers.find(It->first);
+    if (Server == State.Servers.end() || !State.Owned.contains(It->first)) {
+      It = State.Evidence.erase(It);
+      continue;
+    }
+    Again = roundOf(State, Peers, Server->second, It->second, Now, Effects) ||
+            Again;
+    ++It;
+  }
+  return Again;
+}
+
+Choice selectServer(RoutingState &State, const ChoiceQuery &Query,
+                    const config::ServiceSettings &Settings,
+                    base::Random &Source, core::EffectList &Effects) {
+  for (const StandingChange &Change :
+       updateRoutingSet(State, Query.Service, Settings, Source, Query.Now))
+    report(Query.Service, Change, Effects);
+  return chooseServer(State, Query, Source);
+}
+
+void onAttemptStarted(RoutingState &State, const Choice &Chosen,
+                      base::AttemptId Attempt) {
+  if (Chosen.Why != ChoiceWhy::Trial)
+    return;
+  const BackendRecord &Record = Chosen.Server->Record;
+  State.Sets[Record.Service].Servers[Record.Name].Trial = Attempt;
+}
+
+void onAttemptOutcome(RoutingState &State, const base::BackendName &Server,
+                      base::AttemptId Attempt,
+                      const core::AttemptOutcome &Outcome,
+                      base::TimePoint Now) {
+  const BackendServer *Known = findServer(State, Server);
+  if (!Known)
+    return;
+  // The owner may have run a trial on another server of its own.
+  bool RanThere = Outcome.Server.empty() || Outcome.Server == Server;
+  endTrial(State, *Known, Attempt,
+           RanThere ? trialEnd(Outcome) : TrialEnd::Open);
+  if (Outcome.Why == base::Reason::PeerUnavailable ||
+      Outcome.Why == base::Reason::PeerLost)
+    notePathFailure(State.Paths[Known->Record.Owner], Now);
+  else
+    onOwnerHeard(State, Known->Record.Owner);
+}
+
+void onAttemptSilent(RoutingState &State, const base::BackendName &Server,
+                     base::AttemptId Attempt, base::TimePoint Now) {
+  const BackendServer *Known = findServer(State, Server);
+  if (!Known)
+    return;
+  endTrial(State, *Known, Attempt, TrialEnd::Failed);
+  if (Known->Record.Owner != State.Self)
+    notePathFailure(State.Paths[Known->Record.Owner], Now);
+}
+
+void onAttemptOver(RoutingState &State, const base::BackendName &Server,
+                   base::AttemptId Attempt) {
+  if (const BackendServer *Known = findServer(State, Server))
+    endTrial(State, *Known, Attempt, TrialEnd::Open);
+}
+
+void onOwnerHeard(RoutingState &State, const base::NodeName &Owner) {
+  notePathOk(State.Paths, Owner);
+}
+
+} // namespace currantgauge::routing
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -7,6 +7,9 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/routing/backend_server.h"
+#include "currantgauge/routing/ejection.h"
+#include "currantgauge/routing/evidence.h"
+#include "currantgauge/routing/path.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +37,10 @@
   std::map<base::BackendName, BackendServer> Servers;
   std::map<base::ServiceName, std::set<base::BackendName>> ByService;
   std::set<base::BackendName> Owned;
+  std::map<base::BackendName, ServerEvidence> Evidence; // at the owner
+  std::map<base::ServiceName, RoutingSet> Sets;         // at the entry
+  std::map<base::NodeName, PathEvidence> Paths;         // at the entry
+  bool RoundArmed = false; // a timer for the next health round is set
 };
 
 } // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/time_profile.cc
@@ -0,0 +1,121 @@
+#include "currantgauge/routing/time_profile.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantgauge::routing {
+namespace {
+
+constexpr std::uint32_t HistogramWindow = 4096; // samples
+constexpr std::uint32_t SamplesToKnow = 100;
+constexpr base::Duration FirstBucket = base::microseconds(100);
+constexpr double BucketsPerDoubling = 4;
+
+// A server up to this factor slower than its peers is taken as healthy: VMs
+// differ, and the quantiles are estimates.
+constexpr double SlowTolerance = 1.5;
+// Pauses of this length hurt nobody, however short the usual time is.
+constexpr base::Duration PauseTolerance = base::milliseconds(10);
+// Bounds of the factor from one quantile to the ten times rarer one. The lower
+// one distrusts tails that end abruptly.
+constexpr double ShortestTail = 2.15;
+constexpr double LongestTail = 10;
+
+std::size_t bucketOf(base::Duration Took) {
+  if (Took <= FirstBucket)
+    return 0;
+  double Ratio = static_cast<double>(Took.Micros) /
+                 static_cast<double>(FirstBucket.Micros);
+  auto Bucket =
+      static_cast<std::size_t>(std::log2(Ratio) * BucketsPerDoubling) + 1;
+  return std::min(Bucket, TimeHistogram::BucketCount - 1);
+}
+
+base::Duration upperEdge(std::size_t Bucket) {
+  return base::scaled(
+      FirstBucket, std::exp2(static_cast<double>(Bucket) / BucketsPerDoubling));
+}
+
+base::Duration quantile(const TimeHistogram &Histogram, double Share) {
+  double Wanted = Share * Histogram.Total;
+  double Below = 0;
+  for (std::size_t I = 0; I < TimeHistogram::BucketCount; ++I) {
+    double Here = Histogram.Buckets[I];
+    if (Here > 0 && Below + Here >= Wanted) {
+      base::Duration Low = I == 0 ? base::Duration{} : upperEdge(I - 1);
+      return Low + base::scaled(upperEdge(I) - Low, (Wanted - Below) / Here);
+    }
+    Below += Here;
+  }
+  return upperEdge(TimeHistogram::BucketCount - 1);
+}
+
+base::Duration medianOf(std::vector<base::Duration> &Values) {
+  auto Middle = Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
+} // namespace
+
+void learn(TimeHistogram &Histogram, base::Duration Took) {
+  ++Histogram.Buckets[bucketOf(Took)];
+  if (++Histogram.Total < HistogramWindow)
+    return;
+  Histogram.Total = 0;
+  for (std::uint16_t &Bucket : Histogram.Buckets) {
+    Bucket /= 2;
+    Histogram.Total += Bucket;
+  }
+}
+
+TimeProfile profileOf(const TimeHistogram &Histogram) {
+  if (Histogram.Total < SamplesToKnow)
+    return {};
+  return {quantile(Histogram, 0.5), quantile(Histogram, 0.9),
+          quantile(Histogram, 0.99)};
+}
+
+TimeProfile medianProfile(std::vector<TimeProfile> Profiles) {
+  if (Profiles.empty())
+    return {};
+  std::vector<base::Duration> Medians, Q90s, Q99s;
+  for (const TimeProfile &Profile : Profiles) {
+    Medians.push_back(Profile.Median);
+    Q90s.push_back(Profile.Q90);
+    Q99s.push_back(Profile.Q99);
+  }
+  return {medianOf(Medians), medianOf(Q90s), medianOf(Q99s)};
+}
+
+// Beyond the 99th percentile the tail is taken as a power law with the slope
+// between the 90th and the 99th: too few samples lie there to measure it.
+TimeBounds boundsOf(const TimeProfile &Usual) {
+  if (!Usual.known())
+    return {};
+  double Tail = std::clamp(
+      static_cast<double>(Usual.Q99.Micros) /
+          static_cast<double>(std::max<std::int64_t>(Usual.Q90.Micros, 1)),
+      ShortestTail, LongestTail);
+  auto At = [&](base::Duration From, double Share, double FromShare) {
+    double Decades = std::log10(FromShare / Share);
+    return base::scaled(From, SlowTolerance * std::pow(Tail, Decades)) +
+           PauseTolerance;
+  };
+  TimeBounds Bounds;
+  Bounds.From[0] = At(Usual.Q90, TailShare[1], TailShare[1]);
+  for (std::size_t Bin = 2; Bin < TailBinCount; ++Bin)
+    Bounds.From[Bin - 1] = At(Usual.Q99, TailShare[Bin], TailShare[2]);
+  return Bounds;
+}
+
+std::size_t tailBin(const TimeBounds &Bounds, base::Duration Took) {
+  if (!Bounds.known())
+    return 0;
+  std::size_t Bin = 0;
+  while (Bin < Bounds.From.size() && Took >= Bounds.From[Bin])
+    ++Bin;
+  return Bin;
+}
+
+} // namespace currantgauge::routing
