--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -9,7 +9,8 @@
 constexpr std::size_t SampleSize = 3;
 // Costs are in loads: 1 is as much work as a server has slots.
 constexpr double OtherDomainCost = 0.25;
-constexpr double SuspicionCost = 2;
+// Only proven sickness costs: less would starve the test of evidence.
+constexpr double SickCost = 2;
 constexpr double QueueDelayUnit = 0.05; // seconds of queue that cost 1
 // Work of worth 1 leaves the region when every server sampled there costs this
 // much more than its slots; work of worth 10 when they are a tenth over.
@@ -100,7 +101,9 @@
   const BackendServer &Server = *One.Server;
   double Cost =
       (Server.Running + 1) / effectiveSlots(Server, One.Place, Query.Now);
-  Cost += SuspicionCost * Server.Record.Suspicion + queueCost(Query, Server);
+  Cost += queueCost(Query, Server);
+  if (Server.Record.Suspicion >= 1)
+    Cost += SickCost;
   if (Server.Record.Domain != State.Domain)
     Cost += OtherDomainCost;
   return Cost;
