--- a/bench/health_bench.cc
+++ b/bench/health_bench.cc
@@ -1,7 +1,8 @@
 // Detection time, false ejections and capacity left, in virtual time, beside
 // two baselines: five consecutive failures, and a plain error-rate window.
 //
-//   health_bench [trials a kind] [requests a healthy case] [threads] [case]
+//   health_bench [trials a kind] [requests a healthy case] [threads] [word...]
+// runs the cases whose case/service/policy has all the words.
 #include "health_fleet.h"
 
 #include <nlohmann/json.hpp>
@@ -191,6 +192,7 @@
           .Fakes[base::uniformBelow(Now.World.Source, Now.World.Fakes.size())];
   TimePoint Start = Now.World.Now;
   std::set<std::size_t> Done;
+  Sick.Now = Kind.How;
   pass(Now, FaultTime, [&] {
     Duration Since = Now.World.Now - Start;
     bool On = Kind.On == Duration{} ||
@@ -372,11 +374,13 @@
     return Count > At ? std::strtoull(Words[At], nullptr, 10) : Default;
   };
   auto Jobs = currantgauge::bench::makeJobs(Number(1, 100), Number(2, 1000000));
-  std::string Only = Count > 4 ? Words[4] : "";
+  std::vector<std::string> Only(Words + std::min(Count, 4), Words + Count);
   std::erase_if(Jobs, [&](const auto &One) {
-    return (One.Case + "/" + One.What.Service + "/" +
-            currantgauge::bench::PolicyNames[static_cast<int>(One.Which)])
-               .find(Only) == std::string::npos;
+    std::string Name = One.Case + "/" + One.What.Service + "/" +
+                       currantgauge::bench::PolicyNames[int(One.Which)];
+    return !std::all_of(Only.begin(), Only.end(), [&](const auto &Word) {
+      return Name.find(Word) != std::string::npos;
+    });
   });
   currantgauge::bench::runAll(Jobs, Number(3, 4));
   currantgauge::bench::print(Jobs);
--- a/bench/health_fleet.h
+++ b/bench/health_fleet.h
@@ -67,8 +67,8 @@
 struct Fleet {
   Shape What;
   std::deque<core::State> Nodes;
-  std::vector<Fake> Fakes; // of node EntryCount + I
-  std::vector<std::pair<TimePoint, std::uint64_t>> Wakes;
+  std::vector<Fake> Fakes;          // of node EntryCount + I
+  std::vector<std::uint64_t> Wakes; // Order of each node's latest wake-up
   std::priority_queue<Pending> Queue;
   std::map<base::NetAddress, std::size_t> ByAddress;
   std::map<base::NodeName, std::size_t> ByName;
@@ -157,9 +157,12 @@
                             : this->World.What.DomainDelay;
   }
   void operator()(const core::WakeAt &E) const {
-    if (E.At != base::Never)
-      post(this->World, std::max(E.At - this->World.Now, Duration{}),
-           this->From, core::TimerFired{});
+    this->World.Wakes[this->From] = 0;
+    if (E.At == base::Never)
+      return;
+    post(this->World, std::max(E.At - this->World.Now, Duration{}), this->From,
+         core::TimerFired{});
+    this->World.Wakes[this->From] = this->World.Order;
   }
   void operator()(const core::StartAttempt &E) const {
     std::size_t To = this->World.ByName.at(E.Owner);
@@ -263,6 +266,7 @@
   World.Source.seed(Seed);
   World.Now = World.NextArrival = World.NextRenewal = TimePoint{1000000};
   std::size_t Count = EntryCount + What.Servers;
+  World.Wakes.assign(Count, 0);
   std::vector<base::NetAddress> Seeds;
   for (std::size_t I = 0; I < Count; ++I)
     Seeds.emplace_back("node" + std::to_string(I));
@@ -306,6 +310,9 @@
 }
 
 inline void deliver(Fleet &World, Pending Next) {
+  if (std::holds_alternative<core::TimerFired>(Next.Body) &&
+      World.Wakes[Next.Node] != Next.Order)
+    return; // a later WakeAt replaced it
   if (auto *Ended = std::get_if<core::BackendEnded>(&Next.Body))
     if (Ended->Outcome.AnswerWhole && !World.Running.erase(Ended->Attempt))
       return; // cancelled meanwhile
--- a/currantgauge/routing/health.h
+++ b/currantgauge/routing/health.h
@@ -19,7 +19,7 @@
 namespace currantgauge::routing {
 
 // HealthInterval is the time between two rounds while something runs.
-constexpr base::Duration HealthInterval = base::milliseconds(100);
+constexpr base::Duration HealthInterval = base::milliseconds(50);
 
 // onExchangeStarted() notes an exchange with an owned server. Returns true
 // when it should use a new connection.
