--- a/currantgauge/routing/evidence.h
+++ b/currantgauge/routing/evidence.h
@@ -24,6 +24,10 @@
 // between two false alarms of one test: at least this many.
 constexpr double FalseAlarmSamples = 2e7;
 
+// FreshChecks is how many exchanges on new connections, running or possible,
+// a server must have before its silent ones are left alone.
+constexpr std::uint32_t FreshChecks = 4;
+
 // SicknessTest is one alternative to a healthy server.
 enum class SicknessTest { Stall, PartialStall, Slow, Failure };
 constexpr std::size_t SicknessTestCount = 4;
