--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -1,12 +1,15 @@
 #include "currantgauge/core/operations.h"
 
 #include "currantgauge/core/entry.h"
+#include "currantgauge/core/explain.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/membership/anti_entropy.h"
 #include "currantgauge/membership/detector.h"
 #include "currantgauge/membership/gossip.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/membership/rumours.h"
+#include "currantgauge/routing/health.h"
+#include "currantgauge/routing/health_report.h"
 #include "currantgauge/routing/registry.h"
 
 #include <string>
@@ -45,7 +48,14 @@
   membership::onProbeTimeout(Node, Due, Effects);
 }
 
-void onTimer(State &Node, const HealthRound &, EffectList &Effects) {}
+// Rounds go on only while an exchange runs or an alarm fades.
+void onTimer(State &Node, const HealthRound &, EffectList &Effects) {
+  bool Again =
+      routing::healthRound(Node.Routing, Node.Membership, Node.Now, Effects);
+  if (Again && routing::armRound(Node.Routing))
+    setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
+}
+
 void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
 void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
 
@@ -82,17 +92,10 @@
       {"config_version", std::to_string(Node.Config.Document.Version.Value)},
       {"stopping", Node.Stopping ? "true" : "false"},
   };
-  OperatorTable Servers{
-      "servers",
-      {"server", "service", "owner", "phase", "slots", "running"},
-      {}};
-  for (const auto &[Name, Server] : Node.Routing.Servers)
-    Servers.Rows.push_back(
-        {Name.Value, Server.Record.Service.Value, Server.Record.Owner.Value,
-         phaseName(Server.Record.Phase), std::to_string(Server.Record.Slots),
-         std::to_string(Server.Running)});
   OperatorTable Nodes{
       "nodes", {"node", "region", "failure_domain", "phase", "path"}, {}};
+  OperatorTable Servers =
+      routing::healthRows(Node.Routing, base::ServiceName(), Node.Now);
   for (const auto &[Name, Member] : Node.Membership.Members)
     Nodes.Rows.push_back(
         {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value,
@@ -102,6 +105,10 @@
   return Reply;
 }
 
+OperatorReply answer(State &Node, const AskExplain &Asked) {
+  return explain(Node, Asked.Request);
+}
+
 OperatorReply answer(State &Node, const AskDrain &Asked) {
   OperatorReply Reply;
   auto Found = Node.Routing.Servers.find(Asked.Server);
