ready: ActionIdAsked/AnswerActionId; peer codec: AttemptFacts.Permitted, AttemptOutcome.{Permitted,ServerDied,RequestAtFault}

POST /.currantgauge/actions raises event ActionIdAsked{Request}; the effect AnswerActionId{Request, Action, ValidFor, Why} answers it (201 with the id, else the refusal's reason). The new fields of AttemptFacts and AttemptOutcome travel between nodes. RequestAtFault on an outcome: routing takes it as no evidence against the server.

--- a/currantgauge/actions/state.h
+++ b/currantgauge/actions/state.h
@@ -5,15 +5,101 @@
 #define CURRANTGAUGE_ACTIONS_STATE_H
 
 #include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/base/verdict.h"
 #include "currantgauge/membership/message.h"
 
+#include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace currantgauge::actions {
 
+// ClaimPhase is how far this node is with an action.
+enum class ClaimPhase {
+  Claiming,  // its row is to be written, or is being written
+  Settling,  // the write's answer was lost: its row is being read
+  Running,   // the action is this node's and its exchange runs
+  Finished,  // the exchange ended, and the action ran or may have run
+  Releasing, // it did not run: its row is to be removed
+  Idle,      // nothing of this node ran; a late write may still make a row
+};
+
+// ClaimWrite is the next write that a claim's row needs.
+enum class ClaimWrite { None, Insert, MarkDone, Remove };
+
+// Claim is an action as its owner knows it. An action by key has a row in the
+// platform's table; one by id has none.
+struct Claim {
+  ClaimPhase Phase = ClaimPhase::Claiming;
+  ClaimWrite Write = ClaimWrite::None;
+  bool InFlight = false; // Write is part of the running transaction
+  bool HasRow = true;    // by key
+  base::AttemptId Attempt;
+  base::AttemptId Next; // waits until the row of Attempt is released
+  base::BodyHash Body;
+  std::string ETag;                   // of the row, empty: none is known
+  std::set<base::AttemptId> NeverRan; // that a row may still name
+  base::Verdict What = base::Verdict::MayHaveRun; // once Finished
+  bool AnswerKept = false;
+  base::ByteCount AnswerBytes;
+  std::uint32_t Status = 0;
+  base::BackendName Server;
+};
+
+// IdRecord is an action id that was taken, as its issuer and the entries that
+// held its permission know it.
+struct IdRecord {
+  base::BodyHash Body;
+  base::NodeName Holder;  // node that knows more; this one: not placed yet
+  base::RequestId User;   // of this entry, while it uses the permission
+  base::TimePoint Forget; // when the record may go
+};
+
+// Retained is a finished claim in the order of its end.
+struct Retained {
+  base::TimePoint Since;
+  std::string Key;
+  base::AttemptId Attempt;
+};
+
+// Suspect is a request that was running when backend servers died.
+struct Suspect {
+  membership::QuarantineRecord Record;
+  std::set<base::BackendName> Exonerated; // deaths before a whole answer
+  base::TimePoint LastSeen;
+};
+
+// Transaction is the one write of claims in flight.
+struct Transaction {
+  base::CallId Call;
+  std::vector<std::string> Keys;
+};
+
 // ActionState is what a node knows of actions.
 struct ActionState {
-  std::map<base::Fingerprint, membership::QuarantineRecord> Quarantine;
+  std::map<std::string, Claim> Claims; // by row key, or by id
+  std::deque<std::string> ClaimQueue;  // rows that an attempt waits for
+  std::deque<std::string> UpkeepQueue; // done marks and removals
+  std::optional<Transaction> InFlight;
+  std::size_t RowLimit = 0; // of the next transaction; 0: the usual one
+  std::map<base::CallId, std::string> Reads; // settling reads, by claim
+  std::optional<base::CallId> Scan;          // of the clean-up
+  std::optional<base::CallId> Sweep;
+  base::TimePoint NextScan;
+  bool StoreFailing = false; // the last write failed: upkeep waits a round
+  std::deque<Retained> Kept;
+  base::ByteCount KeptBytes;
+
+  std::uint64_t LastId = 0; // of the ids issued
+  std::map<base::ActionToken, IdRecord> Ids;
+  std::multimap<base::TimePoint, base::ActionToken> IdsByAge;
+
+  std::map<base::Fingerprint, Suspect> Suspects; // quarantined ones as well
 };
 
 } // namespace currantgauge::actions
--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -53,6 +53,14 @@
   base::Duration RetryAfter; // zero: none
 };
 
+// AnswerActionId answers an ActionIdAsked: 201 with the id, or the refusal Why.
+struct AnswerActionId {
+  base::RequestId Request;
+  base::ActionToken Action; // empty: refused
+  base::Duration ValidFor;
+  base::Reason Why = base::Reason::None;
+};
+
 // SendToBackend starts the exchange with a backend server.
 struct SendToBackend {
   base::AttemptId Attempt;
@@ -163,12 +171,12 @@
   int ExitCode = 0;
 };
 
-using Effect =
-    std::variant<WakeAt, StartAttempt, CancelAttempt, DeliverAnswer,
-                 RefuseRequest, SendToBackend, CancelBackend, EndAttempt,
-                 KeepAnswer, ForgetAnswer, RepeatAnswer, SendPeerMessage,
-                 CallStore, ParseConfig, FetchConfig, ServeConfig,
-                 AnswerOperator, Measure, LogLine, BecomeReady, StopProcess>;
+using Effect = std::variant<WakeAt, StartAttempt, CancelAttempt, DeliverAnswer,
+                            RefuseRequest, SendToBackend, CancelBackend,
+                            EndAttempt, KeepAnswer, ForgetAnswer, RepeatAnswer,
+                            SendPeerMessage, CallStore, ParseConfig,
+                            FetchConfig, ServeConfig, AnswerOperator, Measure,
+                            LogLine, BecomeReady, StopProcess, AnswerActionId>;
 
 using EffectList = std::vector<Effect>;
 
--- a/currantgauge/core/event.h
+++ b/currantgauge/core/event.h
@@ -53,6 +53,11 @@
   AttemptOutcome Outcome;
 };
 
+// ActionIdAsked: a caller wants an action id of this node.
+struct ActionIdAsked {
+  base::RequestId Request;
+};
+
 // AttemptArrived: an entry asks this owner to run an attempt.
 struct AttemptArrived {
   AttemptFacts Facts;
@@ -112,7 +117,7 @@
                  InputRefused, AnswerBuffered, AttemptEnded, AttemptArrived,
                  AttemptCancelled, BackendEnded, BackendAnnounced,
                  PeerMessageArrived, PeerSendFailed, StoreAnswered,
-                 ConfigParsed, ConfigFetched, OperatorAsked>;
+                 ConfigParsed, ConfigFetched, OperatorAsked, ActionIdAsked>;
 
 // Event is what happened and when.
 struct Event {
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/core/reduce.h"
 
+#include "currantgauge/actions/action_ids.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
@@ -45,6 +46,9 @@
   void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
   void operator()(const ConfigFetched &) {}
   void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
+  void operator()(const ActionIdAsked &E) {
+    actions::onActionIdAsked(Node, E, Effects);
+  }
 };
 
 void announceWakeUp(TimerQueue &Timers, EffectList &Effects) {
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -47,6 +47,7 @@
   double Worth = 1;
   bool Idempotent = true;
   std::uint32_t Number = 1; // 1 for the first attempt of a request
+  bool Permitted = false;   // bears the one permission of its action id
 };
 
 // Pressure is what an owner tells entries of a service's queue.
@@ -79,6 +80,10 @@
   base::BackendName Server;
   Pressure Load;
   base::NodeName Elsewhere; // owner that holds the action's answer; else empty
+  bool Permitted = false;   // the entry now holds the action id's permission
+  bool ServerDied = false;  // the backend server's process died meanwhile
+  // The request is quarantined for it: no evidence against the server.
+  bool RequestAtFault = false;
 };
 
 } // namespace currantgauge::core
