Guard actions by claims, by issued ids and by quarantine

Ids: the issuing incarnation gives each one permission; the node that holds it unused may pass it on. Quarantine after two servers died with the same request; a whole answer between two deaths clears a popular request.

--- a/currantgauge/actions/action_ids.h
+++ b/currantgauge/actions/action_ids.h
@@ -1,8 +1,9 @@
-// Action ids: issued by a node, taken once, by the word of the incarnation
-// that issued them.
+// Action ids: issued by a node and taken once, by the word of the incarnation
+// that issued them. Whoever asks first gets the id's one permission; the node
+// that has it, unused, may pass it on.
 //
-//   issueActionId(Node, ActionIdAsked{Request}, Effects);
-//   IdAnswer Taken = askForId(Node, Token, Body, Entry, Request);
+//   onActionIdAsked(Node, ActionIdAsked{Request}, Effects);
+//   AttemptOutcome Answer = askAsEntry(Node, Facts);
 #ifndef CURRANTGAUGE_ACTIONS_ACTION_IDS_H
 #define CURRANTGAUGE_ACTIONS_ACTION_IDS_H
 
@@ -17,6 +18,32 @@
 void onActionIdAsked(core::State &Node, const core::ActionIdAsked &Asked,
                      core::EffectList &Effects);
 
+// askForId() answers another node's ask for an id: Permitted, Elsewhere (a node
+// that knows more), or why the action can't run.
+core::AttemptOutcome askForId(core::State &Node,
+                              const core::AttemptFacts &Facts);
+
+// askAsEntry() does the same for a request of this entry.
+core::AttemptOutcome askAsEntry(core::State &Node,
+                                const core::RequestFacts &Facts);
+
+// notePermitted() notes that another node passed an id's permission on to a
+// request of this entry.
+void notePermitted(core::State &Node, const core::RequestFacts &Facts);
+
+// notePlaced() notes that an attempt with the permission went to an owner.
+void notePlaced(core::State &Node, const core::RequestFacts &Facts,
+                const base::NodeName &Owner);
+
+// noteNotRun() notes that it did not run there.
+void noteNotRun(core::State &Node, const core::RequestFacts &Facts);
+
+// noteRequestEnded() notes that a request no longer uses its permission.
+void noteRequestEnded(core::State &Node, const core::RequestFacts &Facts);
+
+// forgetOldIds() drops records of ids that have expired.
+void forgetOldIds(core::State &Node);
+
 } // namespace currantgauge::actions
 
 #endif // CURRANTGAUGE_ACTIONS_ACTION_IDS_H
--- /dev/null
+++ b/currantgauge/actions/claim_row.h
@@ -0,0 +1,43 @@
+// The row of an action by key in the platform's table "claims".
+//
+//   std::string Key = claimKey(Facts);
+//   RowWrite Write{ClaimTable, Key, encodeRow(Row), WriteCondition::IfAbsent};
+#ifndef CURRANTGAUGE_ACTIONS_CLAIM_ROW_H
+#define CURRANTGAUGE_ACTIONS_CLAIM_ROW_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/core/request.h"
+
+#include <optional>
+#include <string>
+
+namespace currantgauge::actions {
+
+// ClaimTable is the name of the table.
+constexpr char ClaimTable[] = "claims";
+
+// ClaimRow says who claimed an action and whether its exchange has ended with
+// a whole answer.
+struct ClaimRow {
+  base::AttemptId Attempt;
+  base::NodeName Holder;
+  base::Incarnation Life;
+  base::BodyHash Body;
+  bool Done = false;
+  base::UnixTime Written;
+};
+
+// claimKey() returns the row key of an action: its workspace, kind and
+// Idempotency-Key after four hexadecimal digits that spread the rows evenly.
+std::string claimKey(const core::AttemptFacts &Facts);
+
+// encodeRow() returns the row's value.
+std::string encodeRow(const ClaimRow &Row);
+
+// decodeRow() is the inverse of encodeRow(); none when the text is malformed.
+std::optional<ClaimRow> decodeRow(const std::string &Text);
+
+} // namespace currantgauge::actions
+
+#endif // CURRANTGAUGE_ACTIONS_CLAIM_ROW_H
--- a/currantgauge/actions/guard.cc
+++ b/currantgauge/actions/guard.cc
@@ -1,16 +1,76 @@
 #include "currantgauge/actions/guard.h"
 
+#include "currantgauge/actions/action_ids.h"
+#include "currantgauge/actions/claim_store.h"
+#include "currantgauge/actions/claims.h"
+#include "currantgauge/actions/kept_answers.h"
+#include "currantgauge/actions/quarantine.h"
+#include "currantgauge/actions/row_cleanup.h"
+
 namespace currantgauge::actions {
+namespace {
+
+constexpr base::Duration ActionRoundInterval = base::seconds(1);
+
+bool isGuarded(const core::AttemptFacts &Facts) {
+  return !Facts.Idempotent && (!Facts.Key.empty() || !Facts.Action.empty());
+}
+
+core::AttemptOutcome quarantined() {
+  core::AttemptOutcome Outcome;
+  Outcome.What = base::Verdict::NotRun;
+  Outcome.Why = base::Reason::Quarantined;
+  return Outcome;
+}
+
+} // namespace
 
-GuardAnswer beforeRun(ActionState &State,
+std::optional<core::AttemptOutcome>
+recallAttempt(core::State &Node, const core::AttemptFacts &Facts,
+              core::EffectList &Effects) {
+  if (!isGuarded(Facts))
+    return std::nullopt;
+  if (auto Known = recallClaim(Node, Facts, Effects))
+    return Known;
+  if (Facts.Action.empty() || Facts.Permitted)
+    return std::nullopt;
+  return askForId(Node, Facts);
+}
+
+GuardAnswer beforeRun(core::State &Node,
                       const admission::QueuedAttempt &Attempt,
-                      base::TimePoint Now, base::UnixTime Wall,
                       core::EffectList &Effects) {
-  return GuardAnswer{};
+  if (isQuarantined(Node.Actions, Attempt.Facts.Print))
+    return GuardAnswer{GuardDecision::Refuse, quarantined()};
+  if (!isGuarded(Attempt.Facts))
+    return GuardAnswer{};
+  if (!Attempt.Facts.Action.empty())
+    return startPermitted(Node, Attempt, Effects);
+  return startClaim(Node, Attempt, Effects);
+}
+
+void afterRun(core::State &Node, const admission::QueuedAttempt &Attempt,
+              const core::AttemptOutcome &Outcome, core::EffectList &Effects) {
+  if (Outcome.What == base::Verdict::Ran)
+    exonerate(Node.Actions, Attempt.Facts.Print);
+  if (isGuarded(Attempt.Facts))
+    finishClaim(Node, Attempt, Outcome, Effects);
 }
 
-void afterRun(ActionState &State, const admission::QueuedAttempt &Attempt,
-              const core::AttemptOutcome &Outcome, base::TimePoint Now,
-              base::UnixTime Wall, core::EffectList &Effects) {}
+void onActionRound(core::State &Node, core::EffectList &Effects) {
+  Node.Actions.StoreFailing = false;
+  forgetOldAnswers(Node, Effects);
+  forgetOldIds(Node);
+  forgetOldSuspects(Node);
+  flushWrites(Node, Effects);
+  startCleanup(Node, Effects);
+  core::setTimer(Node.Timers, Node.Now + ActionRoundInterval,
+                 core::ActionRound{});
+}
+
+bool hasPendingWrites(const core::State &Node) {
+  const ActionState &State = Node.Actions;
+  return !State.StoreFailing && (State.InFlight || !State.UpkeepQueue.empty());
+}
 
 } // namespace currantgauge::actions
--- /dev/null
+++ b/currantgauge/actions/row_cleanup.cc
@@ -0,0 +1,87 @@
+#include "currantgauge/actions/row_cleanup.h"
+
+#include "currantgauge/actions/claim_row.h"
+#include "currantgauge/base/random.h"
+
+#include <utility>
+
+namespace currantgauge::actions {
+namespace {
+
+constexpr std::uint32_t PageRows = 200;
+constexpr base::Duration CleanupTimeLimit = base::seconds(2);
+// The whole fleet takes one page in this time, whatever its size.
+constexpr base::Duration FleetInterval = base::milliseconds(500);
+constexpr int CursorDigits = 4;
+
+std::string randomCursor(base::Random &Source) {
+  static constexpr char Digits[] = "0123456789abcdef";
+  std::string Cursor;
+  for (int Place = 0; Place < CursorDigits; ++Place)
+    Cursor += Digits[base::uniformBelow(Source, 16)];
+  return Cursor;
+}
+
+base::Duration turnInterval(core::State &Node) {
+  auto Nodes = static_cast<std::int64_t>(Node.Membership.Members.size()) + 1;
+  return base::scaled(FleetInterval * Nodes,
+                      0.5 + base::uniformUnit(Node.Source));
+}
+
+bool isPastRetention(const core::State &Node, const base::StoreRow &Row) {
+  std::optional<ClaimRow> Claim = decodeRow(Row.Value);
+  return Claim && Node.Wall.Millis - Claim->Written.Millis >
+                      base::toMillis(RowRetention);
+}
+
+void removeOld(core::State &Node, const std::vector<base::StoreRow> &Page,
+               core::EffectList &Effects) {
+  base::WriteRows Removals;
+  for (const base::StoreRow &Row : Page)
+    if (isPastRetention(Node, Row))
+      Removals.Rows.push_back(base::RowWrite{ClaimTable,
+                                             Row.Key,
+                                             {},
+                                             base::WriteCondition::IfMatch,
+                                             Row.ETag,
+                                             true});
+  if (Removals.Rows.empty())
+    return;
+  Node.Actions.Sweep = core::nextCall(Node);
+  Effects.push_back(core::CallStore{*Node.Actions.Sweep, std::move(Removals),
+                                    CleanupTimeLimit});
+}
+
+} // namespace
+
+void startCleanup(core::State &Node, core::EffectList &Effects) {
+  ActionState &State = Node.Actions;
+  if (State.Scan || State.Sweep || State.StoreFailing ||
+      Node.Now < State.NextScan)
+    return;
+  bool First = State.NextScan == base::TimePoint{};
+  State.NextScan = Node.Now + turnInterval(Node);
+  if (First)
+    return;
+  State.Scan = core::nextCall(Node);
+  Effects.push_back(core::CallStore{
+      *State.Scan,
+      base::ScanRows{ClaimTable, randomCursor(Node.Source), PageRows},
+      CleanupTimeLimit});
+}
+
+bool onCleanupAnswered(core::State &Node, const core::StoreAnswered &Answered,
+                       core::EffectList &Effects) {
+  ActionState &State = Node.Actions;
+  if (State.Sweep == Answered.Call) {
+    State.Sweep.reset(); // a failed one is found again by a later page
+    return true;
+  }
+  if (State.Scan != Answered.Call)
+    return false;
+  State.Scan.reset();
+  removeOld(Node, Answered.Result.Rows, Effects);
+  return true;
+}
+
+} // namespace currantgauge::actions
--- a/currantgauge/actions/state.h
+++ b/currantgauge/actions/state.h
@@ -44,7 +44,9 @@
   base::BodyHash Body;
   std::string ETag;                   // of the row, empty: none is known
   std::set<base::AttemptId> NeverRan; // that a row may still name
+  bool InDoubt = false; // a write of this node may still be applied
   base::Verdict What = base::Verdict::MayHaveRun; // once Finished
+  base::Reason Why = base::Reason::None;
   bool AnswerKept = false;
   base::ByteCount AnswerBytes;
   std::uint32_t Status = 0;
@@ -55,9 +57,9 @@
 // held its permission know it.
 struct IdRecord {
   base::BodyHash Body;
-  base::NodeName Holder;  // node that knows more; this one: not placed yet
-  base::RequestId User;   // of this entry, while it uses the permission
-  base::TimePoint Forget; // when the record may go
+  base::NodeName Holder; // node that knows more
+  bool Placed = false;   // an attempt with the permission went to Holder
+  base::RequestId User;  // of this entry, while it uses the permission
 };
 
 // Retained is a finished claim in the order of its end.
@@ -88,7 +90,8 @@
   std::optional<Transaction> InFlight;
   std::size_t RowLimit = 0; // of the next transaction; 0: the usual one
   std::map<base::CallId, std::string> Reads; // settling reads, by claim
-  std::optional<base::CallId> Scan;          // of the clean-up
+  std::set<base::ServiceName> Freed; // slots freed by the running answer
+  std::optional<base::CallId> Scan;  // of the clean-up
   std::optional<base::CallId> Sweep;
   base::TimePoint NextScan;
   bool StoreFailing = false; // the last write failed: upkeep waits a round
--- a/currantgauge/admission/queued_attempt.h
+++ b/currantgauge/admission/queued_attempt.h
@@ -32,6 +32,7 @@
   base::TimePoint Started;  // of the exchange; zero while it waits
   base::BackendName Server; // empty while it waits for a slot
   bool Cancelled = false;
+  base::ByteCount AnswerBytes; // of the backend server's answer
 };
 
 using QueuedAttemptPtr = boost::intrusive_ptr<QueuedAttempt>;
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/core/entry.h"
 
+#include "currantgauge/actions/action_ids.h"
+#include "currantgauge/actions/quarantine.h"
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/routing/choose.h"
 
@@ -10,7 +12,8 @@
 namespace currantgauge::core {
 namespace {
 
-constexpr std::uint32_t AttemptLimit = 3; // of one request
+constexpr std::uint32_t AttemptLimit = 3;  // of one request
+constexpr std::uint32_t ReferralLimit = 4; // of one request
 constexpr base::Duration DefaultDeadline = base::seconds(30);
 // What an attempt's deadline is ahead of its request's, so that the owner's
 // answer arrives before the entry gives up.
@@ -54,6 +57,8 @@
   EntryRequest *Request = findRequest(Node, Id);
   if (Request && Request->Current.Sequence != 0)
     endCurrentAttempt(Node, *Request);
+  if (Request && Request->Permitted)
+    actions::noteRequestEnded(Node, Request->Facts);
   Node.Entry.Requests.erase(Id);
 }
 
@@ -68,7 +73,7 @@
 }
 
 AttemptFacts factsOf(const State &Node, const EntryRequest &Request,
-                     const routing::BackendServer &Server) {
+                     const base::BackendName &Preferred) {
   AttemptFacts Facts;
   Facts.Attempt = Request.Current;
   Facts.Request = Request.Facts.Request;
@@ -77,9 +82,11 @@
   Facts.Kind = Request.Kind.Name;
   Facts.Rank = Request.Kind.Rank;
   Facts.Workspace = Request.Facts.Workspace;
-  Facts.Preferred = Server.Record.Name;
+  Facts.Preferred = Preferred;
   Facts.Key = Request.Facts.Key;
   Facts.Action = Request.Facts.Action;
+  Facts.Permitted = Request.Permitted;
+  Facts.Print = Request.Print;
   Facts.Body = Request.Facts.Body;
   Facts.BodyBytes = Request.Facts.BodyBytes;
   Facts.TimeLeft = Request.Deadline - Node.Now - HopAllowance;
@@ -89,7 +96,36 @@
   return Facts;
 }
 
+base::AttemptId newAttempt(State &Node, EntryRequest &Request) {
+  Request.Current =
+      base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
+  Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
+  return Request.Current;
+}
+
+// An action that another node knows more of is asked for there. The owner's
+// queue and the retry budget are not touched: that node runs nothing twice.
+bool startReferral(State &Node, EntryRequest &Request,
+                   const base::NodeName &Where, EffectList &Effects) {
+  base::NetAddress Address;
+  if (Where != Node.Self.Name) {
+    auto Member = Node.Membership.Members.find(Where);
+    if (Member == Node.Membership.Members.end())
+      return false;
+    Address = Member->second.Record.PeerAddress;
+  }
+  if (++Request.Referrals > ReferralLimit)
+    return false;
+  newAttempt(Node, Request);
+  Request.CurrentServer = base::BackendName();
+  Effects.push_back(StartAttempt{factsOf(Node, Request, {}), Where, Address});
+  return true;
+}
+
 void startNextAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
+  if (actions::isQuarantined(Node.Actions, Request.Print))
+    return refuse(Node, Request, base::Reason::Quarantined, base::Duration{},
+                  Effects);
   routing::ChoiceQuery Query;
   Query.Service = Request.Kind.Service;
   Query.Worth = Request.Kind.Worth;
@@ -105,20 +141,50 @@
     return;
   }
   ++Request.Attempts;
-  Request.Current =
-      base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
+  newAttempt(Node, Request);
   Request.CurrentServer = Server->Record.Name;
   Request.Tried.push_back(Server->Record.Name);
-  Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
   base::NetAddress Address;
   if (Server->Record.Owner != Node.Self.Name) {
     ++Node.Routing.Servers.at(Server->Record.Name).Running;
     Address = Node.Membership.Members[Server->Record.Owner].Record.PeerAddress;
   }
-  Effects.push_back(StartAttempt{factsOf(Node, Request, *Server),
+  if (Request.Permitted)
+    actions::notePlaced(Node, Request.Facts, Server->Record.Owner);
+  Effects.push_back(StartAttempt{factsOf(Node, Request, Server->Record.Name),
                                  Server->Record.Owner, Address});
 }
 
+// An action id runs by the word of its issuer alone.
+void startIdentified(State &Node, EntryRequest &Request, EffectList &Effects) {
+  AttemptOutcome Answer = actions::askAsEntry(Node, Request.Facts);
+  if (Answer.Permitted) {
+    Request.Permitted = true;
+    return startNextAttempt(Node, Request, Effects);
+  }
+  if (!Answer.Elsewhere.empty() &&
+      startReferral(Node, Request, Answer.Elsewhere, Effects))
+    return;
+  Request.MayHaveRun = Answer.What != base::Verdict::NotRun;
+  refuse(Node, Request, Answer.Why, Answer.RetryAfter, Effects);
+}
+
+// followAction() goes on with a request whose action another node decided on.
+// Returns false when the outcome says nothing of the kind.
+bool followAction(State &Node, EntryRequest &Request,
+                  const AttemptOutcome &Outcome, EffectList &Effects) {
+  if (Outcome.Permitted) {
+    actions::notePermitted(Node, Request.Facts);
+    Request.Permitted = true;
+    startNextAttempt(Node, Request, Effects);
+    return true;
+  }
+  if (Request.Permitted && Outcome.What == base::Verdict::NotRun)
+    actions::noteNotRun(Node, Request.Facts);
+  return !Outcome.Elsewhere.empty() && !Request.Committed &&
+         startReferral(Node, Request, Outcome.Elsewhere, Effects);
+}
+
 bool mayRetry(const EntryRequest &Request, const AttemptOutcome &Outcome) {
   if (Request.Committed || Request.Attempts >= AttemptLimit)
     return false;
@@ -221,6 +287,9 @@
     return refuse(Node, Request, Why, base::seconds(1), Effects);
   setTimer(Node.Timers, Request.Deadline,
            RequestDeadline{Arrival.Facts.Request});
+  Request.Print = actions::fingerprintOf(Request.Facts, *Kind);
+  if (!Kind->Idempotent && !Arrival.Facts.Action.empty())
+    return startIdentified(Node, Request, Effects);
   startNextAttempt(Node, Request, Effects);
 }
 
@@ -263,6 +332,11 @@
   Request->LastWhy = Outcome.Why;
   if (Outcome.What != base::Verdict::NotRun)
     Request->MayHaveRun = true;
+  if (Outcome.ServerDied)
+    actions::noteDeath(Node, Request->Print, Request->Kind, Outcome.Server,
+                       Effects);
+  if (followAction(Node, *Request, Outcome, Effects))
+    return;
   if (!isFailure(Outcome))
     return deliver(Node, *Request, Ended.Attempt, Outcome, Effects);
   if (scheduleRetry(Node, *Request, Outcome, Effects))
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/core/operations.h"
 
+#include "currantgauge/actions/guard.h"
+#include "currantgauge/actions/quarantine.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/membership/gossip.h"
@@ -30,7 +32,9 @@
 
 void onTimer(State &Node, const HealthRound &, EffectList &Effects) {}
 void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
-void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
+void onTimer(State &Node, const ActionRound &, EffectList &Effects) {
+  actions::onActionRound(Node, Effects);
+}
 
 void onTimer(State &Node, const RequestDeadline &Due, EffectList &Effects) {
   onRequestDeadline(Node, Due, Effects);
@@ -104,6 +108,14 @@
   return Reply;
 }
 
+OperatorReply answer(State &Node, const AskQuarantine &) {
+  return actions::listQuarantine(Node.Actions);
+}
+
+OperatorReply answer(State &Node, const AskQuarantineClear &Asked) {
+  return actions::clearQuarantine(Node, Asked.Print);
+}
+
 template <typename Query> OperatorReply answer(State &, const Query &) {
   OperatorReply Reply;
   Reply.Error = "this node does not answer that yet";
@@ -115,6 +127,7 @@
 void onStarted(State &Node, const Started &, EffectList &Effects) {
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
   setTimer(Node.Timers, Node.Now, GossipRound{});
+  setTimer(Node.Timers, Node.Now, ActionRound{});
   Effects.push_back(LogLine{LogLevel::Info,
                             "started",
                             {{"node", Node.Self.Name.Value},
@@ -130,7 +143,7 @@
 
 void stopWhenIdle(State &Node, EffectList &Effects) {
   if (Node.Stopping && Node.Entry.Requests.empty() &&
-      Node.Owner.Attempts.empty())
+      Node.Owner.Attempts.empty() && !actions::hasPendingWrites(Node))
     Effects.push_back(StopProcess{0});
 }
 
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/core/owner.h"
 
 #include "currantgauge/actions/guard.h"
+#include "currantgauge/actions/quarantine.h"
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/routing/choose.h"
 
@@ -59,11 +60,15 @@
 
 void onAttemptArrived(State &Node, const AttemptArrived &Arrival,
                       EffectList &Effects) {
+  if (Node.Owner.Attempts.contains(Arrival.Facts.Attempt))
+    return;
   admission::QueuedAttemptPtr Attempt(new admission::QueuedAttempt);
   Attempt->Facts = Arrival.Facts;
   Attempt->Arrived = Node.Now;
   Attempt->Deadline = Node.Now + Arrival.Facts.TimeLeft;
   Node.Owner.Attempts[Arrival.Facts.Attempt] = Attempt;
+  if (auto Known = actions::recallAttempt(Node, Arrival.Facts, Effects))
+    return endAttempt(Node, Arrival.Facts.Attempt, *Known, Effects);
   if (Node.Stopping && Arrival.Facts.Entry != Node.Self.Name)
     return endAttempt(Node, Arrival.Facts.Attempt,
                       refusal(base::Reason::NodeStopping, base::Duration{}),
@@ -100,11 +105,9 @@
     admission::dequeue(Node.Admission, *Attempt);
     Attempt->Server = Server->Record.Name;
     ++Server->Running;
-    actions::GuardAnswer Guard = actions::beforeRun(
-        Node.Actions, *Attempt, Node.Now, Node.Wall, Effects);
+    actions::GuardAnswer Guard = actions::beforeRun(Node, *Attempt, Effects);
     if (Guard.What == actions::GuardDecision::Refuse)
-      endAttempt(Node, Attempt->Facts.Attempt,
-                 refusal(Guard.Why, base::Duration{}), Effects);
+      endAttempt(Node, Attempt->Facts.Attempt, Guard.Outcome, Effects);
     else if (Guard.What == actions::GuardDecision::Run)
       startExchange(Node, *Attempt, Effects);
   }
@@ -132,7 +135,8 @@
   admission::QueuedAttemptPtr Attempt = Found->second;
   Node.Owner.Attempts.erase(Found);
   admission::dequeue(Node.Admission, *Attempt);
-  Outcome.Server = Attempt->Server;
+  if (!Attempt->Server.empty())
+    Outcome.Server = Attempt->Server;
   if (Node.Config.Current) {
     Outcome.Load = admission::pressureOf(Node.Admission, *Node.Config.Current,
                                          Attempt->Facts.Service);
@@ -140,8 +144,7 @@
   }
   if (!Attempt->Server.empty()) {
     releaseSlot(Node, *Attempt);
-    actions::afterRun(Node.Actions, *Attempt, Outcome, Node.Now, Node.Wall,
-                      Effects);
+    actions::afterRun(Node, *Attempt, Outcome, Effects);
   }
   Effects.push_back(EndAttempt{Id, Outcome});
 }
@@ -170,7 +173,10 @@
   if (Found == Node.Owner.Attempts.end())
     return;
   base::ServiceName Service = Found->second->Facts.Service;
-  endAttempt(Node, Ended.Attempt, outcomeOf(Ended.Outcome), Effects);
+  AttemptOutcome Outcome = outcomeOf(Ended.Outcome);
+  Found->second->AnswerBytes = Ended.Outcome.AnswerBytes;
+  actions::judgeDeath(Node, *Found->second, Ended.Outcome, Outcome, Effects);
+  endAttempt(Node, Ended.Attempt, Outcome, Effects);
   runQueued(Node, Service, Effects);
 }
 
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -1,6 +1,8 @@
 #include "currantgauge/core/reduce.h"
 
 #include "currantgauge/actions/action_ids.h"
+#include "currantgauge/actions/claim_store.h"
+#include "currantgauge/actions/quarantine.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
@@ -38,11 +40,15 @@
     onBackendAnnounced(Node, E, Effects);
   }
   void operator()(const PeerMessageArrived &E) {
+    actions::mergeQuarantine(Node, E.Message.Quarantine, Effects);
     membership::onMessage(Node.Membership, Node.Routing, E.Message, Node.Now,
                           Effects);
   }
   void operator()(const PeerSendFailed &) {}
-  void operator()(const StoreAnswered &) {}
+  void operator()(const StoreAnswered &E) {
+    if (actions::onStoreAnswered(Node, E, Effects))
+      return;
+  }
   void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
   void operator()(const ConfigFetched &) {}
   void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -45,8 +45,11 @@
   std::uint32_t Attempts = 0;
   std::vector<base::BackendName> Tried;
   base::BackendName CurrentServer;
-  bool Committed = false;  // bytes of an answer went to the caller
-  bool MayHaveRun = false; // some attempt may have run
+  base::Fingerprint Print;
+  bool Permitted = false;      // holds the permission of its action id
+  std::uint32_t Referrals = 0; // to nodes that know more of its action
+  bool Committed = false;      // bytes of an answer went to the caller
+  bool MayHaveRun = false;     // some attempt may have run
   base::Reason LastWhy = base::Reason::None;
 };
 
