Drive the reducers through 20,000 seeded schedules of faults

Two entries and two owners (each node takes callers), small fakes for network, store and backend servers: loss, delay, reordering, pause, restart, store outages, lost and late store answers, asks repeated at other entries, with another body, and 11 minutes later when nodes have forgotten. Checked: an action runs at most once, every NotRun never ran, every Ran answer is that request's, every request ends.

--- /dev/null
+++ b/currantgauge/actions/schedule_test.cc
@@ -0,0 +1,71 @@
+#include "tests/stand_ins/schedule.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+namespace currantgauge::actions {
+namespace {
+
+using stand_ins::Breakage;
+using stand_ins::runSchedule;
+using stand_ins::ScheduleResult;
+
+constexpr std::uint64_t FirstSeed = 1;
+constexpr std::uint64_t Schedules = 20000;
+constexpr std::uint64_t BrokenSchedules = 4000;
+
+std::uint64_t countBroken(Breakage Broken, std::uint64_t Count) {
+  std::uint64_t Violated = 0;
+  for (std::uint64_t Seed = FirstSeed; Seed < FirstSeed + Count; ++Seed)
+    if (!runSchedule(Seed, Broken).Violations.empty())
+      ++Violated;
+  return Violated;
+}
+
+} // namespace
+
+TEST_CASE("no action runs twice and no verdict is false in any schedule") {
+  std::map<std::string, std::uint64_t> Endings;
+  std::uint64_t Runs = 0;
+  for (std::uint64_t Seed = FirstSeed; Seed < FirstSeed + Schedules; ++Seed) {
+    ScheduleResult Result = runSchedule(Seed, Breakage::None);
+    for (const std::string &Violation : Result.Violations)
+      FAIL_CHECK("seed " << Seed << ": " << Violation);
+    for (const auto &[Name, Count] : Result.Endings)
+      Endings[Name] += Count;
+    Runs += Result.Runs;
+  }
+  for (const auto &[Name, Count] : Endings)
+    MESSAGE(Name << ": " << Count);
+  MESSAGE("runs: " << Runs);
+  // The schedules reach what they are for.
+  CHECK(Runs > Schedules / 2);
+  CHECK(Endings["ran"] > Schedules / 2);
+  for (const char *Name :
+       {"answers repeated", "not_run action_mismatch",
+        "not_run store_unavailable", "may_have_run action_running",
+        "may_have_run action_lost", "may_have_run action_foreign",
+        "may_have_run action_expired", "may_have_run peer_lost",
+        "not_run peer_unavailable", "may_have_run deadline_passed"})
+    CHECK_MESSAGE(Endings[Name] > 0, Name);
+}
+
+TEST_CASE("a guard that trusts a lost answer is seen") {
+  CHECK(countBroken(Breakage::UnknownTakenAsDone, BrokenSchedules) > 0);
+}
+
+TEST_CASE("a guard that ignores a failed condition is seen") {
+  CHECK(countBroken(Breakage::ConditionIgnored, BrokenSchedules) > 0);
+}
+
+TEST_CASE("a lost peer that counts as not run is seen") {
+  CHECK(countBroken(Breakage::LostPeerIsNotRun, BrokenSchedules) > 0);
+}
+
+TEST_CASE("a restarted node that keeps its incarnation is seen") {
+  CHECK(countBroken(Breakage::LifeIsKept, BrokenSchedules) > 0);
+}
+
+} // namespace currantgauge::actions
