--- /dev/null
+++ b/currantgauge/actions/claims_test.cc
@@ -0,0 +1,191 @@
+#include "currantgauge/actions/claims.h"
+
+#include "currantgauge/actions/action_ids.h"
+#include "currantgauge/actions/claim_row.h"
+#include "currantgauge/actions/claim_store.h"
+#include "currantgauge/actions/row_cleanup.h"
+#include "currantgauge/base/memory_store.h"
+#include "currantgauge/core/reduce.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::actions {
+namespace {
+
+constexpr base::TimePoint Start{1000};
+const base::BackendName Server("s1");
+
+core::State makeNode() {
+  core::NodeIdentity Self;
+  Self.Name = base::NodeName("a");
+  Self.Life = base::Incarnation(1);
+  Self.ActionSecret = "secret";
+  core::State Node = core::makeState(Self, 1);
+  Node.Now = Start;
+  Node.Routing.Servers[Server].Record.Name = Server;
+  return Node;
+}
+
+admission::QueuedAttemptPtr addAttempt(core::State &Node, const char *Key,
+                                       std::uint64_t Sequence) {
+  admission::QueuedAttemptPtr Attempt(new admission::QueuedAttempt);
+  Attempt->Facts.Attempt = base::AttemptId{9, Sequence};
+  Attempt->Facts.Kind = base::KindName("commit");
+  Attempt->Facts.Key = base::IdempotencyKey(Key);
+  Attempt->Facts.Idempotent = false;
+  Attempt->Server = Server;
+  Attempt->Deadline = Start + base::seconds(10);
+  Node.Owner.Attempts[Attempt->Facts.Attempt] = Attempt;
+  return Attempt;
+}
+
+template <typename What>
+std::vector<What> takeAll(const core::EffectList &Effects) {
+  std::vector<What> Found;
+  for (const core::Effect &Item : Effects)
+    if (const What *Match = std::get_if<What>(&Item))
+      Found.push_back(*Match);
+  return Found;
+}
+
+// Answers store calls until none is left; returns all effects.
+core::EffectList settle(core::State &Node, base::MemoryStore &Store,
+                        core::EffectList Effects) {
+  for (std::size_t At = 0; At < Effects.size(); ++At)
+    if (const auto *Call = std::get_if<core::CallStore>(&Effects[At])) {
+      core::StoreAnswered Answer{Call->Call,
+                                 base::applyOperation(Store, Call->Operation)};
+      onStoreAnswered(Node, Answer, Effects);
+    }
+  return Effects;
+}
+
+} // namespace
+
+TEST_CASE("claims of one moment share a transaction, one that fails no other") {
+  core::State Node = makeNode();
+  base::MemoryStore Store;
+  ClaimRow Foreign;
+  Foreign.Holder = base::NodeName("b");
+  admission::QueuedAttemptPtr First = addAttempt(Node, "k0", 1);
+  core::EffectList Effects;
+  startClaim(Node, *First, Effects);
+  for (int Number = 1; Number <= 10; ++Number) {
+    std::string Key = "k" + std::to_string(Number);
+    auto Attempt = addAttempt(Node, Key.c_str(), 1 + Number);
+    CHECK(startClaim(Node, *Attempt, Effects).What == GuardDecision::Wait);
+    if (Number == 5)
+      Store.Tables[ClaimTable][claimKey(Attempt->Facts)] =
+          base::MemoryRow{encodeRow(Foreign), 1};
+  }
+  CHECK(takeAll<core::CallStore>(Effects).size() == 1);
+  Effects = settle(Node, Store, std::move(Effects));
+  // The first alone, the ten others together, and nine without the failed one.
+  CHECK(takeAll<core::CallStore>(Effects).size() == 3);
+  CHECK(takeAll<core::SendToBackend>(Effects).size() == 10);
+  auto Ended = takeAll<core::EndAttempt>(Effects);
+  REQUIRE(Ended.size() == 1);
+  CHECK(Ended[0].Outcome.Elsewhere == base::NodeName("b"));
+  CHECK(Ended[0].Outcome.What == base::Verdict::MayHaveRun);
+}
+
+TEST_CASE("a failed transaction that names no row is split until it is found") {
+  core::State Node = makeNode();
+  core::EffectList Effects;
+  startClaim(Node, *addAttempt(Node, "first", 1), Effects);
+  for (int Number = 2; Number <= 9; ++Number)
+    startClaim(
+        Node, *addAttempt(Node, ("k" + std::to_string(Number)).c_str(), Number),
+        Effects);
+  std::size_t Reads = 0;
+  for (std::size_t At = 0; At < Effects.size(); ++At) {
+    const auto *Call = std::get_if<core::CallStore>(&Effects[At]);
+    if (!Call)
+      continue;
+    core::StoreAnswered Answer{Call->Call, {}};
+    const auto *Writes = std::get_if<base::WriteRows>(&Call->Operation);
+    Answer.Result.Status = base::StoreStatus::NotFound;
+    if (!Writes)
+      ++Reads;
+    else if (Writes->Rows.size() > 1 || At > 0)
+      Answer.Result.Status = base::StoreStatus::ConditionFailed;
+    else
+      Answer.Result.Status = base::StoreStatus::Done;
+    onStoreAnswered(Node, Answer, Effects);
+  }
+  CHECK(Reads == 8);
+  for (const auto &Ended : takeAll<core::EndAttempt>(Effects))
+    CHECK(Ended.Outcome.Why == base::Reason::StoreUnavailable);
+  CHECK(takeAll<core::EndAttempt>(Effects).size() == 8);
+}
+
+TEST_CASE("while the store fails only one claim waits for it") {
+  core::State Node = makeNode();
+  Node.Actions.StoreFailing = true;
+  core::EffectList Effects;
+  CHECK(startClaim(Node, *addAttempt(Node, "a", 1), Effects).What ==
+        GuardDecision::Wait);
+  GuardAnswer Second = startClaim(Node, *addAttempt(Node, "b", 2), Effects);
+  CHECK(Second.What == GuardDecision::Refuse);
+  CHECK(Second.Outcome.What == base::Verdict::NotRun);
+  CHECK(Second.Outcome.Why == base::Reason::StoreUnavailable);
+}
+
+TEST_CASE("an owner runs an action by id with its permission alone") {
+  core::State Node = makeNode();
+  auto Attempt = addAttempt(Node, "", 1);
+  Attempt->Facts.Action = base::ActionToken("1.1.1.1.b.00");
+  core::EffectList Effects;
+  GuardAnswer Guard = startPermitted(Node, *Attempt, Effects);
+  CHECK(Guard.What == GuardDecision::Refuse);
+  CHECK(Guard.Outcome.What == base::Verdict::MayHaveRun);
+  Attempt->Facts.Permitted = true;
+  CHECK(startPermitted(Node, *Attempt, Effects).What == GuardDecision::Run);
+  CHECK(startPermitted(Node, *Attempt, Effects).What == GuardDecision::Refuse);
+}
+
+TEST_CASE("an id placed at its own issuer is not given out a second time") {
+  core::State Node = makeNode();
+  core::EffectList Effects;
+  onActionIdAsked(Node, core::ActionIdAsked{base::RequestId{1, 1}}, Effects);
+  core::RequestFacts Facts;
+  Facts.Request = base::RequestId{1, 2};
+  Facts.Action = takeAll<core::AnswerActionId>(Effects).at(0).Action;
+  CHECK(askAsEntry(Node, Facts).Permitted);
+  notePlaced(Node, Facts, Node.Self.Name);
+  noteRequestEnded(Node, Facts);
+  CHECK(askAsEntry(Node, Facts).Elsewhere == Node.Self.Name);
+  core::AttemptFacts Attempt;
+  Attempt.Action = Facts.Action;
+  Attempt.Entry = Node.Self.Name;
+  core::AttemptOutcome Answer = askForId(Node, Attempt);
+  CHECK_FALSE(Answer.Permitted);
+  CHECK(Answer.What == base::Verdict::MayHaveRun);
+  CHECK(Answer.Elsewhere.empty());
+}
+
+TEST_CASE("rows past their retention are removed in one transaction") {
+  core::State Node = makeNode();
+  base::MemoryStore Store;
+  Node.Wall.Millis = 2 * base::toMillis(RowRetention);
+  for (int Number = 0; Number < 50; ++Number) {
+    ClaimRow Row;
+    Row.Written.Millis = Number < 30 ? 0 : Node.Wall.Millis - 1000;
+    Store.Tables[ClaimTable]["~" + std::to_string(Number)] =
+        base::MemoryRow{encodeRow(Row), 1};
+  }
+  core::EffectList Effects;
+  startCleanup(Node, Effects);
+  CHECK(Effects.empty());
+  Node.Now = Node.Actions.NextScan;
+  startCleanup(Node, Effects);
+  Effects = settle(Node, Store, std::move(Effects));
+  CHECK(Effects.size() == 2);
+  CHECK(Store.Tables[ClaimTable].size() == 20);
+}
+
+} // namespace currantgauge::actions
--- a/currantgauge/actions/guard.cc
+++ b/currantgauge/actions/guard.cc
@@ -52,7 +52,7 @@
 void afterRun(core::State &Node, const admission::QueuedAttempt &Attempt,
               const core::AttemptOutcome &Outcome, core::EffectList &Effects) {
   if (Outcome.What == base::Verdict::Ran)
-    exonerate(Node.Actions, Attempt.Facts.Print);
+    exonerate(Node, Attempt.Facts.Print);
   if (isGuarded(Attempt.Facts))
     finishClaim(Node, Attempt, Outcome, Effects);
 }
@@ -61,7 +61,8 @@
   Node.Actions.StoreFailing = false;
   forgetOldAnswers(Node, Effects);
   forgetOldIds(Node);
-  forgetOldSuspects(Node);
+  confirmSilentDeaths(Node, Effects);
+  forgetOldQuarantine(Node);
   flushWrites(Node, Effects);
   startCleanup(Node, Effects);
   core::setTimer(Node.Timers, Node.Now + ActionRoundInterval,
--- a/currantgauge/actions/kept_answers.cc
+++ b/currantgauge/actions/kept_answers.cc
@@ -5,7 +5,7 @@
 namespace currantgauge::actions {
 namespace {
 
-constexpr std::size_t RetainedLimit = 20000;
+constexpr std::size_t RetainedLimit = 4000; // claims, answers among them
 constexpr base::ByteCount KeptBytesLimit{16 * 1024 * 1024};
 
 bool isBeyondBounds(const core::State &Node, const Retained &Oldest) {
--- a/currantgauge/actions/quarantine.cc
+++ b/currantgauge/actions/quarantine.cc
@@ -6,16 +6,21 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::actions {
 namespace {
 
+using membership::QuarantineRecord;
+
 constexpr std::size_t DeathsToQuarantine = 2; // different backend servers
 constexpr base::Duration SuspicionTime = base::minutes(10);
-constexpr std::size_t SuspectLimit = 10000;
+constexpr std::size_t RecordLimit = 10000;
+constexpr std::size_t HintLimit = 1000;
+constexpr base::Duration RenewalDelay = base::milliseconds(500);
 
-bool isConfirmed(const Suspect &Of) {
-  return !Of.Record.Cleared && Of.Record.Crashed.size() >= DeathsToQuarantine;
+bool isConfirmed(const QuarantineRecord &Of) {
+  return !Of.Cleared && Of.Crashed.size() >= DeathsToQuarantine;
 }
 
 std::string printText(base::Fingerprint Print) {
@@ -33,72 +38,73 @@
   return Text;
 }
 
-Suspect *findSuspect(ActionState &State, base::Fingerprint Print) {
-  auto Found = State.Suspects.find(Print);
-  return Found == State.Suspects.end() ? nullptr : &Found->second;
-}
-
-// Returns true when the death of Server was news.
-bool addDeath(Suspect &Of, const base::BackendName &Server) {
-  auto &Crashed = Of.Record.Crashed;
-  if (std::find(Crashed.begin(), Crashed.end(), Server) != Crashed.end())
-    return false;
-  Crashed.push_back(Server);
-  std::sort(Crashed.begin(), Crashed.end());
-  return true;
+QuarantineRecord *findRecord(core::State &Node, base::Fingerprint Print) {
+  auto Found = Node.Actions.Quarantine.find(Print);
+  return Found == Node.Actions.Quarantine.end() ? nullptr : &Found->second;
 }
 
-void tellPeers(core::State &Node, const Suspect &Of) {
-  // membership::queueRumour(Node.Membership, Of.Record) spreads it.
+void tellPeers(core::State &Node, const QuarantineRecord &Of) {
+  // Hook: membership::queueRumour(Node.Membership, Of);
 }
 
-void logQuarantine(const Suspect &Of, core::EffectList &Effects) {
+void logQuarantine(const QuarantineRecord &Of, core::EffectList &Effects) {
   Effects.push_back(core::LogLine{core::LogLevel::Warn,
                                   "request_quarantined",
-                                  {{"fingerprint", printText(Of.Record.Print)},
-                                   {"service", Of.Record.Service.Value},
-                                   {"kind", Of.Record.Kind.Value},
-                                   {"servers", joined(Of.Record.Crashed)}}});
-}
-
-Suspect &suspectFor(core::State &Node, base::Fingerprint Print) {
-  auto [Place, New] = Node.Actions.Suspects.try_emplace(Print);
-  Place->second.LastSeen = Node.Now;
-  return Place->second;
+                                  {{"fingerprint", printText(Of.Print)},
+                                   {"service", Of.Service.Value},
+                                   {"kind", Of.Kind.Value},
+                                   {"servers", joined(Of.Crashed)}}});
+}
+
+// A death after a clearing starts anew, under a later time: of a cleared and
+// an open record the later one holds.
+void addDeath(QuarantineRecord &Of, const base::BackendName &Server,
+              base::UnixTime Wall) {
+  if (Of.Cleared) {
+    Of.Cleared = false;
+    Of.Crashed.clear();
+    Wall.Millis = std::max(Wall.Millis, Of.Since.Millis + 1);
+  }
+  Of.Since = std::max(Of.Since, Wall);
+  Of.Crashed.push_back(Server);
+  std::sort(Of.Crashed.begin(), Of.Crashed.end());
 }
 
-// A death after an operator's clearing starts anew, under a later time.
-void restart(Suspect &Of, base::UnixTime Wall) {
-  Of.Record.Cleared = false;
-  Of.Record.Crashed.clear();
-  Of.Record.Since.Millis = std::max(Wall.Millis, Of.Record.Since.Millis + 1);
+bool contains(const std::vector<base::BackendName> &Names,
+              const base::BackendName &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
 
-void mergeRecord(core::State &Node, const membership::QuarantineRecord &Word,
-                 core::EffectList &Effects) {
-  if (!findSuspect(Node.Actions, Word.Print) &&
-      Node.Actions.Suspects.size() >= SuspectLimit)
+void noteDeath(core::State &Node, const DeathHint &Hint,
+               core::EffectList &Effects) {
+  auto &Table = Node.Actions.Quarantine;
+  if (!findRecord(Node, Hint.Print) && Table.size() >= RecordLimit)
     return;
-  Suspect &Of = suspectFor(Node, Word.Print);
+  QuarantineRecord &Of = Table[Hint.Print];
   bool Was = isConfirmed(Of);
-  membership::QuarantineRecord &Mine = Of.Record;
-  bool Newer = Mine.Print != Word.Print || Word.Since > Mine.Since;
-  if (Newer && (Word.Cleared || Mine.Cleared || Mine.Crashed.empty())) {
-    Mine = Word;
-    std::erase_if(Mine.Crashed, [&](const base::BackendName &Server) {
-      return Of.Exonerated.contains(Server);
-    });
-  } else if (Word.Cleared && Word.Since >= Mine.Since) {
-    Mine.Cleared = true;
-  } else if (!Word.Cleared && !Mine.Cleared) {
-    for (const base::BackendName &Server : Word.Crashed)
-      if (!Of.Exonerated.contains(Server))
-        addDeath(Of, Server);
-  }
+  Of.Print = Hint.Print;
+  Of.Service = Hint.Service;
+  Of.Kind = Hint.Kind;
+  if (!Of.Cleared && contains(Of.Crashed, Hint.Server))
+    return;
+  addDeath(Of, Hint.Server, Node.Wall);
+  tellPeers(Node, Of);
   if (!Was && isConfirmed(Of))
     logQuarantine(Of, Effects);
 }
 
+bool diedElsewhere(const ActionState &State, base::Fingerprint Print,
+                   const base::BackendName &Here) {
+  for (const DeathHint &Hint : State.DeathHints)
+    if (Hint.Print == Print && Hint.Server != Here)
+      return true;
+  auto Found = State.Quarantine.find(Print);
+  return Found != State.Quarantine.end() && !Found->second.Cleared &&
+         std::any_of(
+             Found->second.Crashed.begin(), Found->second.Crashed.end(),
+             [&](const base::BackendName &Name) { return Name != Here; });
+}
+
 } // namespace
 
 base::Fingerprint fingerprintOf(const core::RequestFacts &Facts,
@@ -110,31 +116,8 @@
 }
 
 bool isQuarantined(const ActionState &State, base::Fingerprint Print) {
-  auto Found = State.Suspects.find(Print);
-  return Found != State.Suspects.end() && isConfirmed(Found->second);
-}
-
-void noteDeath(core::State &Node, base::Fingerprint Print,
-               const config::KindSettings &Kind,
-               const base::BackendName &Server, core::EffectList &Effects) {
-  if (!findSuspect(Node.Actions, Print) &&
-      Node.Actions.Suspects.size() >= SuspectLimit)
-    return;
-  Suspect &Of = suspectFor(Node, Print);
-  bool Was = isConfirmed(Of);
-  Of.Record.Print = Print;
-  Of.Record.Service = Kind.Service;
-  Of.Record.Kind = Kind.Name;
-  if (Of.Record.Cleared)
-    restart(Of, Node.Wall);
-  else if (Of.Record.Crashed.empty())
-    Of.Record.Since = std::max(Of.Record.Since, Node.Wall);
-  Of.Exonerated.erase(Server);
-  if (!addDeath(Of, Server))
-    return;
-  tellPeers(Node, Of);
-  if (!Was && isConfirmed(Of))
-    logQuarantine(Of, Effects);
+  auto Found = State.Quarantine.find(Print);
+  return Found != State.Quarantine.end() && isConfirmed(Found->second);
 }
 
 void judgeDeath(core::State &Node, const admission::QueuedAttempt &Attempt,
@@ -142,35 +125,63 @@
                 core::EffectList &Effects) {
   if (!Seen.ProcessDied || !Seen.AnyByteSent)
     return;
-  config::KindSettings Kind;
-  Kind.Name = Attempt.Facts.Kind;
-  Kind.Service = Attempt.Facts.Service;
-  noteDeath(Node, Attempt.Facts.Print, Kind, Attempt.Server, Effects);
   Outcome.ServerDied = true;
-  Outcome.RequestAtFault = isQuarantined(Node.Actions, Attempt.Facts.Print);
+  Outcome.RequestAtFault =
+      diedElsewhere(Node.Actions, Attempt.Facts.Print, Attempt.Server);
+  auto Server = Node.Routing.Servers.find(Attempt.Server);
+  if (Server == Node.Routing.Servers.end() ||
+      Node.Actions.DeathHints.size() >= HintLimit)
+    return;
+  Node.Actions.DeathHints.push_back(
+      DeathHint{Attempt.Facts.Print, Attempt.Facts.Service, Attempt.Facts.Kind,
+                Attempt.Server, Server->second.Record.Life, Node.Now});
+}
+
+// A renewal under the old incarnation proves that the process lives, unless it
+// was on its way when the process died.
+void onServerWord(core::State &Node, const base::BackendName &Server,
+                  base::Incarnation Life, core::EffectList &Effects) {
+  auto Settled = [&](const DeathHint &Hint) {
+    if (Hint.Server != Server)
+      return false;
+    if (Life > Hint.Life)
+      noteDeath(Node, Hint, Effects);
+    return Life > Hint.Life || Node.Now - Hint.Since > RenewalDelay;
+  };
+  std::erase_if(Node.Actions.DeathHints, Settled);
+}
+
+void confirmSilentDeaths(core::State &Node, core::EffectList &Effects) {
+  auto Settled = [&](const DeathHint &Hint) {
+    auto Found = Node.Routing.Servers.find(Hint.Server);
+    bool Silent = Found == Node.Routing.Servers.end() ||
+                  Found->second.Record.Phase == routing::BackendPhase::Gone;
+    if (Silent)
+      noteDeath(Node, Hint, Effects);
+    return Silent;
+  };
+  std::erase_if(Node.Actions.DeathHints, Settled);
 }
 
 // A popular request runs somewhere whenever a server dies for another reason;
-// a whole answer since then tells it from one that kills.
-void exonerate(ActionState &State, base::Fingerprint Print) {
-  Suspect *Of = findSuspect(State, Print);
-  if (!Of || Of->Record.Cleared || isConfirmed(*Of))
+// a whole answer since then tells it from one that kills. Since stays, so that
+// all nodes that find this out write the same record.
+void exonerate(core::State &Node, base::Fingerprint Print) {
+  if (!Node.Actions.DeathHints.empty())
+    std::erase_if(Node.Actions.DeathHints,
+                  [&](const DeathHint &Hint) { return Hint.Print == Print; });
+  QuarantineRecord *Of = findRecord(Node, Print);
+  if (!Of || Of->Cleared || isConfirmed(*Of))
     return;
-  Of->Exonerated.insert(Of->Record.Crashed.begin(), Of->Record.Crashed.end());
-  Of->Record.Crashed.clear();
-}
-
-void mergeQuarantine(core::State &Node,
-                     const std::vector<membership::QuarantineRecord> &Records,
-                     core::EffectList &Effects) {
-  for (const membership::QuarantineRecord &Word : Records)
-    mergeRecord(Node, Word, Effects);
+  Of->Cleared = true;
+  tellPeers(Node, *Of);
 }
 
-void forgetOldSuspects(core::State &Node) {
-  std::erase_if(Node.Actions.Suspects, [&](const auto &Item) {
+void forgetOldQuarantine(core::State &Node) {
+  std::erase_if(Node.Actions.Quarantine, [&](const auto &Item) {
     return !isConfirmed(Item.second) &&
-           Node.Now - Item.second.LastSeen > SuspicionTime;
+           Node.Wall.Millis - Item.second.Since.Millis >
+               base::toMillis(SuspicionTime);
   });
 }
 
@@ -180,14 +191,13 @@
       "quarantine",
       {"fingerprint", "service", "kind", "servers", "since", "state"},
       {}};
-  for (const auto &[Print, Of] : State.Suspects) {
-    const char *Phase = Of.Record.Cleared ? "cleared"
+  for (const auto &[Print, Of] : State.Quarantine) {
+    const char *Phase = Of.Cleared        ? "cleared"
                         : isConfirmed(Of) ? "quarantined"
                                           : "suspected";
-    if (Of.Record.Cleared || !Of.Record.Crashed.empty())
-      Table.Rows.push_back({printText(Print), Of.Record.Service.Value,
-                            Of.Record.Kind.Value, joined(Of.Record.Crashed),
-                            std::to_string(Of.Record.Since.Millis), Phase});
+    Table.Rows.push_back({printText(Print), Of.Service.Value, Of.Kind.Value,
+                          joined(Of.Crashed), std::to_string(Of.Since.Millis),
+                          Phase});
   }
   Reply.Tables.push_back(std::move(Table));
   return Reply;
@@ -196,13 +206,13 @@
 core::OperatorReply clearQuarantine(core::State &Node,
                                     base::Fingerprint Print) {
   core::OperatorReply Reply;
-  Suspect *Of = findSuspect(Node.Actions, Print);
+  QuarantineRecord *Of = findRecord(Node, Print);
   if (!Of) {
     Reply.Error = "no quarantined request " + printText(Print);
     return Reply;
   }
-  Of->Record.Cleared = true;
-  Of->LastSeen = Node.Now;
+  Of->Cleared = true;
+  Of->Since = std::max(Of->Since, Node.Wall);
   tellPeers(Node, *Of);
   Reply.Fields = {{"fingerprint", printText(Print)}, {"state", "cleared"}};
   return Reply;
--- a/currantgauge/actions/quarantine.h
+++ b/currantgauge/actions/quarantine.h
@@ -13,8 +13,6 @@
 #include "currantgauge/core/operator.h"
 #include "currantgauge/core/state.h"
 
-#include <vector>
-
 namespace currantgauge::actions {
 
 // fingerprintOf() identifies what a request asks for: its service, kind,
@@ -25,26 +23,26 @@
 // isQuarantined() is true for requests that must not run.
 bool isQuarantined(const ActionState &State, base::Fingerprint Print);
 
-// noteDeath() notes that a server died while it ran the request.
-void noteDeath(core::State &Node, base::Fingerprint Print,
-               const config::KindSettings &Kind,
-               const base::BackendName &Server, core::EffectList &Effects);
-
-// judgeDeath() does so at the owner and marks the outcome.
+// judgeDeath() looks at how an exchange ended at the owner and marks the
+// outcome. A broken connection is a hint alone: the server's next announcement
+// or its silence tells whether its process died.
 void judgeDeath(core::State &Node, const admission::QueuedAttempt &Attempt,
                 const core::BackendOutcome &Seen, core::AttemptOutcome &Outcome,
                 core::EffectList &Effects);
 
-// exonerate() clears suspicion after a whole answer to such a request.
-void exonerate(ActionState &State, base::Fingerprint Print);
+// onServerWord() settles hints by an announcement of the server.
+void onServerWord(core::State &Node, const base::BackendName &Server,
+                  base::Incarnation Life, core::EffectList &Effects);
+
+// confirmSilentDeaths() settles hints of servers whose lease has passed.
+void confirmSilentDeaths(core::State &Node, core::EffectList &Effects);
 
-// mergeQuarantine() takes in what another node knows.
-void mergeQuarantine(core::State &Node,
-                     const std::vector<membership::QuarantineRecord> &Records,
-                     core::EffectList &Effects);
+// exonerate() clears a suspicion after a whole answer to such a request.
+void exonerate(core::State &Node, base::Fingerprint Print);
 
-// forgetOldSuspects() drops suspicions that no second death confirmed.
-void forgetOldSuspects(core::State &Node);
+// forgetOldQuarantine() drops suspicions that no second death confirmed, and
+// old clearings.
+void forgetOldQuarantine(core::State &Node);
 
 // listQuarantine() and clearQuarantine() answer operators.
 core::OperatorReply listQuarantine(const ActionState &State);
--- a/currantgauge/actions/state.h
+++ b/currantgauge/actions/state.h
@@ -1,6 +1,6 @@
 // Non-idempotent actions: claims, action ids, kept answers and quarantine.
 //
-//   if (State.Quarantine.contains(Print)) refuse(Reason::Quarantined);
+//   const Claim &Of = State.Claims.at(claimKey(Facts));
 #ifndef CURRANTGAUGE_ACTIONS_STATE_H
 #define CURRANTGAUGE_ACTIONS_STATE_H
 
@@ -69,19 +69,22 @@
   base::AttemptId Attempt;
 };
 
-// Suspect is a request that was running when backend servers died.
-struct Suspect {
-  membership::QuarantineRecord Record;
-  std::set<base::BackendName> Exonerated; // deaths before a whole answer
-  base::TimePoint LastSeen;
-};
-
 // Transaction is the one write of claims in flight.
 struct Transaction {
   base::CallId Call;
   std::vector<std::string> Keys;
 };
 
+// DeathHint is an exchange that broke as if the server's process had died.
+struct DeathHint {
+  base::Fingerprint Print;
+  base::ServiceName Service;
+  base::KindName Kind;
+  base::BackendName Server;
+  base::Incarnation Life; // of the server
+  base::TimePoint Since;
+};
+
 // ActionState is what a node knows of actions.
 struct ActionState {
   std::map<std::string, Claim> Claims; // by row key, or by id
@@ -102,7 +105,10 @@
   std::map<base::ActionToken, IdRecord> Ids;
   std::multimap<base::TimePoint, base::ActionToken> IdsByAge;
 
-  std::map<base::Fingerprint, Suspect> Suspects; // quarantined ones as well
+  // Requests that were running when a server died: suspected after one,
+  // quarantined after two, or cleared. Nodes tell each other of them.
+  std::map<base::Fingerprint, membership::QuarantineRecord> Quarantine;
+  std::vector<DeathHint> DeathHints; // until its server's word tells
 };
 
 } // namespace currantgauge::actions
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -14,6 +14,8 @@
 
 constexpr std::uint32_t AttemptLimit = 3;  // of one request
 constexpr std::uint32_t ReferralLimit = 4; // of one request
+// A request that two servers died with is not tried on a third.
+constexpr std::uint32_t DeathLimit = 2;
 constexpr base::Duration DefaultDeadline = base::seconds(30);
 // What an attempt's deadline is ahead of its request's, so that the owner's
 // answer arrives before the entry gives up.
@@ -220,7 +222,8 @@
 
 bool scheduleRetry(State &Node, EntryRequest &Request,
                    const AttemptOutcome &Outcome, EffectList &Effects) {
-  if (!mayRetry(Request, Outcome) || isFinal(Outcome.Why))
+  if (!mayRetry(Request, Outcome) || isFinal(Outcome.Why) ||
+      Request.Deaths >= DeathLimit)
     return false;
   base::TimePoint At =
       Node.Now + admission::retryDelay(Request.Attempts + 1, Node.Source);
@@ -333,8 +336,7 @@
   if (Outcome.What != base::Verdict::NotRun)
     Request->MayHaveRun = true;
   if (Outcome.ServerDied)
-    actions::noteDeath(Node, Request->Print, Request->Kind, Outcome.Server,
-                       Effects);
+    ++Request->Deaths;
   if (followAction(Node, *Request, Outcome, Effects))
     return;
   if (!isFailure(Outcome))
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -155,6 +155,8 @@
 
 void onBackendAnnounced(State &Node, const BackendAnnounced &Announced,
                         EffectList &Effects) {
+  actions::onServerWord(Node, Announced.Word.Name, Announced.Word.Life,
+                        Effects);
   if (!routing::announce(Node.Routing, Announced.Word, Node.Now))
     return;
   Effects.push_back(LogLine{LogLevel::Info,
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -2,7 +2,6 @@
 
 #include "currantgauge/actions/action_ids.h"
 #include "currantgauge/actions/claim_store.h"
-#include "currantgauge/actions/quarantine.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
@@ -40,7 +39,6 @@
     onBackendAnnounced(Node, E, Effects);
   }
   void operator()(const PeerMessageArrived &E) {
-    actions::mergeQuarantine(Node, E.Message.Quarantine, Effects);
     membership::onMessage(Node.Membership, Node.Routing, E.Message, Node.Now,
                           Effects);
   }
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -47,6 +47,7 @@
   base::BackendName CurrentServer;
   base::Fingerprint Print;
   bool Permitted = false;      // holds the permission of its action id
+  std::uint32_t Deaths = 0;    // of servers while they ran it
   std::uint32_t Referrals = 0; // to nodes that know more of its action
   bool Committed = false;      // bytes of an answer went to the caller
   bool MayHaveRun = false;     // some attempt may have run
