--- a/currantgauge/actions/claim_store.cc
+++ b/currantgauge/actions/claim_store.cc
@@ -165,7 +165,8 @@
 
 void flushWrites(core::State &Node, core::EffectList &Effects) {
   ActionState &State = Node.Actions;
-  if (State.InFlight)
+  bool UpkeepDue = State.UpkeepDue || Node.Stopping;
+  if (State.InFlight || (State.ClaimQueue.empty() && !UpkeepDue))
     return;
   std::size_t Limit = State.RowLimit == 0 ? TransactionRows : State.RowLimit;
   Transaction Next;
@@ -173,6 +174,7 @@
   takeFrom(Node, State.ClaimQueue, Limit, Next, Rows);
   if (!State.StoreFailing)
     takeFrom(Node, State.UpkeepQueue, Limit, Next, Rows);
+  State.UpkeepDue = !State.UpkeepQueue.empty() && State.UpkeepDue;
   if (Next.Keys.empty())
     return;
   Next.Call = core::nextCall(Node);
--- a/currantgauge/actions/claims.cc
+++ b/currantgauge/actions/claims.cc
@@ -82,6 +82,7 @@
   Of.NeverRan.insert(Of.Attempt);
   Of.Phase = ClaimPhase::Releasing;
   queueWrite(Node, Key, ClaimWrite::Remove);
+  Node.Actions.UpkeepDue = true;
 }
 
 // The row names this node and attempt: from here on the attempt alone may run.
--- a/currantgauge/actions/guard.cc
+++ b/currantgauge/actions/guard.cc
@@ -59,6 +59,7 @@
 
 void onActionRound(core::State &Node, core::EffectList &Effects) {
   Node.Actions.StoreFailing = false;
+  Node.Actions.UpkeepDue = true;
   forgetOldAnswers(Node, Effects);
   forgetOldIds(Node);
   confirmSilentDeaths(Node, Effects);
--- a/currantgauge/actions/state.h
+++ b/currantgauge/actions/state.h
@@ -90,6 +90,7 @@
   std::map<std::string, Claim> Claims; // by row key, or by id
   std::deque<std::string> ClaimQueue;  // rows that an attempt waits for
   std::deque<std::string> UpkeepQueue; // done marks and removals
+  bool UpkeepDue = false; // else they wait for a transaction of claims
   std::optional<Transaction> InFlight;
   std::size_t RowLimit = 0; // of the next transaction; 0: the usual one
   std::map<base::CallId, std::string> Reads; // settling reads, by claim
