Try a write again when the service asks for fewer calls

Cause: a 429 ended a whole transaction of claims as store_unavailable, each time the client felt for the fleet's limit. A 429 proves that nothing was applied, so the client now waits at its halved rate and sends it again within the time limit. Test: a write refused twice is applied once; 503 and lost answers are still never repeated.

--- a/currantgauge/platform/store_client.cc
+++ b/currantgauge/platform/store_client.cc
@@ -111,10 +111,18 @@
   co_return Parser.release();
 }
 
+// Tried is how one try went. Limited: the service asked for fewer calls, and
+// certainly applied nothing.
+struct Tried {
+  base::StoreResult Result;
+  bool Limited = false;
+};
+
 // exchange() is one try on one connection.
-asio::awaitable<base::StoreResult>
-exchange(StoreClient &Client, const base::StoreOperation &Operation,
-         const StoreRequest &Request, Clock::time_point Deadline) {
+asio::awaitable<Tried> exchange(StoreClient &Client,
+                                const base::StoreOperation &Operation,
+                                const StoreRequest &Request,
+                                Clock::time_point Deadline) {
   bool MayBeApplied = false;
   try {
     StreamPtr Stream = co_await connect(Client, Deadline);
@@ -126,14 +134,15 @@
                Client.Limits.LowestPerSecond, Response.result_int());
     if (Response.keep_alive())
       putIdle(Client, std::move(Stream));
-    co_return decodeAnswer(Operation, Response);
+    co_return Tried{decodeAnswer(Operation, Response),
+                    Response.result_int() == HttpTooManyRequests};
   } catch (const std::exception &) {
     // Connections to one place tend to die together.
     Client.Idle.clear();
     base::StoreResult Failed;
     Failed.Status = MayBeApplied ? base::StoreStatus::Unknown
                                  : base::StoreStatus::Unavailable;
-    co_return Failed;
+    co_return Tried{Failed, false};
   }
 }
 
@@ -154,23 +163,23 @@
            const StoreRequest &Request, Clock::time_point Deadline) {
   bool Write = isWrite(Operation);
   CallRate &Rate = Write ? Client.Writes : Client.Reads;
-  base::StoreResult Result;
+  Tried Last;
   for (int Try = 0;; ++Try) {
     Clock::time_point Start = reserve(Rate, Client.Limits.Burst, Clock::now());
     if (Start >= Deadline)
-      co_return Result;
+      co_return Last.Result;
     if (Start > Clock::now())
       co_await sleepUntil(Start);
     Clock::time_point Now = Clock::now();
-    Result = co_await exchange(Client, Operation, Request,
-                               Write ? Deadline
-                                     : Now + (Deadline - Now) / ReadTryShare);
-    if (Write || Result.Status != base::StoreStatus::Unavailable)
-      co_return Result;
-    Clock::time_point Again = backoff(Client, Try);
-    if (Again >= Deadline)
-      co_return Result;
-    co_await sleepUntil(Again);
+    Last = co_await exchange(Client, Operation, Request,
+                             Write ? Deadline
+                                   : Now + (Deadline - Now) / ReadTryShare);
+    bool Again = Last.Limited || (!Write && Last.Result.Status ==
+                                                base::StoreStatus::Unavailable);
+    Clock::time_point Next = backoff(Client, Try);
+    if (!Again || Next >= Deadline)
+      co_return Last.Result;
+    co_await sleepUntil(Next);
   }
 }
 
--- a/currantgauge/platform/store_client.h
+++ b/currantgauge/platform/store_client.h
@@ -66,8 +66,9 @@
 };
 
 // callStore() carries out an operation and calls OnResult on a thread of Io
-// within TimeLimit. A read is repeated after a failure; a write is sent once:
-// Unavailable says that it was never applied, Unknown that it may have been.
+// within TimeLimit. A read is repeated after a failure. A write is repeated
+// only when the service asked for fewer calls: Unavailable says that it was
+// never applied, Unknown that it may have been.
 // Calls come from one thread.
 void callStore(StoreClient &Client, boost::asio::io_context &Io,
                const base::StoreOperation &Operation, base::Duration TimeLimit,
