--- a/currantgauge/http/caller_answer.cc
+++ b/currantgauge/http/caller_answer.cc
@@ -113,6 +113,26 @@
   return Answer;
 }
 
+TextResponse actionIdMessage(const core::AnswerActionId &Issued,
+                             bool KeepAlive) {
+  constexpr std::uint32_t Created = 201;
+  if (Issued.Action.empty())
+    return refusalMessage(core::RefuseRequest{Issued.Request,
+                                              base::Verdict::NotRun, Issued.Why,
+                                              base::seconds(1)},
+                          KeepAlive);
+  TextResponse Answer;
+  Answer.version(11);
+  Answer.result(Created);
+  Answer.set(beast::http::field::content_type, "application/json");
+  nlohmann::ordered_json Body = {{"action", Issued.Action.Value},
+                                 {"valid_ms", base::toMillis(Issued.ValidFor)}};
+  Answer.body() = Body.dump() + "\n";
+  Answer.keep_alive(KeepAlive);
+  Answer.prepare_payload();
+  return Answer;
+}
+
 TextResponse badRequestMessage(base::Reason Why, const std::string &Detail) {
   TextResponse Answer = errorMessage(statusOf(Why, base::Verdict::NotRun),
                                      base::Verdict::NotRun, Why, Detail);
--- a/currantgauge/http/caller_answer.h
+++ b/currantgauge/http/caller_answer.h
@@ -30,6 +30,10 @@
 // refusalMessage() returns the answer to a refused request.
 TextResponse refusalMessage(const core::RefuseRequest &Refusal, bool KeepAlive);
 
+// actionIdMessage() returns a new action id, or why there is none.
+TextResponse actionIdMessage(const core::AnswerActionId &Answer,
+                             bool KeepAlive);
+
 // badRequestMessage() returns the answer to input that is no request.
 TextResponse badRequestMessage(base::Reason Why, const std::string &Detail);
 
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/http/caller_answer.h"
 #include "currantgauge/http/caller_request.h"
+#include "currantgauge/http/fields.h"
 #include "currantgauge/http/wake.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,6 +46,7 @@
 struct Turn {
   std::optional<core::RefuseRequest> Refusal;
   std::optional<core::DeliverAnswer> Delivery;
+  std::optional<core::AnswerActionId> Issued;
   base::AttemptId Attempt;
   runtime::AnswerPipePtr Pipe;
   // What has arrived of Attempt's answer and was not yet passed on.
@@ -112,6 +114,9 @@
     onThread(Self, Sequence,
              [Refusal](Session &S) { S.Now.Refusal = Refusal; });
   };
+  Exchange->Issue = [Self, Sequence](const core::AnswerActionId &Issued) {
+    onThread(Self, Sequence, [Issued](Session &S) { S.Now.Issued = Issued; });
+  };
   return Exchange;
 }
 
@@ -238,6 +243,10 @@
       co_return false;
     }
     readParts(S);
+    if (S.Now.Issued) {
+      TextResponse Answer = actionIdMessage(*S.Now.Issued, KeepAlive);
+      co_return co_await writeMessage(S, Answer);
+    }
     if (S.Now.Refusal) {
       TextResponse Answer = refusalMessage(*S.Now.Refusal, KeepAlive);
       co_return co_await writeMessage(S, Answer);
@@ -305,6 +314,12 @@
   co_return false;
 }
 
+bool asksForActionId(const TextRequest &Request) {
+  return Request.method() == beast::http::verb::post &&
+         Request.target() ==
+             beast::string_view(ActionsPath.data(), ActionsPath.size());
+}
+
 asio::awaitable<bool> serveRequest(const SessionPtr &Self,
                                    const TextRequest &Request) {
   Session &S = *Self;
@@ -320,7 +335,10 @@
   S.Serving = Sequence;
   bool KeepAlive = Request.keep_alive() && !S.Context.Stopping;
   runtime::ControlInput Input;
-  Input.Body = core::RequestArrived{*Facts};
+  if (asksForActionId(Request))
+    Input.Body = core::ActionIdAsked{Facts->Request};
+  else
+    Input.Body = core::RequestArrived{*Facts};
   Input.Caller = makeExchange(Self, Sequence);
   Input.Message = readMessage(Request);
   S.Context.Post(std::move(Input));
--- a/currantgauge/http/fields.h
+++ b/currantgauge/http/fields.h
@@ -13,6 +13,8 @@
 constexpr std::string_view TimeoutField = "Currantgauge-Timeout-Ms";
 constexpr std::string_view KeyField = "Idempotency-Key";
 constexpr std::string_view ActionField = "Currantgauge-Action-Id";
+// Where callers ask for an action id, by POST.
+constexpr std::string_view ActionsPath = "/.currantgauge/actions";
 // What callers get; backend servers get the first as well.
 constexpr std::string_view RequestIdField = "Currantgauge-Request-Id";
 constexpr std::string_view VerdictField = "Currantgauge-Verdict";
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -198,6 +198,7 @@
   To.set_worth(From.Worth);
   To.set_idempotent(From.Idempotent);
   To.set_number(From.Number);
+  To.set_permitted(From.Permitted);
 }
 
 bool fromWire(const v1::AttemptFacts &From, core::AttemptFacts &To) {
@@ -219,6 +220,7 @@
   To.Worth = From.worth();
   To.Idempotent = From.idempotent();
   To.Number = From.number();
+  To.Permitted = From.permitted();
   return true;
 }
 
@@ -230,6 +232,9 @@
   To.set_server(From.Server.Value);
   toWire(From.Load, *To.mutable_load());
   To.set_elsewhere(From.Elsewhere.Value);
+  To.set_permitted(From.Permitted);
+  To.set_server_died(From.ServerDied);
+  To.set_request_at_fault(From.RequestAtFault);
 }
 
 bool fromWire(const v1::AttemptOutcome &From, core::AttemptOutcome &To) {
@@ -240,6 +245,9 @@
   if (From.has_load())
     fromWire(From.load(), To.Load);
   To.Elsewhere.Value = From.elsewhere();
+  To.Permitted = From.permitted();
+  To.ServerDied = From.server_died();
+  To.RequestAtFault = From.request_at_fault();
   return enumFromWire(From.verdict(), base::Verdict::Ran, To.What) &&
          enumFromWire(From.reason(), base::LastReason, To.Why);
 }
--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -104,6 +104,14 @@
   Self.Entries.erase(Found);
 }
 
+void carryOut(Node &Self, core::AnswerActionId &What) {
+  auto Found = Self.Entries.find(What.Request);
+  if (Found == Self.Entries.end())
+    return;
+  Found->second.Caller->Issue(What);
+  Self.Entries.erase(Found);
+}
+
 void carryOut(Node &Self, core::SendToBackend &What) {
   auto Found = Self.Owned.find(What.Attempt);
   if (Found == Self.Owned.end())
--- a/currantgauge/runtime/fields.h
+++ b/currantgauge/runtime/fields.h
@@ -23,7 +23,7 @@
   return requires { T{(static_cast<void>(I), AnyField{})...}; };
 }
 
-constexpr std::size_t MostFields = 18;
+constexpr std::size_t MostFields = 20;
 
 // countFields() is the largest number of initializers that T takes.
 template <typename T, std::size_t N = MostFields>
@@ -38,7 +38,7 @@
 
 } // namespace detail
 
-// forEachField() calls Call on each field of an aggregate of at most 18.
+// forEachField() calls Call on each field of an aggregate of at most 19.
 template <typename T, typename F> void forEachField(T &Value, F Call) {
   constexpr std::size_t N = detail::countFields<std::remove_const_t<T>>();
   static_assert(N < detail::MostFields, "too many fields for forEachField");
@@ -103,6 +103,16 @@
     Call(A), Call(B), Call(C), Call(D), Call(E), Call(G), Call(H), Call(I);
     Call(J), Call(K), Call(L), Call(M), Call(O), Call(P), Call(Q), Call(R);
     Call(S);
+  } else if constexpr (N == 18) {
+    auto &[A, B, C, D, E, G, H, I, J, K, L, M, O, P, Q, R, S, T0] = Value;
+    Call(A), Call(B), Call(C), Call(D), Call(E), Call(G), Call(H), Call(I);
+    Call(J), Call(K), Call(L), Call(M), Call(O), Call(P), Call(Q), Call(R);
+    Call(S), Call(T0);
+  } else if constexpr (N == 19) {
+    auto &[A, B, C, D, E, G, H, I, J, K, L, M, O, P, Q, R, S, T0, U] = Value;
+    Call(A), Call(B), Call(C), Call(D), Call(E), Call(G), Call(H), Call(I);
+    Call(J), Call(K), Call(L), Call(M), Call(O), Call(P), Call(Q), Call(R);
+    Call(S), Call(T0), Call(U);
   }
 }
 
--- a/currantgauge/runtime/node.cc
+++ b/currantgauge/runtime/node.cc
@@ -15,6 +15,8 @@
   if (auto *Arrival = std::get_if<core::RequestArrived>(&Input.Body))
     Self.Entries[Arrival->Facts.Request] =
         EntryHandle{Input.Caller, Input.Message, {}};
+  if (auto *Asked = std::get_if<core::ActionIdAsked>(&Input.Body))
+    Self.Entries[Asked->Request] = EntryHandle{Input.Caller, {}, {}};
   if (auto *Arrival = std::get_if<core::AttemptArrived>(&Input.Body)) {
     Input.Pipe->Record =
         !Arrival->Facts.Key.empty() || !Arrival->Facts.Action.empty();
