--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/core/operations.h"
 
+#include "currantgauge/actions/guard.h"
+#include "currantgauge/actions/quarantine.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/explain.h"
 #include "currantgauge/core/owner.h"
@@ -57,7 +59,9 @@
 }
 
 void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
-void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
+void onTimer(State &Node, const ActionRound &, EffectList &Effects) {
+  actions::onActionRound(Node, Effects);
+}
 
 void onTimer(State &Node, const RequestDeadline &Due, EffectList &Effects) {
   onRequestDeadline(Node, Due, Effects);
@@ -131,6 +135,14 @@
   return Reply;
 }
 
+OperatorReply answer(State &Node, const AskQuarantine &) {
+  return actions::listQuarantine(Node.Actions);
+}
+
+OperatorReply answer(State &Node, const AskQuarantineClear &Asked) {
+  return actions::clearQuarantine(Node, Asked.Print);
+}
+
 template <typename Query> OperatorReply answer(State &, const Query &) {
   OperatorReply Reply;
   Reply.Error = "this node does not answer that yet";
@@ -142,6 +154,7 @@
 void onStarted(State &Node, const Started &, EffectList &Effects) {
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
   setTimer(Node.Timers, Node.Now, GossipRound{});
+  setTimer(Node.Timers, Node.Now, ActionRound{});
   Effects.push_back(LogLine{LogLevel::Info,
                             "started",
                             {{"node", Node.Self.Name.Value},
@@ -158,7 +171,7 @@
 
 void stopWhenIdle(State &Node, EffectList &Effects) {
   if (Node.Stopping && Node.Entry.Requests.empty() &&
-      Node.Owner.Attempts.empty())
+      Node.Owner.Attempts.empty() && !actions::hasPendingWrites(Node))
     Effects.push_back(StopProcess{0});
 }
 
@@ -170,6 +183,8 @@
 
 void onBackendAnnounced(State &Node, const BackendAnnounced &Announced,
                         EffectList &Effects) {
+  actions::onServerWord(Node, Announced.Word.Name, Announced.Word.Life,
+                        Effects);
   if (!routing::announce(Node.Routing, Announced.Word, Node.Now))
     return;
   membership::queueRumour(Node.Membership,
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/core/reduce.h"
 
+#include "currantgauge/actions/action_ids.h"
+#include "currantgauge/actions/claim_store.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
@@ -45,12 +47,17 @@
   void operator()(const PeerSendFailed &E) {
     membership::onSendFailed(Node, E, Effects);
   }
+  // A call belongs to one component: each knows its own.
   void operator()(const StoreAnswered &E) {
-    membership::onStoreAnswered(Node, E, Effects);
+    if (!actions::onStoreAnswered(Node, E, Effects))
+      membership::onStoreAnswered(Node, E, Effects);
   }
   void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
   void operator()(const ConfigFetched &) {}
   void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
+  void operator()(const ActionIdAsked &E) {
+    actions::onActionIdAsked(Node, E, Effects);
+  }
 };
 
 void announceWakeUp(TimerQueue &Timers, EffectList &Effects) {
