Queue by rank with guaranteed shares, fair flows and early refusals

Cause: all ranks shared one bound, so a flood of the least urgent rank filled the queue, and a flood of the most urgent one left the others nothing.

Change: each rank earns credit for its share of the open slots over time (a server has 3 or 4 slots, so a share is less than a slot); a rank with credit goes first, the most urgent one gets the rest. Inside a rank start-time fair queueing between kinds, then between workspaces by weight; inside a flow the earliest deadline. A full queue gives up the latest deadline of the longest flow of the least urgent rank above its share. Slots open one by one over a cold start and after a server shed load; what waits for servers that all leave is refused as not run.

--- a/currantgauge/admission/entry.cc
+++ b/currantgauge/admission/entry.cc
@@ -47,10 +47,4 @@
                       base::uniformUnit(Source));
 }
 
-void notePressure(AdmissionState &State, const core::Pressure &Load,
-                  base::TimePoint Now) {
-  if (!Load.Owner.empty())
-    State.Pressures[{Load.Service, Load.Owner}] = Load;
-}
-
 } // namespace currantgauge::admission
--- a/currantgauge/admission/entry.h
+++ b/currantgauge/admission/entry.h
@@ -34,10 +34,6 @@
 // for the first retry.
 base::Duration retryDelay(std::uint32_t Number, base::Random &Source);
 
-// notePressure() remembers what an owner said of its queue.
-void notePressure(AdmissionState &State, const core::Pressure &Load,
-                  base::TimePoint Now);
-
 } // namespace currantgauge::admission
 
 #endif // CURRANTGAUGE_ADMISSION_ENTRY_H
--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -1,10 +1,90 @@
 #include "currantgauge/admission/queue.h"
 
+#include "currantgauge/admission/pressure.h"
+#include "currantgauge/admission/rank_share.h"
+
 #include <algorithm>
 
 namespace currantgauge::admission {
 namespace {
 
+constexpr double FreshShare = 0.1; // of a new service time in the average
+
+double weightOf(const config::Configuration &Config,
+                const base::WorkspaceName &Workspace) {
+  auto Found = Config.Workspaces.find(Workspace);
+  return Found == Config.Workspaces.end() || Found->second.Weight <= 0
+             ? 1
+             : Found->second.Weight;
+}
+
+base::Duration expectedTime(const ServiceQueue &Queue,
+                            const base::KindName &Kind) {
+  auto Found = Queue.ServiceTimes.find(Kind);
+  return Found == Queue.ServiceTimes.end() ? base::Duration{} : Found->second;
+}
+
+void insert(ServiceQueue &Queue, RankQueue &Rank, QueuedAttempt &Attempt) {
+  const core::AttemptFacts &Facts = Attempt.Facts;
+  KindQueue &Kind = Rank.Kinds[Facts.Kind];
+  Kind.Waiting[Facts.Workspace].insert(Attempt);
+  addOne(Kind.Schedule, Facts.Workspace);
+  addOne(Rank.Schedule, Facts.Kind);
+  Rank.Work += Attempt.Expected;
+  Rank.Bytes.Bytes += Facts.BodyBytes.Bytes;
+  Queue.Bytes.Bytes += Facts.BodyBytes.Bytes;
+  ++Rank.Length;
+  ++Queue.Length;
+}
+
+void remove(ServiceQueue &Queue, RankQueue &Rank, QueuedAttempt &Attempt) {
+  const core::AttemptFacts &Facts = Attempt.Facts;
+  KindQueue &Kind = Rank.Kinds.at(Facts.Kind);
+  auto Flow = Kind.Waiting.find(Facts.Workspace);
+  Attempt.unlink();
+  if (Flow->second.empty())
+    Kind.Waiting.erase(Flow);
+  removeOne(Kind.Schedule, Facts.Workspace);
+  removeOne(Rank.Schedule, Facts.Kind);
+  Rank.Work = Rank.Work - Attempt.Expected;
+  Rank.Bytes.Bytes -= Facts.BodyBytes.Bytes;
+  Queue.Bytes.Bytes -= Facts.BodyBytes.Bytes;
+  --Rank.Length;
+  --Queue.Length;
+}
+
+// What waits in front of a newcomer in its own rank: everything or, for a flow
+// shorter than the others, its turns.
+base::Duration workInFront(const RankQueue &Rank,
+                           const core::AttemptFacts &Facts) {
+  if (Rank.Length == 0)
+    return {};
+  double Rounds = 1;
+  double Turns = 1;
+  if (auto Kind = Rank.Kinds.find(Facts.Kind); Kind != Rank.Kinds.end()) {
+    Rounds += lengthOf(Kind->second.Schedule, Facts.Workspace);
+    Turns = std::max<double>(1, Kind->second.Schedule.Waiting.size());
+  }
+  double Items = Rounds * Turns * Rank.Schedule.Waiting.size();
+  return base::scaled(Rank.Work, std::min(1.0, Items / Rank.Length));
+}
+
+// Two ways lead to a slot, and the shorter one counts: after all that is more
+// urgent, or by the rank's guaranteed share.
+base::Duration waitOf(const ServiceQueue &Queue, const QueuedAttempt &Attempt) {
+  base::Duration Urgent;
+  for (const auto &[Order, Rank] : Queue.ByRank)
+    if (Order < Attempt.RankOrder)
+      Urgent += Rank.Work;
+  const RankQueue &Rank = Queue.ByRank.at(Attempt.RankOrder);
+  base::Duration Own = workInFront(Rank, Attempt.Facts);
+  double Slots = std::max<double>(Queue.OpenSlots, 1);
+  base::Duration InOrder =
+      base::scaled(Urgent, 1 / Slots) +
+      base::scaled(Own, 1 / slotsFor(Queue, Attempt.RankOrder));
+  return std::min(InOrder, guaranteedWait(Queue, Rank, Own));
+}
+
 const config::ServiceSettings &settingsOf(const config::Configuration &Config,
                                           const base::ServiceName &Service) {
   static const config::ServiceSettings Defaults;
@@ -12,59 +92,175 @@
   return Found == Config.Services.end() ? Defaults : Found->second;
 }
 
-} // namespace
+// Bounds is a full queue: what is too much of it, and each rank's part.
+struct Bounds {
+  const config::ServiceSettings &Limits;
+  const QueuedAttempt &Newcomer;
+  bool OfBytes = false;
+};
+
+bool isAboveShare(const RankQueue &Rank, std::uint32_t Order,
+                  const Bounds &Full) {
+  bool Own = Order == Full.Newcomer.RankOrder;
+  double Part = Rank.Share.Value / 100;
+  if (Full.OfBytes)
+    return static_cast<double>(
+               Rank.Bytes.Bytes +
+               (Own ? Full.Newcomer.Facts.BodyBytes.Bytes : 0)) >
+           Part * static_cast<double>(Full.Limits.QueueBytes.Bytes);
+  return Rank.Length + (Own ? 1 : 0) > Part * Full.Limits.QueueLength;
+}
+
+// The least urgent rank above its share gives way, and in it the longest flow,
+// and of that the attempt with the latest deadline. Null: the newcomer.
+QueuedAttempt *chooseVictim(ServiceQueue &Queue, const Bounds &Full) {
+  auto Rank = std::find_if(Queue.ByRank.rbegin(), Queue.ByRank.rend(),
+                           [&](const auto &Item) {
+                             return isAboveShare(Item.second, Item.first, Full);
+                           });
+  if (Rank == Queue.ByRank.rend() || Rank->second.Length == 0)
+    return nullptr;
+  const core::AttemptFacts &Facts = Full.Newcomer.Facts;
+  const base::KindName &Kind = *longestFlow(Rank->second.Schedule);
+  KindQueue &Same = Rank->second.Kinds.at(Kind);
+  const base::WorkspaceName &Workspace = *longestFlow(Same.Schedule);
+  bool Own = Rank->first == Full.Newcomer.RankOrder;
+  if (Own && Kind == Facts.Kind &&
+      lengthOf(Same.Schedule, Facts.Workspace) + 1 >=
+          lengthOf(Same.Schedule, Workspace))
+    return nullptr;
+  return &*Same.Waiting.at(Workspace).rbegin();
+}
+
+base::Reason makeRoom(ServiceQueue &Queue,
+                      const config::ServiceSettings &Limits,
+                      const QueuedAttempt &Attempt,
+                      std::vector<base::AttemptId> &Victims) {
+  base::ByteCount Size = Attempt.Facts.BodyBytes;
+  if (Size > Limits.QueueBytes)
+    return base::Reason::QueueBytesFull;
+  while (true) {
+    bool Long = Queue.Length >= Limits.QueueLength;
+    bool Large = Queue.Bytes + Size > Limits.QueueBytes;
+    if (!Long && !Large)
+      return base::Reason::None;
+    QueuedAttempt *Victim = chooseVictim(Queue, Bounds{Limits, Attempt, !Long});
+    if (!Victim)
+      return Long ? base::Reason::QueueFull : base::Reason::QueueBytesFull;
+    Victims.push_back(Victim->Facts.Attempt);
+    remove(Queue, Queue.ByRank.at(Victim->RankOrder), *Victim);
+  }
+}
 
-base::Reason enqueue(AdmissionState &State, const config::Configuration &Config,
-                     QueuedAttempt &Attempt, base::TimePoint Now) {
-  const config::ServiceSettings &Limits =
-      settingsOf(Config, Attempt.Facts.Service);
-  ServiceQueue &Queue = State.Queues[Attempt.Facts.Service];
+base::Reason refuseEarly(const ServiceQueue &Queue, const RankQueue &Rank,
+                         const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Attempt.Deadline <= Now)
     return base::Reason::DeadlinePassed;
-  if (Queue.Length >= Limits.QueueLength)
-    return base::Reason::QueueFull;
-  if (Queue.Bytes + Attempt.Facts.BodyBytes > Limits.QueueBytes)
-    return base::Reason::QueueBytesFull;
-  // Earliest deadline first inside a rank: most arrive in that order already,
-  // so the walk from the back is short.
-  AttemptQueue &Same = Queue.ByRank[Attempt.RankOrder];
-  auto At = Same.end();
-  while (At != Same.begin() && std::prev(At)->Deadline > Attempt.Deadline)
-    --At;
-  Same.insert(At, Attempt);
-  ++Queue.Length;
-  Queue.Bytes = Queue.Bytes + Attempt.Facts.BodyBytes;
+  if (Queue.Length == 0)
+    return base::Reason::None;
+  base::Duration Wait = waitOf(Queue, Attempt);
+  if (isPressed(Rank, Now) && Wait > PressedWait)
+    return base::Reason::ShedByPressure;
+  if (Wait > base::Duration{} &&
+      Now + Wait + Attempt.Expected > Attempt.Deadline)
+    return base::Reason::DeadlineTooShort;
   return base::Reason::None;
 }
 
+} // namespace
+
+EnqueueResult enqueue(AdmissionState &State,
+                      const config::Configuration &Config,
+                      QueuedAttempt &Attempt, std::uint32_t OpenSlots,
+                      base::TimePoint Now) {
+  const core::AttemptFacts &Facts = Attempt.Facts;
+  ServiceQueue &Queue = State.Queues[Facts.Service];
+  RankQueue &Rank = Queue.ByRank[Attempt.RankOrder];
+  if (auto Found = Config.Ranks.find(Facts.Rank); Found != Config.Ranks.end())
+    Rank.Share = Found->second.Share;
+  Queue.OpenSlots = OpenSlots;
+  advanceShares(Queue, Now);
+  Attempt.Expected = expectedTime(Queue, Facts.Kind);
+  EnqueueResult Result;
+  Result.Why = refuseEarly(Queue, Rank, Attempt, Now);
+  if (Result.Why == base::Reason::None)
+    Result.Why = makeRoom(Queue, settingsOf(Config, Facts.Service), Attempt,
+                          Result.Victims);
+  if (Result.Why != base::Reason::None)
+    return Result;
+  Attempt.StartBy = std::max(Now, Attempt.Deadline - Attempt.Expected);
+  if (isPressed(Rank, Now))
+    Attempt.StartBy = std::min(Attempt.StartBy, Now + PressedPatience);
+  insert(Queue, Rank, Attempt);
+  return Result;
+}
+
 QueuedAttempt *nextToRun(AdmissionState &State,
-                         const config::Configuration &Config,
                          const base::ServiceName &Service,
-                         base::TimePoint Now) {
+                         std::uint32_t OpenSlots, base::TimePoint Now) {
   auto Found = State.Queues.find(Service);
   if (Found == State.Queues.end())
     return nullptr;
-  for (auto &[Order, Same] : Found->second.ByRank)
-    if (!Same.empty())
-      return &Same.front();
-  return nullptr;
+  Found->second.OpenSlots = OpenSlots;
+  advanceShares(Found->second, Now);
+  RankQueue *Rank = chooseRank(Found->second);
+  if (!Rank)
+    return nullptr;
+  KindQueue &Kind = Rank->Kinds.at(*firstFlow(Rank->Schedule));
+  return &*Kind.Waiting.at(*firstFlow(Kind.Schedule)).begin();
+}
+
+void takeToRun(AdmissionState &State, const config::Configuration &Config,
+               QueuedAttempt &Attempt, base::TimePoint Now) {
+  const core::AttemptFacts &Facts = Attempt.Facts;
+  ServiceQueue &Queue = State.Queues.at(Facts.Service);
+  RankQueue &Rank = Queue.ByRank.at(Attempt.RankOrder);
+  KindQueue &Kind = Rank.Kinds.at(Facts.Kind);
+  auto Cost = static_cast<double>(std::max<std::int64_t>(
+      Attempt.Expected.Micros, base::milliseconds(1).Micros));
+  chargeFlow(Kind.Schedule, Facts.Workspace,
+             Cost / weightOf(Config, Facts.Workspace));
+  chargeFlow(Rank.Schedule, Facts.Kind, Cost);
+  remove(Queue, Rank, Attempt);
+  Attempt.Taken = Now;
+  noteTaken(Rank, Attempt.Expected);
+  noteStarted(Rank, Now);
+}
+
+void finishRun(AdmissionState &State, const QueuedAttempt &Attempt,
+               const core::AttemptOutcome &Outcome, base::TimePoint Now) {
+  auto Found = State.Queues.find(Attempt.Facts.Service);
+  if (Found == State.Queues.end())
+    return;
+  ServiceQueue &Queue = Found->second;
+  advanceShares(Queue, Now);
+  noteReleased(Queue.ByRank[Attempt.RankOrder], Attempt.Expected,
+               Now - Attempt.Taken);
+  bool Whole = Outcome.What == base::Verdict::Ran &&
+               Outcome.Why != base::Reason::BackendShed;
+  if (Attempt.Started == base::TimePoint{} ||
+      (!Whole && Outcome.Why != base::Reason::BackendTimeout))
+    return;
+  auto [Mean, Fresh] =
+      Queue.ServiceTimes.emplace(Attempt.Facts.Kind, Now - Attempt.Started);
+  if (!Fresh)
+    Mean->second +=
+        base::scaled(Now - Attempt.Started - Mean->second, FreshShare);
 }
 
 void dequeue(AdmissionState &State, QueuedAttempt &Attempt) {
   if (!Attempt.is_linked())
     return;
-  Attempt.unlink();
-  ServiceQueue &Queue = State.Queues[Attempt.Facts.Service];
-  --Queue.Length;
-  Queue.Bytes.Bytes -= Attempt.Facts.BodyBytes.Bytes;
+  ServiceQueue &Queue = State.Queues.at(Attempt.Facts.Service);
+  remove(Queue, Queue.ByRank.at(Attempt.RankOrder), Attempt);
 }
 
-core::Pressure pressureOf(const AdmissionState &State,
-                          const config::Configuration &Config,
-                          const base::ServiceName &Service) {
-  core::Pressure Load;
-  Load.Service = Service;
-  return Load;
+base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now) {
+  if (Now >= Attempt.Deadline)
+    return base::Reason::DeadlinePassed;
+  return Attempt.StartBy < Attempt.Deadline - Attempt.Expected
+             ? base::Reason::ShedByPressure
+             : base::Reason::DeadlineTooShort;
 }
 
 } // namespace currantgauge::admission
--- a/currantgauge/admission/queue.h
+++ b/currantgauge/admission/queue.h
@@ -1,7 +1,11 @@
-// The owner's queue: bounded, by rank, and early in its refusals.
+// The owner's queue of a service: bounded, by rank with guaranteed shares, fair
+// between kinds and workspaces inside a rank, earliest deadline first inside a
+// flow, and early in its refusals.
 //
-//   Reason Why = enqueue(State, Config, Attempt, Now);
-//   QueuedAttempt *Next = nextToRun(State, Config, Service, Now);
+//   EnqueueResult Queued = enqueue(State, Config, Attempt, OpenSlots, Now);
+//   QueuedAttempt *Next = nextToRun(State, Service, OpenSlots, Now);
+//   takeToRun(State, Config, *Next, Now);
+//   finishRun(State, *Next, Outcome, Now);
 #ifndef CURRANTGAUGE_ADMISSION_QUEUE_H
 #define CURRANTGAUGE_ADMISSION_QUEUE_H
 
@@ -11,27 +15,46 @@
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/config/model.h"
+#include "currantgauge/core/request.h"
+
+#include <cstdint>
+#include <vector>
 
 namespace currantgauge::admission {
 
-// enqueue() takes an attempt into its service's queue. Returns why it is
-// refused, else None.
-base::Reason enqueue(AdmissionState &State, const config::Configuration &Config,
-                     QueuedAttempt &Attempt, base::TimePoint Now);
+// EnqueueResult says why an attempt is refused, else None, and which waiting
+// attempts left the queue for it; the caller ends those as QueueFull.
+struct EnqueueResult {
+  base::Reason Why = base::Reason::None;
+  std::vector<base::AttemptId> Victims;
+};
+
+// enqueue() takes an attempt into its service's queue and sets its StartBy.
+EnqueueResult enqueue(AdmissionState &State,
+                      const config::Configuration &Config,
+                      QueuedAttempt &Attempt, std::uint32_t OpenSlots,
+                      base::TimePoint Now);
 
 // nextToRun() returns the attempt to run next, still in the queue; null when
 // nothing waits.
 QueuedAttempt *nextToRun(AdmissionState &State,
-                         const config::Configuration &Config,
-                         const base::ServiceName &Service, base::TimePoint Now);
+                         const base::ServiceName &Service,
+                         std::uint32_t OpenSlots, base::TimePoint Now);
+
+// takeToRun() takes an attempt out of the queue and charges its flow and rank
+// for the slot it now holds.
+void takeToRun(AdmissionState &State, const config::Configuration &Config,
+               QueuedAttempt &Attempt, base::TimePoint Now);
+
+// finishRun() learns that an attempt gave its slot back.
+void finishRun(AdmissionState &State, const QueuedAttempt &Attempt,
+               const core::AttemptOutcome &Outcome, base::TimePoint Now);
 
 // dequeue() takes an attempt out of its queue; no effect when it is in none.
 void dequeue(AdmissionState &State, QueuedAttempt &Attempt);
 
-// pressureOf() returns what entries are told of a service's queue here.
-core::Pressure pressureOf(const AdmissionState &State,
-                          const config::Configuration &Config,
-                          const base::ServiceName &Service);
+// lateReason() says why an attempt that waited until its StartBy is refused.
+base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now);
 
 } // namespace currantgauge::admission
 
--- a/currantgauge/admission/queued_attempt.h
+++ b/currantgauge/admission/queued_attempt.h
@@ -1,7 +1,7 @@
 // An attempt at its owner: waiting in a queue or running in a slot.
 //
 //   QueuedAttemptPtr Attempt(new QueuedAttempt);
-//   Queue.push_back(*Attempt);
+//   Queue.insert(*Attempt);
 #ifndef CURRANTGAUGE_ADMISSION_QUEUED_ATTEMPT_H
 #define CURRANTGAUGE_ADMISSION_QUEUED_ATTEMPT_H
 
@@ -9,7 +9,7 @@
 #include "currantgauge/base/units.h"
 #include "currantgauge/core/request.h"
 
-#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -17,8 +17,8 @@
 
 namespace currantgauge::admission {
 
-// QueueHook leaves its list by itself when the attempt is destroyed.
-using QueueHook = boost::intrusive::list_base_hook<
+// QueueHook leaves its queue by itself when the attempt is destroyed.
+using QueueHook = boost::intrusive::set_base_hook<
     boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
 // QueuedAttempt is counted: the owner's table and a queue may both hold it.
@@ -29,15 +29,26 @@
   std::uint32_t RankOrder = 0;
   base::TimePoint Arrived;
   base::TimePoint Deadline;
+  base::TimePoint StartBy;  // refused when it still waits then
+  base::TimePoint Taken;    // when it got its slot
   base::TimePoint Started;  // of the exchange; zero while it waits
+  base::Duration Expected;  // slot time, as known when it arrived
   base::BackendName Server; // empty while it waits for a slot
   bool Cancelled = false;
 };
 
+// EarlierDeadline orders attempts; equal ones stay in order of arrival.
+struct EarlierDeadline {
+  bool operator()(const QueuedAttempt &A, const QueuedAttempt &B) const {
+    return A.Deadline < B.Deadline;
+  }
+};
+
 using QueuedAttemptPtr = boost::intrusive_ptr<QueuedAttempt>;
-using AttemptQueue =
-    boost::intrusive::list<QueuedAttempt,
-                           boost::intrusive::constant_time_size<false>>;
+using DeadlineQueue =
+    boost::intrusive::multiset<QueuedAttempt,
+                               boost::intrusive::compare<EarlierDeadline>,
+                               boost::intrusive::constant_time_size<false>>;
 
 } // namespace currantgauge::admission
 
--- /dev/null
+++ b/currantgauge/admission/rank_share.cc
@@ -0,0 +1,93 @@
+#include "currantgauge/admission/rank_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantgauge::admission {
+namespace {
+
+// Credit and debt are bounded by this much of a rank's share, and one attempt.
+constexpr base::Duration CreditSpan = base::milliseconds(300);
+constexpr base::Duration UseSpan = base::milliseconds(200);
+constexpr double LeastSlots = 0.05;
+constexpr base::Duration NoGuarantee = base::minutes(60);
+
+double guaranteed(const ServiceQueue &Queue, const RankQueue &Rank) {
+  return Rank.Share.Value / 100 * Queue.OpenSlots;
+}
+
+double creditLimit(const ServiceQueue &Queue, const RankQueue &Rank) {
+  base::Duration Longest;
+  for (const auto &[Kind, Mean] : Queue.ServiceTimes)
+    Longest = std::max(Longest, Mean);
+  return guaranteed(Queue, Rank) * static_cast<double>(CreditSpan.Micros) +
+         static_cast<double>(Longest.Micros);
+}
+
+} // namespace
+
+void advanceShares(ServiceQueue &Queue, base::TimePoint Now) {
+  auto Elapsed = static_cast<double>((Now - Queue.Advanced).Micros);
+  if (Elapsed <= 0)
+    return;
+  Queue.Advanced = Now;
+  double Fresh = 1 - std::exp(-Elapsed / static_cast<double>(UseSpan.Micros));
+  for (auto &[Order, Rank] : Queue.ByRank) {
+    double Limit = creditLimit(Queue, Rank);
+    Rank.Credit = std::clamp(Rank.Credit + guaranteed(Queue, Rank) * Elapsed,
+                             -Limit, Limit);
+    Rank.Use += (Rank.Running - Rank.Use) * Fresh;
+  }
+}
+
+// Credit is earned over time because a server has few slots: a tenth of four
+// slots is one slot for a tenth of the time.
+RankQueue *chooseRank(ServiceQueue &Queue) {
+  RankQueue *MostUrgent = nullptr;
+  for (auto &[Order, Rank] : Queue.ByRank) {
+    if (Rank.Length == 0)
+      continue;
+    if (Rank.Credit > 0)
+      return &Rank;
+    if (!MostUrgent)
+      MostUrgent = &Rank;
+  }
+  return MostUrgent;
+}
+
+void noteTaken(RankQueue &Rank, base::Duration Expected) {
+  ++Rank.Running;
+  Rank.Credit -= static_cast<double>(Expected.Micros);
+}
+
+void noteReleased(RankQueue &Rank, base::Duration Expected,
+                  base::Duration Used) {
+  if (Rank.Running > 0)
+    --Rank.Running;
+  Rank.Credit += static_cast<double>((Expected - Used).Micros);
+}
+
+double slotsFor(const ServiceQueue &Queue, std::uint32_t RankOrder) {
+  double Left = Queue.OpenSlots;
+  double Own = 0;
+  for (const auto &[Order, Rank] : Queue.ByRank) {
+    if (Order == RankOrder)
+      Own = guaranteed(Queue, Rank);
+    else if (Order < RankOrder)
+      Left -= Rank.Use;
+    else
+      Left -= std::min(Rank.Use, guaranteed(Queue, Rank));
+  }
+  return std::max({Left, Own, LeastSlots});
+}
+
+base::Duration guaranteedWait(const ServiceQueue &Queue, const RankQueue &Rank,
+                              base::Duration Work) {
+  double Slots = guaranteed(Queue, Rank);
+  if (Slots <= 0)
+    return NoGuarantee;
+  double Owed = static_cast<double>(Work.Micros) - Rank.Credit;
+  return base::Duration{static_cast<std::int64_t>(std::max(0.0, Owed) / Slots)};
+}
+
+} // namespace currantgauge::admission
--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -4,22 +4,55 @@
 #ifndef CURRANTGAUGE_ADMISSION_STATE_H
 #define CURRANTGAUGE_ADMISSION_STATE_H
 
+#include "currantgauge/admission/fair_schedule.h"
 #include "currantgauge/admission/queued_attempt.h"
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/core/request.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
-#include <utility>
 
 namespace currantgauge::admission {
 
+// KindQueue is what waits of one kind of work.
+struct KindQueue {
+  FairSchedule<base::WorkspaceName> Schedule;
+  std::map<base::WorkspaceName, DeadlineQueue> Waiting;
+};
+
+// RefusalWindow counts how attempts of a rank fared since its start.
+struct RefusalWindow {
+  base::TimePoint Start;
+  std::uint32_t Started = 0;
+  std::uint32_t Refused = 0;
+};
+
+// RankQueue is what waits of one rank and what the rank has used.
+struct RankQueue {
+  FairSchedule<base::KindName> Schedule;
+  std::map<base::KindName, KindQueue> Kinds;
+  base::Percent Share; // guaranteed, of the open slots
+  std::uint32_t Length = 0;
+  base::ByteCount Bytes;
+  base::Duration Work;       // expected slot time of all that waits
+  std::uint32_t Running = 0; // slots held
+  double Use = 0;            // slots held, averaged over time
+  double Credit = 0;         // guaranteed slot time not yet used, microseconds
+  RefusalWindow Window;
+  double Keep = 1; // share of the rank's work that entries may send here
+  base::TimePoint PressureEnds;
+};
+
 // ServiceQueue is the owner's queue of one service, by rank order.
 struct ServiceQueue {
-  std::map<std::uint32_t, AttemptQueue> ByRank;
+  std::map<std::uint32_t, RankQueue> ByRank;
+  std::map<base::KindName, base::Duration> ServiceTimes; // averaged
   std::uint32_t Length = 0;
   base::ByteCount Bytes;
+  std::uint32_t OpenSlots = 0;
+  base::TimePoint Advanced; // up to when credit and use are counted
 };
 
 // RetryBudget is a token bucket fed by successes.
@@ -27,12 +60,26 @@
   double Tokens = 10;
 };
 
+// PressureKey is a rank of a service at one owner.
+struct PressureKey {
+  base::ServiceName Service;
+  base::NodeName Owner;
+  std::uint32_t RankOrder = 0;
+
+  auto operator<=>(const PressureKey &) const = default;
+};
+
+// KnownPressure is what an owner said of a rank, and when.
+struct KnownPressure {
+  core::Pressure Load;
+  base::TimePoint Heard;
+};
+
 // AdmissionState is what admission decides by.
 struct AdmissionState {
   std::map<base::ServiceName, ServiceQueue> Queues; // at the owner
   std::map<base::ServiceName, RetryBudget> Budgets; // at the entry
-  std::map<std::pair<base::ServiceName, base::NodeName>, core::Pressure>
-      Pressures; // at the entry
+  std::map<PressureKey, KnownPressure> Pressures;   // at the entry
 };
 
 } // namespace currantgauge::admission
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/core/entry.h"
 
 #include "currantgauge/admission/entry.h"
+#include "currantgauge/admission/pressure.h"
 #include "currantgauge/routing/choose.h"
 
 #include <algorithm>
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -14,11 +14,13 @@
 
 void onTimer(State &Node, const LeaseCheck &, EffectList &Effects) {
   for (const routing::BackendRecord &Gone :
-       routing::expireLeases(Node.Routing, Node.Now))
+       routing::expireLeases(Node.Routing, Node.Now)) {
     Effects.push_back(LogLine{
         LogLevel::Warn,
         "lease_expired",
         {{"server", Gone.Name.Value}, {"service", Gone.Service.Value}}});
+    runQueued(Node, Gone.Service, Effects);
+  }
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
 }
 
@@ -44,6 +46,10 @@
   onAttemptDeadline(Node, Due, Effects);
 }
 
+void onTimer(State &Node, const SlotsReopen &Due, EffectList &Effects) {
+  runQueued(Node, Due.Service, Effects);
+}
+
 std::string phaseName(routing::BackendPhase Phase) {
   switch (Phase) {
   case routing::BackendPhase::Ready:
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -1,14 +1,18 @@
 #include "currantgauge/core/owner.h"
 
 #include "currantgauge/actions/guard.h"
+#include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/routing/choose.h"
+#include "currantgauge/routing/slots.h"
 
 #include <utility>
 
 namespace currantgauge::core {
 namespace {
 
+// A rank that this node's configuration does not know yet waits behind others.
+constexpr std::uint32_t UnknownRankOrder = UINT32_MAX - 1;
 constexpr std::uint32_t HttpTooManyRequests = 429;
 constexpr std::uint32_t HttpServerErrors = 500;
 constexpr std::uint32_t HttpServiceUnavailable = 503;
@@ -24,7 +28,7 @@
 std::uint32_t rankOrder(const State &Node, const base::RankName &Rank) {
   const auto &Ranks = Node.Config.Current->Ranks;
   auto Found = Ranks.find(Rank);
-  return Found == Ranks.end() ? 0 : Found->second.Order;
+  return Found == Ranks.end() ? UnknownRankOrder : Found->second.Order;
 }
 
 void releaseSlot(State &Node, const admission::QueuedAttempt &Attempt) {
@@ -55,6 +59,49 @@
   return Outcome;
 }
 
+base::Reason queueAttempt(State &Node, admission::QueuedAttempt &Attempt,
+                          EffectList &Effects) {
+  routing::OwnSlots Slots =
+      routing::ownSlots(Node.Routing, Attempt.Facts.Service, Node.Now);
+  if (Slots.Servers == 0)
+    return base::Reason::NoBackend;
+  admission::EnqueueResult Queued = admission::enqueue(
+      Node.Admission, *Node.Config.Current, Attempt, Slots.Open, Node.Now);
+  for (base::AttemptId Victim : Queued.Victims)
+    endAttempt(Node, Victim, refusal(base::Reason::QueueFull, base::seconds(1)),
+               Effects);
+  return Queued.Why;
+}
+
+// What waits for servers that are all leaving or gone can run elsewhere.
+void refuseQueued(State &Node, const base::ServiceName &Service,
+                  EffectList &Effects) {
+  while (admission::QueuedAttempt *Next =
+             admission::nextToRun(Node.Admission, Service, 0, Node.Now))
+    endAttempt(Node, Next->Facts.Attempt,
+               refusal(base::Reason::BackendLeaving, base::Duration{}),
+               Effects);
+}
+
+void takeSlot(State &Node, admission::QueuedAttempt &Attempt,
+              routing::BackendServer &Server) {
+  admission::takeToRun(Node.Admission, *Node.Config.Current, Attempt, Node.Now);
+  Attempt.Server = Server.Record.Name;
+  ++Server.Running;
+  setTimer(Node.Timers, Attempt.Deadline,
+           AttemptDeadline{Attempt.Facts.Attempt});
+}
+
+void pauseAfterShed(State &Node, const admission::QueuedAttempt &Attempt,
+                    base::Duration RetryAfter) {
+  auto Server = Node.Routing.Servers.find(Attempt.Server);
+  if (Server == Node.Routing.Servers.end())
+    return;
+  base::TimePoint Until =
+      routing::pauseServer(Server->second, RetryAfter, Node.Now);
+  setTimer(Node.Timers, Until, SlotsReopen{Attempt.Facts.Service});
+}
+
 } // namespace
 
 void onAttemptArrived(State &Node, const AttemptArrived &Arrival,
@@ -73,33 +120,41 @@
                       refusal(base::Reason::NoConfiguration, base::seconds(1)),
                       Effects);
   Attempt->RankOrder = rankOrder(Node, Arrival.Facts.Rank);
-  base::Reason Why = admission::enqueue(Node.Admission, *Node.Config.Current,
-                                        *Attempt, Node.Now);
+  base::Reason Why = queueAttempt(Node, *Attempt, Effects);
   if (Why != base::Reason::None)
     return endAttempt(Node, Arrival.Facts.Attempt,
                       refusal(Why, base::seconds(1)), Effects);
-  setTimer(Node.Timers, Attempt->Deadline,
-           AttemptDeadline{Arrival.Facts.Attempt});
   runQueued(Node, Arrival.Facts.Service, Effects);
+  if (Attempt->Server.empty())
+    setTimer(Node.Timers, Attempt->StartBy,
+             AttemptDeadline{Arrival.Facts.Attempt});
 }
 
 void runQueued(State &Node, const base::ServiceName &Service,
                EffectList &Effects) {
   if (!Node.Config.Current)
     return;
+  routing::OwnSlots Slots = routing::ownSlots(Node.Routing, Service, Node.Now);
+  if (Slots.Servers == 0)
+    return refuseQueued(Node, Service, Effects);
   while (admission::QueuedAttempt *Next = admission::nextToRun(
-             Node.Admission, *Node.Config.Current, Service, Node.Now)) {
+             Node.Admission, Service, Slots.Open, Node.Now)) {
+    admission::QueuedAttemptPtr Attempt(Next);
+    if (Node.Now > Attempt->StartBy) {
+      endAttempt(
+          Node, Attempt->Facts.Attempt,
+          refusal(admission::lateReason(*Attempt, Node.Now), base::seconds(1)),
+          Effects);
+      continue;
+    }
     routing::ChoiceQuery Query;
     Query.Service = Service;
     Query.Now = Node.Now;
     routing::BackendServer *Server =
-        routing::chooseOwnServer(Node.Routing, Query, Next->Facts.Preferred);
+        routing::chooseOwnServer(Node.Routing, Query, Attempt->Facts.Preferred);
     if (!Server)
       return;
-    admission::QueuedAttemptPtr Attempt(Next);
-    admission::dequeue(Node.Admission, *Attempt);
-    Attempt->Server = Server->Record.Name;
-    ++Server->Running;
+    takeSlot(Node, *Attempt, *Server);
     actions::GuardAnswer Guard = actions::beforeRun(
         Node.Actions, *Attempt, Node.Now, Node.Wall, Effects);
     if (Guard.What == actions::GuardDecision::Refuse)
@@ -134,12 +189,18 @@
   admission::dequeue(Node.Admission, *Attempt);
   Outcome.Server = Attempt->Server;
   if (Node.Config.Current) {
-    Outcome.Load = admission::pressureOf(Node.Admission, *Node.Config.Current,
-                                         Attempt->Facts.Service);
+    if (Attempt->Server.empty() && admission::isLoadRefusal(Outcome.Why))
+      admission::noteRefused(Node.Admission, Attempt->Facts.Service,
+                             Attempt->RankOrder, Node.Now);
+    Outcome.Load = admission::pressureOf(Node.Admission, Attempt->Facts.Service,
+                                         Attempt->RankOrder);
     Outcome.Load.Owner = Node.Self.Name;
   }
   if (!Attempt->Server.empty()) {
     releaseSlot(Node, *Attempt);
+    admission::finishRun(Node.Admission, *Attempt, Outcome, Node.Now);
+    if (Outcome.Why == base::Reason::BackendShed)
+      pauseAfterShed(Node, *Attempt, Outcome.RetryAfter);
     actions::afterRun(Node.Actions, *Attempt, Outcome, Node.Now, Node.Wall,
                       Effects);
   }
@@ -179,13 +240,19 @@
   auto Found = Node.Owner.Attempts.find(Due.Attempt);
   if (Found == Node.Owner.Attempts.end())
     return;
-  if (Found->second->Started > base::TimePoint{}) {
+  const admission::QueuedAttempt &Attempt = *Found->second;
+  // The timer of a wait that ended in time says nothing about what runs now.
+  if (!Attempt.Server.empty() && Node.Now < Attempt.Deadline)
+    return;
+  if (Attempt.Started > base::TimePoint{}) {
     Effects.push_back(CancelBackend{Due.Attempt, base::Reason::BackendTimeout});
     return;
   }
-  base::ServiceName Service = Found->second->Facts.Service;
-  endAttempt(Node, Due.Attempt,
-             refusal(base::Reason::DeadlinePassed, base::Duration{}), Effects);
+  base::ServiceName Service = Attempt.Facts.Service;
+  base::Reason Why = Attempt.Server.empty()
+                         ? admission::lateReason(Attempt, Node.Now)
+                         : base::Reason::DeadlinePassed;
+  endAttempt(Node, Due.Attempt, refusal(Why, base::seconds(1)), Effects);
   runQueued(Node, Service, Effects);
 }
 
--- a/currantgauge/core/timer.h
+++ b/currantgauge/core/timer.h
@@ -36,10 +36,14 @@
 struct AttemptDeadline {
   base::AttemptId Attempt;
 };
+// SlotsReopen runs what waits for a backend server that was paused.
+struct SlotsReopen {
+  base::ServiceName Service;
+};
 
 using Timer =
     std::variant<LeaseCheck, GossipRound, HealthRound, ConfigRound, ActionRound,
-                 RequestDeadline, RetryDue, AttemptDeadline>;
+                 RequestDeadline, RetryDue, AttemptDeadline, SlotsReopen>;
 
 // TimerQueue orders timers by time, then by the order in which they were set.
 struct TimerQueue {
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/routing/choose.h"
 
+#include "currantgauge/routing/slots.h"
+
 #include <algorithm>
 
 namespace currantgauge::routing {
@@ -53,7 +55,7 @@
   for (const base::BackendName &Name : Found->second) {
     BackendServer &Server = State.Servers.at(Name);
     if (Server.Record.Owner != State.Self || !takesWork(Server) ||
-        Server.Running >= Server.Record.Slots)
+        Server.Running >= openSlots(Server, Query.Now))
       continue;
     if (Name == Preferred)
       return &Server;
--- /dev/null
+++ b/currantgauge/routing/slots.cc
@@ -0,0 +1,58 @@
+#include "currantgauge/routing/slots.h"
+
+#include <algorithm>
+
+namespace currantgauge::routing {
+namespace {
+
+constexpr base::Duration ShortestPause = base::milliseconds(100);
+constexpr base::Duration LongestPause = base::seconds(30);
+constexpr base::Duration RecoveryTime = base::seconds(1);
+
+// One slot at once, the last one when the time has passed.
+std::uint32_t rampSlots(std::uint32_t Slots, base::Duration Elapsed,
+                        base::Duration Whole) {
+  if (Elapsed >= Whole)
+    return Slots;
+  auto Opened = static_cast<std::uint32_t>(base::toSeconds(Elapsed) /
+                                           base::toSeconds(Whole) * Slots);
+  return std::min(Slots, std::max<std::uint32_t>(Opened, 1));
+}
+
+} // namespace
+
+std::uint32_t openSlots(const BackendServer &Server, base::TimePoint Now) {
+  if (Now < Server.PausedUntil)
+    return 0;
+  std::uint32_t Slots = Server.Record.Slots;
+  std::uint32_t Warm =
+      rampSlots(Slots, Now - Server.ReadySince, Server.Record.ColdStart);
+  if (Server.PausedUntil == base::TimePoint{})
+    return Warm;
+  return std::min(Warm,
+                  rampSlots(Slots, Now - Server.PausedUntil, RecoveryTime));
+}
+
+base::TimePoint pauseServer(BackendServer &Server, base::Duration RetryAfter,
+                            base::TimePoint Now) {
+  base::TimePoint Until =
+      Now + std::clamp(RetryAfter, ShortestPause, LongestPause);
+  Server.PausedUntil = std::max(Server.PausedUntil, Until);
+  return Server.PausedUntil;
+}
+
+OwnSlots ownSlots(const RoutingState &State, const base::ServiceName &Service,
+                  base::TimePoint Now) {
+  OwnSlots Sum;
+  for (const base::BackendName &Name : State.Owned) {
+    const BackendServer &Server = State.Servers.at(Name);
+    if (Server.Record.Service != Service || Server.Drained ||
+        Server.Record.Phase != BackendPhase::Ready)
+      continue;
+    ++Sum.Servers;
+    Sum.Open += openSlots(Server, Now);
+  }
+  return Sum;
+}
+
+} // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/slots.h
@@ -0,0 +1,36 @@
+// How many slots of a backend server are open now: fewer after its start and
+// after it shed load.
+//
+//   if (Server.Running < openSlots(Server, Now)) send();
+#ifndef CURRANTGAUGE_ROUTING_SLOTS_H
+#define CURRANTGAUGE_ROUTING_SLOTS_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/routing/state.h"
+
+#include <cstdint>
+
+namespace currantgauge::routing {
+
+// openSlots() returns how many attempts a server may run at a time now.
+std::uint32_t openSlots(const BackendServer &Server, base::TimePoint Now);
+
+// pauseServer() closes a server's slots until RetryAfter has passed, and opens
+// them one by one after that. Returns when the first opens again.
+base::TimePoint pauseServer(BackendServer &Server, base::Duration RetryAfter,
+                            base::TimePoint Now);
+
+// OwnSlots sums up the slots of this node's servers of a service.
+struct OwnSlots {
+  std::uint32_t Open = 0;
+  std::uint32_t Servers = 0; // that take work, paused ones included
+};
+
+// ownSlots() counts the servers of a service that this node owns.
+OwnSlots ownSlots(const RoutingState &State, const base::ServiceName &Service,
+                  base::TimePoint Now);
+
+} // namespace currantgauge::routing
+
+#endif // CURRANTGAUGE_ROUTING_SLOTS_H
--- /dev/null
+++ b/currantgauge/routing/slots_test.cc
@@ -0,0 +1,41 @@
+#include "currantgauge/routing/slots.h"
+
+#include <doctest/doctest.h>
+
+namespace currantgauge::routing {
+namespace {
+
+constexpr base::TimePoint Start{1000000};
+
+BackendServer server(std::uint32_t Slots, base::Duration ColdStart) {
+  BackendServer Server;
+  Server.Record.Slots = Slots;
+  Server.Record.ColdStart = ColdStart;
+  Server.ReadySince = Start;
+  return Server;
+}
+
+} // namespace
+
+TEST_CASE("slots open one by one over the cold start") {
+  BackendServer Server = server(4, base::seconds(4));
+  CHECK(openSlots(Server, Start) == 1);
+  CHECK(openSlots(Server, Start + base::seconds(2)) == 2);
+  CHECK(openSlots(Server, Start + base::seconds(4)) == 4);
+}
+
+TEST_CASE("a server that shed load gets nothing until its Retry-After passed") {
+  BackendServer Server = server(4, base::Duration{});
+  base::TimePoint Now = Start + base::seconds(10);
+  base::TimePoint Until = pauseServer(Server, base::seconds(2), Now);
+  CHECK(Until == Now + base::seconds(2));
+  CHECK(openSlots(Server, Now) == 0);
+  CHECK(openSlots(Server, Until) == 1);
+  CHECK(openSlots(Server, Until + base::milliseconds(500)) == 2);
+  CHECK(openSlots(Server, Until + base::seconds(1)) == 4);
+  // A shorter word does not shorten a pause.
+  pauseServer(Server, base::seconds(5), Now);
+  CHECK(pauseServer(Server, base::Duration{}, Now) == Now + base::seconds(5));
+}
+
+} // namespace currantgauge::routing
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -22,8 +22,9 @@
   BackendRecord Record;
   base::TimePoint LeaseEnds = base::Never; // at the owner alone
   base::TimePoint ReadySince;
-  std::uint32_t Running = 0; // owner: slots in use; entry: own attempts there
-  bool Drained = false;      // by an operator
+  base::TimePoint PausedUntil; // owner: it shed load; zero: never
+  std::uint32_t Running = 0;   // owner: slots in use; entry: own attempts there
+  bool Drained = false;        // by an operator
 };
 
 // RoutingState holds every known backend server, indexed by service.
