Shed at entries by the owners' pressure, budget retries, limits and the link

Cause: entries sent a whole flood to the owners and each refusal cost a hop, a third of them over the paid link; every refusal could be tried again; limits per workspace, per kind and of the link did nothing.

Change: each answer carries the share of its rank that the owner wants less of; the entry sheds that share of the rank for this owner, and what it still sends tells when the pressure ends. Retries by verdict, deadline and a budget per service and rank that holds a tenth of the successes of ten seconds; a refusal for load is tried elsewhere within 25 ms or while such refusals are rare. Token buckets per workspace and kind, dropped when full; one of bytes for the link, of which less urgent ranks leave a quarter each.

A third sick still costs urgent work a third of its answers: the choice of the server must avoid pressed owners.

--- a/bench/flood_scenario.h
+++ b/bench/flood_scenario.h
@@ -204,6 +204,7 @@
   Arrival Asked;
   base::TimePoint Ended;
   bool Answered = false;
+  bool Known = true; // its entry knew the pressure of each owner it asked
   base::Verdict What = base::Verdict::NotRun;
   base::Reason Why = base::Reason::None;
   base::Duration SlotTime; // of the exchange whose answer was delivered
@@ -218,6 +219,7 @@
   std::uint64_t MayHaveRun = 0;
   double InTimeShare = 0;        // percent of Asked
   base::Duration SlowestRefusal; // NotRun, from arrival
+  base::Duration SlowestKnown;   // of those, where the entry knew the pressure
   base::Duration RefusalP99;
 };
 
@@ -270,6 +272,8 @@
       continue;
     }
     ++Rank.Refused;
+    if (One.Known)
+      Rank.SlowestKnown = std::max(Rank.SlowestKnown, Took);
     Refusals[One.Asked.Rank].push_back(Took);
   }
   for (std::size_t R = 0; R < RankCount; ++R) {
--- a/bench/flood_simulation.h
+++ b/bench/flood_simulation.h
@@ -8,6 +8,7 @@
 #define BENCH_FLOOD_SIMULATION_H
 
 #include "bench/flood_scenario.h"
+#include "currantgauge/admission/pressure.h"
 #include "currantgauge/core/effect.h"
 #include "currantgauge/core/event.h"
 #include "currantgauge/core/reduce.h"
@@ -168,6 +169,11 @@
   void operator()(const core::StartAttempt &E) {
     ++this->Run.Attempts;
     std::size_t To = this->Run.ByName.at(E.Owner);
+    Record &Request = this->Run.Records[E.Facts.Request.Sequence - 1];
+    if (admission::pressureCost(
+            this->Run.Nodes[this->Node]->Admission, E.Facts.Service, E.Owner,
+            static_cast<std::uint32_t>(Request.Asked.Rank), this->Now) <= 0)
+      Request.Known = false;
     if (isCut(this->Run, this->Node, To, this->Now))
       return schedule(this->Run, this->Now + ConnectFailure, this->Node,
                       lost(E.Facts.Attempt, base::Verdict::NotRun,
--- a/currantgauge/admission/entry.cc
+++ b/currantgauge/admission/entry.cc
@@ -1,13 +1,25 @@
 #include "currantgauge/admission/entry.h"
 
-#include <algorithm>
+#include "currantgauge/admission/limits.h"
+#include "currantgauge/admission/link.h"
+#include "currantgauge/admission/pressure.h"
+#include "currantgauge/admission/retry.h"
 
 namespace currantgauge::admission {
 namespace {
 
-constexpr double RetryBudgetLimit = 50; // tokens
-constexpr base::Duration FirstBackoff = base::milliseconds(5);
-constexpr base::Duration LongestBackoff = base::milliseconds(200);
+constexpr std::uint32_t UnknownRankOrder = UINT32_MAX - 1;
+
+bool crossesLink(const AttemptPlan &Plan) {
+  return Plan.Server.Record.Region != Plan.Here;
+}
+
+void countLink(const AttemptPlan &Plan, const char *Direction,
+               base::ByteCount Bytes, core::EffectList &Effects) {
+  Effects.push_back(core::Measure{core::Metric::LinkBytes,
+                                  Plan.Server.Record.Region.Value, Direction,
+                                  static_cast<double>(Bytes.Bytes)});
+}
 
 } // namespace
 
@@ -18,33 +30,37 @@
                           base::TimePoint Now) {
   if (!Config.AnyWorkspace && !Config.Workspaces.contains(Workspace))
     return base::Reason::UnknownWorkspace;
-  return base::Reason::None;
+  return takeRequest(State.Limits, Config, Kind, Workspace, Now);
 }
 
-void noteSuccess(AdmissionState &State, const config::Configuration &Config,
-                 const base::ServiceName &Service) {
-  auto Settings = Config.Services.find(Service);
-  double Share = Settings == Config.Services.end()
-                     ? config::ServiceSettings().RetryBudget.Value
-                     : Settings->second.RetryBudget.Value;
-  RetryBudget &Budget = State.Budgets[Service];
-  Budget.Tokens = std::min(Budget.Tokens + Share / 100, RetryBudgetLimit);
+std::uint32_t rankOrder(const config::Configuration &Config,
+                        const base::RankName &Rank) {
+  auto Found = Config.Ranks.find(Rank);
+  return Found == Config.Ranks.end() ? UnknownRankOrder : Found->second.Order;
 }
 
-bool takeRetry(AdmissionState &State, const base::ServiceName &Service) {
-  RetryBudget &Budget = State.Budgets[Service];
-  if (Budget.Tokens < 1)
-    return false;
-  Budget.Tokens -= 1;
-  return true;
+base::Reason admitAttempt(AdmissionState &State, const AttemptPlan &Plan,
+                          base::Random &Source, core::EffectList &Effects) {
+  std::uint32_t Order = rankOrder(Plan.Config, Plan.Kind.Rank);
+  if (shedsHere(State, Plan.Kind.Service, Plan.Server.Record.Owner, Order,
+                Plan.Now, Source))
+    return base::Reason::ShedByPressure;
+  if (!crossesLink(Plan))
+    return base::Reason::None;
+  if (!takeLink(State.Link, Plan.Config.Link, Order, Plan.BodyBytes, Plan.Now))
+    return base::Reason::LinkBudget;
+  countLink(Plan, "sent", Plan.BodyBytes + AttemptOverhead, Effects);
+  return base::Reason::None;
 }
 
-base::Duration retryDelay(std::uint32_t Number, base::Random &Source) {
-  base::Duration Full = FirstBackoff;
-  for (std::uint32_t I = 2; I < Number && Full < LongestBackoff; ++I)
-    Full = Full * 2;
-  return base::scaled(std::min(Full, LongestBackoff),
-                      base::uniformUnit(Source));
+void noteAttemptEnd(AdmissionState &State, const AttemptPlan &Plan,
+                    const core::AttemptOutcome &Outcome,
+                    core::EffectList &Effects) {
+  noteOutcome(State, Plan.Config, Plan.Kind, Outcome, Plan.Now);
+  if (!crossesLink(Plan) || Outcome.AnswerBytes.Bytes == 0)
+    return;
+  chargeLink(State.Link, Plan.Config.Link, Outcome.AnswerBytes, Plan.Now);
+  countLink(Plan, "received", Outcome.AnswerBytes, Effects);
 }
 
 } // namespace currantgauge::admission
--- a/currantgauge/admission/entry.h
+++ b/currantgauge/admission/entry.h
@@ -1,7 +1,7 @@
-// What an entry decides before any byte leaves it: limits, shedding, retries.
+// What an entry decides before any byte leaves it: limits, shedding, the link.
 //
 //   Reason Why = admitAtEntry(State, Config, Kind, Workspace, Now);
-//   if (takeRetry(State, Settings, Rank)) startNextAttempt();
+//   Why = admitAttempt(Node, Kind, BodyBytes, Server, Effects);
 #ifndef CURRANTGAUGE_ADMISSION_ENTRY_H
 #define CURRANTGAUGE_ADMISSION_ENTRY_H
 
@@ -11,6 +11,9 @@
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/config/model.h"
+#include "currantgauge/core/effect.h"
+#include "currantgauge/core/request.h"
+#include "currantgauge/routing/state.h"
 
 #include <cstdint>
 
@@ -23,16 +26,30 @@
                           const base::WorkspaceName &Workspace,
                           base::TimePoint Now);
 
-// noteSuccess() feeds the retry budget of a service.
-void noteSuccess(AdmissionState &State, const config::Configuration &Config,
-                 const base::ServiceName &Service);
-
-// takeRetry() takes a token of the retry budget; false when there is none.
-bool takeRetry(AdmissionState &State, const base::ServiceName &Service);
-
-// retryDelay() returns the backoff before an attempt, with jitter. Number is 2
-// for the first retry.
-base::Duration retryDelay(std::uint32_t Number, base::Random &Source);
+// rankOrder() returns a rank's order; an unknown rank comes after all others.
+std::uint32_t rankOrder(const config::Configuration &Config,
+                        const base::RankName &Rank);
+
+// AttemptPlan is an attempt that an entry is about to start.
+struct AttemptPlan {
+  const config::Configuration &Config;
+  const config::KindSettings &Kind;
+  const routing::BackendServer &Server;
+  base::RegionName Here; // of the entry
+  base::ByteCount BodyBytes;
+  base::TimePoint Now;
+};
+
+// admitAttempt() returns why an attempt is not sent to its owner, else None. It
+// charges the link when the owner is in another region.
+base::Reason admitAttempt(AdmissionState &State, const AttemptPlan &Plan,
+                          base::Random &Source, core::EffectList &Effects);
+
+// noteAttemptEnd() learns what an attempt's answer tells: pressure, successes
+// and bytes that crossed the link.
+void noteAttemptEnd(AdmissionState &State, const AttemptPlan &Plan,
+                    const core::AttemptOutcome &Outcome,
+                    core::EffectList &Effects);
 
 } // namespace currantgauge::admission
 
--- /dev/null
+++ b/currantgauge/admission/limits.h
@@ -0,0 +1,48 @@
+// Rate limits of workspaces and kinds of work, by token buckets of this node
+// alone. A full bucket holds no knowledge and is dropped.
+//
+//   base::Reason Why = takeRequest(State.Limits, Config, Kind, Workspace, Now);
+#ifndef CURRANTGAUGE_ADMISSION_LIMITS_H
+#define CURRANTGAUGE_ADMISSION_LIMITS_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/base/verdict.h"
+#include "currantgauge/config/model.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace currantgauge::admission {
+
+// TokenBucket fills at a rate up to its size.
+struct TokenBucket {
+  double Tokens = 0;
+  base::TimePoint Filled; // up to when Tokens is counted
+  base::TimePoint FullAt;
+};
+
+// BucketTable holds the buckets that are not full.
+template <typename Key> struct BucketTable {
+  std::map<Key, TokenBucket> Buckets;
+  std::set<std::pair<base::TimePoint, Key>> ByFullAt;
+};
+
+// RateLimits is the state of all limits of a node.
+struct RateLimits {
+  BucketTable<base::WorkspaceName> Workspaces;
+  BucketTable<base::KindName> Kinds;
+};
+
+// takeRequest() takes a token of the workspace and of the kind, or of neither.
+// Returns WorkspaceLimit or KindLimit when one is used up, else None.
+base::Reason takeRequest(RateLimits &Limits,
+                         const config::Configuration &Config,
+                         const config::KindSettings &Kind,
+                         const base::WorkspaceName &Workspace,
+                         base::TimePoint Now);
+
+} // namespace currantgauge::admission
+
+#endif // CURRANTGAUGE_ADMISSION_LIMITS_H
--- /dev/null
+++ b/currantgauge/admission/link.cc
@@ -0,0 +1,50 @@
+#include "currantgauge/admission/link.h"
+
+#include <algorithm>
+
+namespace currantgauge::admission {
+namespace {
+
+constexpr double BucketSeconds = 1;
+constexpr double ReservePerRank = 0.25; // of the bucket, for each rank above
+constexpr double LargestReserve = 0.75;
+
+double bucketSize(const config::LinkSettings &Settings) {
+  return static_cast<double>(Settings.BytesPerSecond.Bytes) * BucketSeconds;
+}
+
+void refill(LinkBudget &Budget, const config::LinkSettings &Settings,
+            base::TimePoint Now) {
+  double Fresh = base::toSeconds(Now - Budget.Counted) *
+                 static_cast<double>(Settings.BytesPerSecond.Bytes);
+  Budget.Spent = std::max(0.0, Budget.Spent - Fresh);
+  Budget.Counted = Now;
+}
+
+} // namespace
+
+bool takeLink(LinkBudget &Budget, const config::LinkSettings &Settings,
+              std::uint32_t RankOrder, base::ByteCount Bytes,
+              base::TimePoint Now) {
+  if (Settings.BytesPerSecond.Bytes == 0)
+    return true;
+  refill(Budget, Settings, Now);
+  double Reserve = std::min(ReservePerRank * RankOrder, LargestReserve);
+  // A body larger than the bucket passes a full one: it is paid for by debt.
+  double Open = bucketSize(Settings) * (1 - Reserve);
+  auto Cost = static_cast<double>((Bytes + AttemptOverhead).Bytes);
+  if (Budget.Spent + std::min(Cost, Open) > Open)
+    return false;
+  Budget.Spent += Cost;
+  return true;
+}
+
+void chargeLink(LinkBudget &Budget, const config::LinkSettings &Settings,
+                base::ByteCount Bytes, base::TimePoint Now) {
+  if (Settings.BytesPerSecond.Bytes == 0)
+    return;
+  refill(Budget, Settings, Now);
+  Budget.Spent += static_cast<double>(Bytes.Bytes);
+}
+
+} // namespace currantgauge::admission
--- a/currantgauge/admission/pressure.cc
+++ b/currantgauge/admission/pressure.cc
@@ -10,22 +10,32 @@
 constexpr base::Duration LongestWindow = base::milliseconds(500);
 constexpr std::uint32_t WindowAttempts = 5;
 // Entries send this many times what starts, so that the queue does not run dry.
-constexpr double Overshoot = 1.3;
-constexpr double LeastKeep = 0.02;
+constexpr double Overshoot = 2.5;
+// Entries follow with a delay: a full step each window would swing.
+constexpr double Damping = 0.4;
+constexpr double LeastKeep = 0.005;
 constexpr double PressedRefusals = 0.05; // share of a window
-constexpr base::Duration PressureSpan = base::seconds(1);
-constexpr base::Duration HalfLife = base::milliseconds(500);
+constexpr base::Duration PressureSpan = base::seconds(5);
+constexpr base::Duration FreshFor = base::milliseconds(100);
+constexpr base::Duration HalfLife = base::seconds(1);
 constexpr base::Duration KnownFor = base::seconds(5);
 
-// The share that entries may send follows what of it was started.
+// The share that entries may send follows what of it was started. It grows by
+// the time passed when there was little to count: few attempts must not hold it
+// down.
 void rollWindow(RankQueue &Rank, base::TimePoint Now) {
   RefusalWindow &Window = Rank.Window;
   std::uint32_t All = Window.Started + Window.Refused;
   base::Duration Age = Now - Window.Start;
-  if (Age < WindowSpan || (All < WindowAttempts && Age < LongestWindow))
+  bool Few = Window.Refused > 0 && All < WindowAttempts;
+  if (Age < WindowSpan || (Few && Age < LongestWindow))
     return;
-  double Started = All == 0 ? 1 : static_cast<double>(Window.Started) / All;
-  Rank.Keep = std::clamp(Rank.Keep * Overshoot * Started, LeastKeep, 1.0);
+  bool Thin = Window.Refused == 0 || LongestWindow * All < Age * WindowAttempts;
+  double Started = Thin ? 1 : (Window.Started + 1.0) / (All + 1.0);
+  double Step = std::pow(Overshoot * Started, Damping);
+  if (Thin)
+    Step = std::pow(Step, base::toSeconds(Age) / base::toSeconds(WindowSpan));
+  Rank.Keep = std::clamp(Rank.Keep * Step, LeastKeep, 1.0);
   if (Rank.Keep < 1 || 1 - Started > PressedRefusals)
     Rank.PressureEnds = Now + PressureSpan;
   Window = RefusalWindow{Now, 0, 0};
@@ -86,23 +96,25 @@
     return;
   PressureKey Which{Load.Service, Load.Owner, Load.RefusedOrder};
   if (Load.RefusedShare > 0)
-    State.Pressures[Which] = KnownPressure{Load, Now};
+    State.RankPressures[Which] = KnownPressure{Load, Now};
   else
-    State.Pressures.erase(Which);
+    State.RankPressures.erase(Which);
 }
 
 double pressureCost(const AdmissionState &State,
                     const base::ServiceName &Service,
                     const base::NodeName &Owner, std::uint32_t RankOrder,
                     base::TimePoint Now) {
-  auto Found = State.Pressures.find(PressureKey{Service, Owner, RankOrder});
-  if (Found == State.Pressures.end())
+  auto Found = State.RankPressures.find(PressureKey{Service, Owner, RankOrder});
+  if (Found == State.RankPressures.end())
     return 0;
   base::Duration Age = Now - Found->second.Heard;
   if (Age > KnownFor)
     return 0;
-  return Found->second.Load.RefusedShare *
-         std::exp2(-base::toSeconds(Age) / base::toSeconds(HalfLife));
+  double Halvings =
+      base::toSeconds(std::max(Age - FreshFor, base::Duration{})) /
+      base::toSeconds(HalfLife);
+  return Found->second.Load.RefusedShare * std::exp2(-Halvings);
 }
 
 bool shedsHere(const AdmissionState &State, const base::ServiceName &Service,
--- a/currantgauge/admission/pressure.h
+++ b/currantgauge/admission/pressure.h
@@ -17,9 +17,10 @@
 namespace currantgauge::admission {
 
 // While a rank is pressed, an attempt is queued only when it will start soon,
-// and waits no longer: a refusal is then early.
-constexpr base::Duration PressedWait = base::milliseconds(20);
-constexpr base::Duration PressedPatience = base::milliseconds(25);
+// and waits no longer: a refusal is then early, the way back included.
+constexpr base::Duration PressedWait = base::milliseconds(30);
+constexpr base::Duration PressedPatience = base::milliseconds(40);
+constexpr base::Duration LinkPatience = base::milliseconds(28); // over the link
 
 // isLoadRefusal() says whether an owner refused for want of room or time.
 bool isLoadRefusal(base::Reason Why);
--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -152,6 +152,13 @@
   }
 }
 
+// A retry has used up its time to wait: it starts at once or not at all.
+base::Duration patienceOf(const QueuedAttempt &Attempt) {
+  if (Attempt.Facts.Number > 1)
+    return {};
+  return Attempt.CrossedLink ? LinkPatience : PressedPatience;
+}
+
 base::Reason refuseEarly(const ServiceQueue &Queue, const RankQueue &Rank,
                          const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Attempt.Deadline <= Now)
@@ -159,7 +166,7 @@
   if (Queue.Length == 0)
     return base::Reason::None;
   base::Duration Wait = waitOf(Queue, Attempt);
-  if (isPressed(Rank, Now) && Wait > PressedWait)
+  if (isPressed(Rank, Now) && Wait > std::min(PressedWait, patienceOf(Attempt)))
     return base::Reason::ShedByPressure;
   if (Wait > base::Duration{} &&
       Now + Wait + Attempt.Expected > Attempt.Deadline)
@@ -190,7 +197,7 @@
     return Result;
   Attempt.StartBy = std::max(Now, Attempt.Deadline - Attempt.Expected);
   if (isPressed(Rank, Now))
-    Attempt.StartBy = std::min(Attempt.StartBy, Now + PressedPatience);
+    Attempt.StartBy = std::min(Attempt.StartBy, Now + patienceOf(Attempt));
   insert(Queue, Rank, Attempt);
   return Result;
 }
--- /dev/null
+++ b/currantgauge/admission/retry.cc
@@ -0,0 +1,122 @@
+#include "currantgauge/admission/retry.h"
+
+#include "currantgauge/admission/pressure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantgauge::admission {
+namespace {
+
+constexpr std::uint32_t AttemptLimit = 3; // of one request
+constexpr base::Duration FirstBackoff = base::milliseconds(5);
+constexpr base::Duration LongestBackoff = base::milliseconds(200);
+constexpr base::Duration LeastTime = base::milliseconds(2); // for an attempt
+// A budget holds what the successes of this time have earned, so that an
+// outage as long as this gets no more than its share of retries.
+constexpr base::Duration BudgetSpan = base::seconds(10);
+constexpr double FreshShare = 0.05; // of an attempt in RefusedShare
+constexpr double RareRefusals = 0.1;
+constexpr base::Duration QuickRefusal = base::milliseconds(25);
+
+// Refusals that every other owner would repeat are final.
+bool isFinal(base::Reason Why) {
+  switch (Why) {
+  case base::Reason::Quarantined:
+  case base::Reason::ActionRunning:
+  case base::Reason::ActionMismatch:
+  case base::Reason::ActionExpired:
+  case base::Reason::ActionForged:
+  case base::Reason::ActionForeign:
+  case base::Reason::ActionLost:
+  case base::Reason::StoreUnavailable:
+  case base::Reason::DeadlinePassed:
+  case base::Reason::CallerGone:
+    return true;
+  default:
+    return false;
+  }
+}
+
+// One owner that refuses for its load is an accident and another one may have
+// room; many mean that the rank is shed, and an early answer is worth more than
+// a second try, but for one that costs no time.
+bool mayRetry(const AdmissionState &State, const RetryQuery &Query) {
+  const core::AttemptOutcome &Outcome = Query.Outcome;
+  if (Query.Committed || Query.Attempts >= AttemptLimit || isFinal(Outcome.Why))
+    return false;
+  if (Outcome.What != base::Verdict::NotRun)
+    return Query.Kind.Idempotent;
+  if (!isLoadRefusal(Outcome.Why) || Query.Now - Query.Arrived < QuickRefusal)
+    return true;
+  auto Known = State.Budgets.find({Query.Kind.Service, Query.Kind.Rank});
+  return Known == State.Budgets.end() ||
+         Known->second.RefusedShare < RareRefusals;
+}
+
+double budgetShare(const config::Configuration &Config,
+                   const base::ServiceName &Service) {
+  auto Found = Config.Services.find(Service);
+  return (Found == Config.Services.end() ? config::ServiceSettings()
+                                         : Found->second)
+             .RetryBudget.Value /
+         100;
+}
+
+void noteSuccess(RetryBudget &Budget, double Share, base::TimePoint Now) {
+  double Elapsed = base::toSeconds(Now - Budget.Counted);
+  Budget.Counted = Now;
+  Budget.Successes =
+      Budget.Successes * std::exp(-Elapsed / base::toSeconds(BudgetSpan)) + 1;
+  double Limit = std::max(1.0, Share * Budget.Successes);
+  Budget.Tokens = std::min(Budget.Tokens + Share, Limit);
+}
+
+} // namespace
+
+base::Duration retryDelay(std::uint32_t Number, base::Random &Source) {
+  base::Duration Full = FirstBackoff;
+  for (std::uint32_t I = 2; I < Number && Full < LongestBackoff; ++I)
+    Full = Full * 2;
+  return base::scaled(std::min(Full, LongestBackoff),
+                      base::uniformUnit(Source));
+}
+
+bool takeRetry(AdmissionState &State, const config::KindSettings &Kind) {
+  RetryBudget &Budget = State.Budgets[{Kind.Service, Kind.Rank}];
+  if (Budget.Tokens < 1)
+    return false;
+  Budget.Tokens -= 1;
+  return true;
+}
+
+RetryPlan planRetry(AdmissionState &State, const RetryQuery &Query,
+                    base::Random &Source) {
+  RetryPlan Plan;
+  if (!mayRetry(State, Query))
+    return Plan;
+  // An owner's Retry-After speaks of its own queue, a server's of its service.
+  base::Duration Floor = isLoadRefusal(Query.Outcome.Why)
+                             ? base::Duration{}
+                             : Query.Outcome.RetryAfter;
+  Plan.At = Query.Now + std::max(Floor, retryDelay(Query.Attempts + 1, Source));
+  if (Plan.At + LeastTime >= Query.Deadline)
+    return Plan;
+  Plan.Retry = takeRetry(State, Query.Kind);
+  if (!Plan.Retry)
+    Plan.Denied = base::Reason::RetryBudget;
+  return Plan;
+}
+
+void noteOutcome(AdmissionState &State, const config::Configuration &Config,
+                 const config::KindSettings &Kind,
+                 const core::AttemptOutcome &Outcome, base::TimePoint Now) {
+  RetryBudget &Budget = State.Budgets[{Kind.Service, Kind.Rank}];
+  bool Refused =
+      Outcome.What == base::Verdict::NotRun && isLoadRefusal(Outcome.Why);
+  Budget.RefusedShare += ((Refused ? 1 : 0) - Budget.RefusedShare) * FreshShare;
+  if (Outcome.What == base::Verdict::Ran && Outcome.Why == base::Reason::None)
+    noteSuccess(Budget, budgetShare(Config, Kind.Service), Now);
+}
+
+} // namespace currantgauge::admission
--- /dev/null
+++ b/currantgauge/admission/retry.h
@@ -0,0 +1,58 @@
+// Whether an attempt is followed by another one: by verdict, deadline and a
+// budget fed by successes, after a backoff with jitter. Entries alone retry.
+//
+//   RetryPlan Plan = planRetry(State, Config, Query, Source);
+//   if (Plan.Retry) setTimer(Timers, Plan.At, RetryDue{Request});
+#ifndef CURRANTGAUGE_ADMISSION_RETRY_H
+#define CURRANTGAUGE_ADMISSION_RETRY_H
+
+#include "currantgauge/admission/state.h"
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/random.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/base/verdict.h"
+#include "currantgauge/config/model.h"
+#include "currantgauge/core/request.h"
+
+#include <cstdint>
+
+namespace currantgauge::admission {
+
+// RetryQuery is what a retry depends on.
+struct RetryQuery {
+  const config::KindSettings &Kind;
+  const core::AttemptOutcome &Outcome;
+  bool Committed = false; // the caller has part of an answer
+  std::uint32_t Attempts = 0;
+  base::TimePoint Arrived;  // the request, at this entry
+  base::TimePoint Deadline; // of the request
+  base::TimePoint Now;
+};
+
+// RetryPlan is the next attempt, or why there is none: Denied is RetryBudget
+// when only the budget stood against it.
+struct RetryPlan {
+  bool Retry = false;
+  base::TimePoint At;
+  base::Reason Denied = base::Reason::None;
+};
+
+// planRetry() takes a token of the budget when it plans an attempt.
+RetryPlan planRetry(AdmissionState &State, const RetryQuery &Query,
+                    base::Random &Source);
+
+// noteOutcome() learns how an attempt of a kind ended.
+void noteOutcome(AdmissionState &State, const config::Configuration &Config,
+                 const config::KindSettings &Kind,
+                 const core::AttemptOutcome &Outcome, base::TimePoint Now);
+
+// takeRetry() takes a token of a rank's budget for a service; false: none left.
+bool takeRetry(AdmissionState &State, const config::KindSettings &Kind);
+
+// retryDelay() returns the backoff before an attempt, with jitter. Number is 2
+// for the first retry.
+base::Duration retryDelay(std::uint32_t Number, base::Random &Source);
+
+} // namespace currantgauge::admission
+
+#endif // CURRANTGAUGE_ADMISSION_RETRY_H
--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -5,6 +5,8 @@
 #define CURRANTGAUGE_ADMISSION_STATE_H
 
 #include "currantgauge/admission/fair_schedule.h"
+#include "currantgauge/admission/limits.h"
+#include "currantgauge/admission/link.h"
 #include "currantgauge/admission/queued_attempt.h"
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
@@ -13,6 +15,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace currantgauge::admission {
 
@@ -55,9 +58,12 @@
   base::TimePoint Advanced; // up to when credit and use are counted
 };
 
-// RetryBudget is a token bucket fed by successes.
+// RetryBudget is a token bucket fed by successes, of a rank of a service.
 struct RetryBudget {
-  double Tokens = 10;
+  double Tokens = 1;
+  double Successes = 0; // of the last seconds, fading
+  base::TimePoint Counted;
+  double RefusedShare = 0; // of recent attempts, refused for an owner's load
 };
 
 // PressureKey is a rank of a service at one owner.
@@ -78,8 +84,14 @@
 // AdmissionState is what admission decides by.
 struct AdmissionState {
   std::map<base::ServiceName, ServiceQueue> Queues; // at the owner
-  std::map<base::ServiceName, RetryBudget> Budgets; // at the entry
-  std::map<PressureKey, KnownPressure> Pressures;   // at the entry
+  // The rest is used at the entry.
+  std::map<std::pair<base::ServiceName, base::RankName>, RetryBudget> Budgets;
+  std::map<PressureKey, KnownPressure> RankPressures;
+  // By service and owner, for choices that know no rank.
+  std::map<std::pair<base::ServiceName, base::NodeName>, core::Pressure>
+      Pressures;
+  RateLimits Limits;
+  LinkBudget Link;
 };
 
 } // namespace currantgauge::admission
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/admission/pressure.h"
+#include "currantgauge/admission/retry.h"
 #include "currantgauge/routing/choose.h"
 
 #include <algorithm>
@@ -11,11 +12,11 @@
 namespace currantgauge::core {
 namespace {
 
-constexpr std::uint32_t AttemptLimit = 3; // of one request
 constexpr base::Duration DefaultDeadline = base::seconds(30);
 // What an attempt's deadline is ahead of its request's, so that the owner's
-// answer arrives before the entry gives up.
-constexpr base::Duration HopAllowance = base::milliseconds(2);
+// answer arrives before the entry gives up: there and back.
+constexpr base::Duration HopAllowance = base::milliseconds(5);
+constexpr base::Duration LinkAllowance = base::milliseconds(20);
 
 EntryRequest *findRequest(State &Node, base::RequestId Id) {
   auto Found = Node.Entry.Requests.find(Id);
@@ -83,13 +84,30 @@
   Facts.Action = Request.Facts.Action;
   Facts.Body = Request.Facts.Body;
   Facts.BodyBytes = Request.Facts.BodyBytes;
-  Facts.TimeLeft = Request.Deadline - Node.Now - HopAllowance;
+  Facts.TimeLeft =
+      Request.Deadline - Node.Now -
+      (Server.Record.Region == Node.Self.Region ? HopAllowance : LinkAllowance);
   Facts.Worth = Request.Kind.Worth;
   Facts.Idempotent = Request.Kind.Idempotent;
   Facts.Number = Request.Attempts;
   return Facts;
 }
 
+admission::AttemptPlan planOf(const State &Node, const EntryRequest &Request,
+                              const routing::BackendServer &Server) {
+  return {*Node.Config.Current,    Request.Kind, Server, Node.Self.Region,
+          Request.Facts.BodyBytes, Node.Now};
+}
+
+void noteEnd(State &Node, const EntryRequest &Request,
+             const AttemptOutcome &Outcome, EffectList &Effects) {
+  auto Server = Node.Routing.Servers.find(Request.CurrentServer);
+  if (Server != Node.Routing.Servers.end())
+    admission::noteAttemptEnd(Node.Admission,
+                              planOf(Node, Request, Server->second), Outcome,
+                              Effects);
+}
+
 void startNextAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
   routing::ChoiceQuery Query;
   Query.Service = Request.Kind.Service;
@@ -105,6 +123,10 @@
     refuse(Node, Request, base::Reason::NoBackend, base::seconds(1), Effects);
     return;
   }
+  base::Reason Why = admission::admitAttempt(
+      Node.Admission, planOf(Node, Request, *Server), Node.Source, Effects);
+  if (Why != base::Reason::None)
+    return refuse(Node, Request, Why, base::seconds(1), Effects);
   ++Request.Attempts;
   Request.Current =
       base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
@@ -120,58 +142,33 @@
                                  Server->Record.Owner, Address});
 }
 
-bool mayRetry(const EntryRequest &Request, const AttemptOutcome &Outcome) {
-  if (Request.Committed || Request.Attempts >= AttemptLimit)
-    return false;
-  if (Outcome.What == base::Verdict::NotRun)
-    return true;
-  return Request.Kind.Idempotent;
-}
-
 bool isFailure(const AttemptOutcome &Outcome) {
   return Outcome.What != base::Verdict::Ran ||
          Outcome.Why != base::Reason::None;
 }
 
-// Refusals that every other owner would repeat are final.
-bool isFinal(base::Reason Why) {
-  switch (Why) {
-  case base::Reason::Quarantined:
-  case base::Reason::ActionRunning:
-  case base::Reason::ActionMismatch:
-  case base::Reason::ActionExpired:
-  case base::Reason::ActionForged:
-  case base::Reason::ActionForeign:
-  case base::Reason::ActionLost:
-  case base::Reason::StoreUnavailable:
-  case base::Reason::DeadlinePassed:
-  case base::Reason::DeadlineTooShort:
-  case base::Reason::CallerGone:
-    return true;
-  default:
-    return false;
-  }
-}
-
 bool scheduleRetry(State &Node, EntryRequest &Request,
                    const AttemptOutcome &Outcome, EffectList &Effects) {
-  if (!mayRetry(Request, Outcome) || isFinal(Outcome.Why))
-    return false;
-  base::TimePoint At =
-      Node.Now + admission::retryDelay(Request.Attempts + 1, Node.Source);
-  if (At + HopAllowance >= Request.Deadline)
-    return false;
-  if (!admission::takeRetry(Node.Admission, Request.Kind.Service)) {
-    Effects.push_back(
-        Measure{Metric::Refusals,
-                std::string(base::reasonName(base::Reason::RetryBudget)),
-                Request.Kind.Rank.Value, 1});
+  admission::RetryPlan Plan =
+      admission::planRetry(Node.Admission,
+                           {.Kind = Request.Kind,
+                            .Outcome = Outcome,
+                            .Committed = Request.Committed,
+                            .Attempts = Request.Attempts,
+                            .Arrived = Request.Arrived,
+                            .Deadline = Request.Deadline,
+                            .Now = Node.Now},
+                           Node.Source);
+  if (Plan.Denied != base::Reason::None)
+    Effects.push_back(Measure{Metric::Refusals,
+                              std::string(base::reasonName(Plan.Denied)),
+                              Request.Kind.Rank.Value, 1});
+  if (!Plan.Retry)
     return false;
-  }
   Effects.push_back(Measure{Metric::Retries,
                             std::string(base::reasonName(Outcome.Why)),
                             Request.Kind.Service.Value, 1});
-  setTimer(Node.Timers, At, RetryDue{Request.Facts.Request});
+  setTimer(Node.Timers, Plan.At, RetryDue{Request.Facts.Request});
   return true;
 }
 
@@ -181,9 +178,6 @@
   if (!Request.Committed)
     Effects.push_back(DeliverAnswer{Request.Facts.Request, Attempt,
                                     Outcome.Server, base::Verdict::Ran});
-  if (Outcome.Why == base::Reason::None)
-    admission::noteSuccess(Node.Admission, *Node.Config.Current,
-                           Request.Kind.Service);
   forget(Node, Request.Facts.Request);
 }
 
@@ -254,6 +248,7 @@
   if (!Request)
     return;
   const AttemptOutcome &Outcome = Ended.Outcome;
+  noteEnd(Node, *Request, Outcome, Effects);
   endCurrentAttempt(Node, *Request);
   Request->LastWhy = Outcome.Why;
   if (Outcome.What != base::Verdict::NotRun)
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/core/owner.h"
 
 #include "currantgauge/actions/guard.h"
+#include "currantgauge/admission/entry.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/routing/choose.h"
@@ -11,8 +12,6 @@
 namespace currantgauge::core {
 namespace {
 
-// A rank that this node's configuration does not know yet waits behind others.
-constexpr std::uint32_t UnknownRankOrder = UINT32_MAX - 1;
 constexpr std::uint32_t HttpTooManyRequests = 429;
 constexpr std::uint32_t HttpServerErrors = 500;
 constexpr std::uint32_t HttpServiceUnavailable = 503;
@@ -25,12 +24,6 @@
   return Outcome;
 }
 
-std::uint32_t rankOrder(const State &Node, const base::RankName &Rank) {
-  const auto &Ranks = Node.Config.Current->Ranks;
-  auto Found = Ranks.find(Rank);
-  return Found == Ranks.end() ? UnknownRankOrder : Found->second.Order;
-}
-
 void releaseSlot(State &Node, const admission::QueuedAttempt &Attempt) {
   auto Server = Node.Routing.Servers.find(Attempt.Server);
   if (Server != Node.Routing.Servers.end() && Server->second.Running > 0)
@@ -44,6 +37,7 @@
   Outcome.Why = Seen.Why;
   Outcome.Status = Seen.Status;
   Outcome.RetryAfter = Seen.RetryAfter;
+  Outcome.AnswerBytes = Seen.AnswerBytes;
   Outcome.What = !Seen.AnyByteSent  ? base::Verdict::NotRun
                  : Seen.AnswerWhole ? base::Verdict::Ran
                                     : base::Verdict::MayHaveRun;
@@ -119,7 +113,11 @@
     return endAttempt(Node, Arrival.Facts.Attempt,
                       refusal(base::Reason::NoConfiguration, base::seconds(1)),
                       Effects);
-  Attempt->RankOrder = rankOrder(Node, Arrival.Facts.Rank);
+  Attempt->RankOrder =
+      admission::rankOrder(*Node.Config.Current, Arrival.Facts.Rank);
+  auto Entry = Node.Membership.Members.find(Arrival.Facts.Entry);
+  Attempt->CrossedLink = Entry != Node.Membership.Members.end() &&
+                         Entry->second.Record.Region != Node.Self.Region;
   base::Reason Why = queueAttempt(Node, *Attempt, Effects);
   if (Why != base::Reason::None)
     return endAttempt(Node, Arrival.Facts.Attempt,
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -49,12 +49,13 @@
   std::uint32_t Number = 1; // 1 for the first attempt of a request
 };
 
-// Pressure is what an owner tells entries of a service's queue.
+// Pressure is what an owner tells an entry of a rank's queue, in each answer to
+// that rank.
 struct Pressure {
   base::NodeName Owner;
   base::ServiceName Service;
-  std::uint32_t RefusedOrder = UINT32_MAX; // ranks of this order and later ...
-  double RefusedShare = 0;                 // ... are refused in this share
+  std::uint32_t RefusedOrder = UINT32_MAX; // the rank's order
+  double RefusedShare = 0;                 // of the rank's work
   base::Duration QueueDelay;
 };
 
@@ -77,6 +78,7 @@
   std::uint32_t Status = 0; // of the backend server's answer, 0: none
   base::Duration RetryAfter;
   base::BackendName Server;
+  base::ByteCount AnswerBytes; // of the body
   Pressure Load;
   base::NodeName Elsewhere; // owner that holds the action's answer; else empty
 };
