--- a/bench/flood_scenario.h
+++ b/bench/flood_scenario.h
@@ -32,7 +32,7 @@
   std::int64_t Deadline; // milliseconds
 };
 
-constexpr std::array<RankPlan, RankCount> Ranks = {
+inline constexpr std::array<RankPlan, RankCount> Ranks = {
     RankPlan{"urgent", 50, 0.30, 1000},
     RankPlan{"normal", 15, 0.20, 500},
     RankPlan{"lookup", 10, 0.20, 500},
@@ -73,7 +73,7 @@
 // FloodKind is what happens beside the ordinary load.
 enum class FloodKind { None, LeastUrgent, MostUrgent, SickThird, RegionCut };
 
-constexpr std::array FloodKinds = {FloodKind::None, FloodKind::LeastUrgent,
+inline constexpr std::array FloodKinds = {FloodKind::None, FloodKind::LeastUrgent,
                                    FloodKind::MostUrgent, FloodKind::SickThird,
                                    FloodKind::RegionCut};
 
--- /dev/null
+++ b/currantgauge/admission/flood_test.cc
@@ -0,0 +1,58 @@
+#include "bench/flood_scenario.h"
+#include "bench/flood_simulation.h"
+
+#include <doctest/doctest.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace currantgauge::bench {
+namespace {
+
+constexpr base::Duration RefusalLimit = base::milliseconds(50);
+
+Report runFlood(FloodKind Kind, std::uint64_t Seed) {
+  Deployment Fleet = waitaha();
+  Fleet.Services = {{"cutlist", 6, 4, base::milliseconds(20)}};
+  Simulation Run = makeSimulation(makeScenario(Fleet, Kind, Seed));
+  runSimulation(Run);
+  return reportOf(Run);
+}
+
+void checkAlways(const Report &Figures) {
+  CHECK(Figures.SlotOverruns == 0);
+  for (const RankFigures &Rank : Figures.Rank) {
+    CHECK(Rank.SlowestKnown <= RefusalLimit);
+    CHECK(Rank.MayHaveRun == 0);
+  }
+}
+
+} // namespace
+
+TEST_CASE("without a flood every rank is served") {
+  Report Figures = runFlood(FloodKind::None, 1);
+  checkAlways(Figures);
+  for (const RankFigures &Rank : Figures.Rank)
+    CHECK(Rank.InTimeShare >= 99.9);
+  CHECK(Figures.Attempts <= Figures.Requests * 1.1);
+}
+
+TEST_CASE("a flood of the least urgent rank leaves the most urgent alone") {
+  for (FloodKind Kind : {FloodKind::LeastUrgent, FloodKind::RegionCut}) {
+    Report Figures = runFlood(Kind, 2);
+    checkAlways(Figures);
+    CHECK(Figures.Rank[0].InTimeShare >= 99.9);
+    CHECK(Figures.UsefulWork >= 95);
+    CHECK(Figures.Attempts < Figures.Requests / 2);
+  }
+}
+
+TEST_CASE("in a flood of the most urgent rank the others keep their share") {
+  Report Figures = runFlood(FloodKind::MostUrgent, 3);
+  checkAlways(Figures);
+  for (std::size_t R = 1; R < RankCount; ++R)
+    CHECK(Figures.Rank[R].SlotShare >= 0.95 * Ranks[R].Share);
+  CHECK(Figures.UsefulWork >= 95);
+}
+
+} // namespace currantgauge::bench
