--- a/bench/flood_scenario.h
+++ b/bench/flood_scenario.h
@@ -73,9 +73,9 @@
 // FloodKind is what happens beside the ordinary load.
 enum class FloodKind { None, LeastUrgent, MostUrgent, SickThird, RegionCut };
 
-inline constexpr std::array FloodKinds = {FloodKind::None, FloodKind::LeastUrgent,
-                                   FloodKind::MostUrgent, FloodKind::SickThird,
-                                   FloodKind::RegionCut};
+inline constexpr std::array FloodKinds = {
+    FloodKind::None, FloodKind::LeastUrgent, FloodKind::MostUrgent,
+    FloodKind::SickThird, FloodKind::RegionCut};
 
 inline const char *floodName(FloodKind Kind) {
   constexpr std::array Names = {"none", "least-urgent", "most-urgent",
