--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -29,6 +29,7 @@
         LogLevel::Warn,
         "lease_expired",
         {{"server", Gone.Name.Value}, {"service", Gone.Service.Value}}});
+    runQueued(Node, Gone.Service, Effects);
   }
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
 }
@@ -75,6 +76,10 @@
   onAttemptDeadline(Node, Due, Effects);
 }
 
+void onTimer(State &Node, const SlotsReopen &Due, EffectList &Effects) {
+  runQueued(Node, Due.Service, Effects);
+}
+
 std::string phaseName(routing::BackendPhase Phase) {
   switch (Phase) {
   case routing::BackendPhase::Ready:
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -50,12 +50,13 @@
   bool Permitted = false;   // bears the one permission of its action id
 };
 
-// Pressure is what an owner tells entries of a service's queue.
+// Pressure is what an owner tells an entry of a rank's queue, in each answer to
+// that rank.
 struct Pressure {
   base::NodeName Owner;
   base::ServiceName Service;
-  std::uint32_t RefusedOrder = UINT32_MAX; // ranks of this order and later ...
-  double RefusedShare = 0;                 // ... are refused in this share
+  std::uint32_t RefusedOrder = UINT32_MAX; // the rank's order
+  double RefusedShare = 0;                 // of the rank's work
   base::Duration QueueDelay;
 };
 
@@ -78,6 +79,7 @@
   std::uint32_t Status = 0; // of the backend server's answer, 0: none
   base::Duration RetryAfter;
   base::BackendName Server;
+  base::ByteCount AnswerBytes; // of the body
   Pressure Load;
   base::NodeName Elsewhere; // owner that holds the action's answer; else empty
   bool Permitted = false;   // the entry now holds the action id's permission
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/routing/choose.h"
 
+#include "currantgauge/routing/slots.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -193,7 +195,7 @@
     BackendServer &Server = State.Servers.at(Name);
     if (Server.Record.Service != Query.Service || !takesWork(Server) ||
         Server.Record.Owner != State.Self ||
-        Server.Running >= Server.Record.Slots)
+        Server.Running >= openSlots(Server, Query.Now))
       continue;
     if (Name == Preferred)
       return &Server;
