--- /dev/null
+++ b/currantgauge/config/assemble.cc
@@ -0,0 +1,100 @@
+#include "currantgauge/config/assemble.h"
+
+#include "currantgauge/config/build.h"
+#include "currantgauge/config/document.h"
+#include "currantgauge/config/merge.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include <cstddef>
+#include <string_view>
+#include <utility>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::size_t ShownErrors = 20;
+
+std::string joinErrors(const SettingsErrors &Errors) {
+  std::string Text;
+  for (std::size_t Index = 0; Index < Errors.size() && Index < ShownErrors;
+       ++Index)
+    Text += (Index == 0 ? "" : "\n") + formatError(Errors[Index]);
+  if (Errors.size() > ShownErrors)
+    Text += "\nand " + std::to_string(Errors.size() - ShownErrors) + " more";
+  return Text;
+}
+
+// A document that is not in canonical form, of a client of the operators' own,
+// is put into it first.
+PartSetPtr partsOf(const AssembleRequest &Request, SettingsErrors &Errors) {
+  if (Request.Text.empty() && Request.Parts)
+    return Request.Parts;
+  if (PartSetPtr Parts = splitDocument(Request.Text))
+    return Parts;
+  return splitDocument(mergeFiles({{"document", Request.Text}}, Errors));
+}
+
+void removeEntries(const std::string &Name, const PartSet &Old,
+                   Configuration &Config) {
+  if (Name == BasePart) {
+    Config.Ranks.clear();
+    Config.Services.clear();
+    Config.Kinds.clear();
+    Config.Link = LinkSettings();
+    Config.AnyWorkspace = true;
+    return;
+  }
+  auto Part = Old.Parts.find(Name);
+  if (Part == Old.Parts.end())
+    return;
+  SettingsErrors Ignored;
+  Document Entries;
+  mergeInto(Entries, Name, Part->second->Text, Ignored);
+  for (const auto &[Route, Entry] : Entries.Sections["routes"])
+    Config.Routes.erase(Route);
+  for (const auto &[Workspace, Entry] : Entries.Sections["workspaces"])
+    Config.Workspaces.erase(base::WorkspaceName(Workspace));
+}
+
+// Each part is parsed alone and let go, so that the parser's memory is that of
+// one part and not of the document.
+void replaceParts(const AssembleRequest &Request, const PartSet &Parts,
+                  Configuration &Config, SettingsErrors &Errors) {
+  PartSet Nothing;
+  const PartSet &Old =
+      Request.Base && Request.BaseParts ? *Request.BaseParts : Nothing;
+  for (const std::string &Name : changedParts(Old, Parts)) {
+    removeEntries(Name, Old, Config);
+    auto Part = Parts.Parts.find(Name);
+    if (Part == Parts.Parts.end())
+      continue;
+    Document Entries;
+    mergeInto(Entries, Name, Part->second->Text, Errors);
+    buildConfiguration(Entries, Config, Errors);
+  }
+}
+
+} // namespace
+
+AssembledConfig assembleConfig(const AssembleRequest &Request) {
+  AssembledConfig Result;
+  SettingsErrors Errors;
+  Result.Parts = partsOf(Request, Errors);
+  boost::intrusive_ptr<Configuration> Config(
+      Request.Base ? new Configuration(*Request.Base) : new Configuration);
+  if (Errors.empty() && Result.Parts) {
+    replaceParts(Request, *Result.Parts, *Config, Errors);
+    checkConfiguration(Document(), *Config, Errors);
+  }
+  Result.Error = joinErrors(Errors);
+  if (!Result.Parts && Result.Error.empty())
+    Result.Error = "the document can't be split into parts";
+  if (!Result.Error.empty())
+    return Result;
+  indexRoutes(*Config);
+  Result.Config = std::move(Config);
+  return Result;
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/config/build.cc
+++ b/currantgauge/config/build.cc
@@ -116,7 +116,7 @@
     Settings Read;
     readEntry(Map, Name, Read);
     closeMap(Map);
-    Entries.insert_or_assign(typename Target::key_type(Name), std::move(Read));
+    Entries[decltype(Read.Name)(Name)] = std::move(Read);
   }
 }
 
--- /dev/null
+++ b/currantgauge/config/load.cc
@@ -0,0 +1,125 @@
+#include "currantgauge/config/load.h"
+
+#include "currantgauge/config/spread.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::size_t ReadsAtOnce = 16;
+
+void readObject(core::State &Node, base::CallId Load, const std::string &Part,
+                const base::ContentHash &Hash, core::EffectList &Effects) {
+  std::string Name = Part.empty() ? manifestObject(Hash) : partObject(Hash);
+  base::CallId Call = callStore(Node, base::GetObject{Name}, Effects);
+  Node.Config.Loads.at(Load).Asked[Call] = {Part, Hash};
+  Node.Config.LoadCalls[Call] = Load;
+}
+
+void finishLoad(core::State &Node, base::CallId Id, bool Succeeded,
+                core::EffectList &Effects) {
+  VersionLoad Load = std::move(Node.Config.Loads.at(Id));
+  Node.Config.Loads.erase(Id);
+  for (const auto &[Call, Part] : Load.Asked)
+    Node.Config.LoadCalls.erase(Call);
+  std::optional<ConfigDocument> Document;
+  if (Succeeded) {
+    boost::intrusive_ptr<PartSet> Parts(new PartSet);
+    Parts->Parts = std::move(Load.Got);
+    Document = ConfigDocument{Load.Row.Version, Load.Row.Push, Load.Row.Author,
+                              Load.Row.When, std::move(Parts)};
+  }
+  if (!Load.Operator)
+    return onVersionLoaded(Node, Document, Effects);
+  core::OperatorReply Reply;
+  Reply.Error = "the store does not give version " +
+                std::to_string(Load.Row.Version.Value) + "; try again";
+  Effects.push_back(core::AnswerOperator{
+      *Load.Operator, Document ? documentReply(*Document) : Reply});
+}
+
+// Parts that the version in force here shares are not read again.
+bool takeManifest(core::State &Node, VersionLoad &Load,
+                  const std::string &Bytes) {
+  std::optional<Manifest> Hashes = parseManifest(Bytes);
+  if (!Hashes)
+    return false;
+  const PartSetPtr &Held = Node.Config.Document.Parts;
+  for (const auto &[Name, Hash] : *Hashes) {
+    auto Own = Held ? Held->Parts.find(Name) : decltype(Held->Parts.end())();
+    if (Held && Own != Held->Parts.end() && Own->second->Hash == Hash)
+      Load.Got[Name] = Own->second;
+    else
+      Load.Wanted.emplace_back(Name, Hash);
+  }
+  return true;
+}
+
+bool takeObject(core::State &Node, VersionLoad &Load, const std::string &Part,
+                const base::ContentHash &Hash, const std::string &Bytes) {
+  if (hashContent(Bytes) != Hash)
+    return false;
+  if (Part.empty())
+    return takeManifest(Node, Load, Bytes);
+  Load.Got[Part] = makePart(Part, Bytes);
+  return true;
+}
+
+void readNext(core::State &Node, base::CallId Id, core::EffectList &Effects) {
+  VersionLoad &Load = Node.Config.Loads.at(Id);
+  while (Load.Asked.size() < ReadsAtOnce && !Load.Wanted.empty()) {
+    auto [Part, Hash] = std::move(Load.Wanted.front());
+    Load.Wanted.pop_front();
+    readObject(Node, Id, Part, Hash, Effects);
+  }
+  if (Load.Asked.empty())
+    finishLoad(Node, Id, true, Effects);
+}
+
+} // namespace
+
+base::CallId startLoad(core::State &Node, const HeadRow &Row,
+                       std::optional<base::CallId> Operator,
+                       core::EffectList &Effects) {
+  base::CallId Id = core::nextCall(Node);
+  VersionLoad &Load = Node.Config.Loads[Id];
+  Load.Row = Row;
+  Load.Operator = Operator;
+  readObject(Node, Id, "", Row.Manifest, Effects);
+  return Id;
+}
+
+bool onLoadAnswered(core::State &Node, const core::StoreAnswered &Answer,
+                    core::EffectList &Effects) {
+  auto Found = Node.Config.LoadCalls.find(Answer.Call);
+  if (Found == Node.Config.LoadCalls.end())
+    return false;
+  base::CallId Id = Found->second;
+  Node.Config.LoadCalls.erase(Found);
+  VersionLoad &Load = Node.Config.Loads.at(Id);
+  auto [Part, Hash] = std::move(Load.Asked.at(Answer.Call));
+  Load.Asked.erase(Answer.Call);
+  if (Answer.Result.Status != base::StoreStatus::Done ||
+      !takeObject(Node, Load, Part, Hash, Answer.Result.Bytes))
+    finishLoad(Node, Id, false, Effects);
+  else
+    readNext(Node, Id, Effects);
+  return true;
+}
+
+core::OperatorReply documentReply(const ConfigDocument &Document) {
+  core::OperatorReply Reply;
+  Reply.Fields = {{"version", std::to_string(Document.Version.Value)},
+                  {"author", Document.Author},
+                  {"when", std::to_string(Document.When.Millis)},
+                  {"push", Document.Push.Value}};
+  Reply.Document = Document.Parts;
+  return Reply;
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -7,6 +7,7 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
+#include "currantgauge/config/workspace_table.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -59,14 +60,6 @@
   base::KindName Kind;
 };
 
-// WorkspaceSettings is a customer's workspace and its limits.
-struct WorkspaceSettings {
-  base::WorkspaceName Name;
-  base::PerSecond Limit; // in each node; zero: none
-  double Burst = 0;      // requests; zero: one second's worth
-  double Weight = 1;     // in the fair queue
-};
-
 // LinkSettings bounds what this fleet sends between two regions.
 struct LinkSettings {
   base::ByteCount BytesPerSecond; // a node's share; zero: no limit
@@ -79,7 +72,7 @@
   std::map<base::ServiceName, ServiceSettings> Services;
   std::map<base::KindName, KindSettings> Kinds;
   std::map<std::string, RouteSettings> Routes; // by route name
-  std::map<base::WorkspaceName, WorkspaceSettings> Workspaces;
+  WorkspaceTable Workspaces;
   LinkSettings Link;
   bool AnyWorkspace = true; // accept requests of workspaces not listed
 
--- /dev/null
+++ b/currantgauge/config/parts.cc
@@ -0,0 +1,201 @@
+#include "currantgauge/config/parts.h"
+
+#include "currantgauge/config/merge.h"
+
+#include <openssl/evp.h>
+// The functions are compiled in, so that no other library is linked.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <utility>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::size_t HashBytes = 16;
+constexpr std::string_view Digits = "0123456789abcdef";
+
+std::string hexOf(std::uint32_t Number) {
+  std::string Text;
+  for (; Number != 0 || Text.empty(); Number /= 16)
+    Text.insert(Text.begin(), Digits[Number % 16]);
+  return Text;
+}
+
+std::uint32_t bucketOf(std::string_view Name, std::uint32_t Count) {
+  return static_cast<std::uint32_t>(XXH64(Name.data(), Name.size(), 0) % Count);
+}
+
+// An entry's line is "  name: {...}".
+std::string_view nameOf(std::string_view Line) {
+  std::size_t Colon = Line.find(": ");
+  return Colon == std::string_view::npos || Colon <= 2
+             ? std::string_view()
+             : Line.substr(2, Colon - 2);
+}
+
+std::string partOf(std::string_view Section, std::string_view Line) {
+  if (Section == "routes")
+    return "routes/" + hexOf(bucketOf(nameOf(Line), RouteBuckets));
+  if (Section == "workspaces")
+    return workspacePart(workspaceBucket(nameOf(Line)));
+  return std::string(BasePart);
+}
+
+std::string_view takeLine(std::string_view &Text) {
+  std::string_view Line = Text.substr(0, Text.find('\n'));
+  Text.remove_prefix(std::min(Line.size() + 1, Text.size()));
+  return Line;
+}
+
+bool isSection(std::string_view Line) {
+  return Line.ends_with(':') &&
+         std::find(SectionNames.begin(), SectionNames.end(),
+                   Line.substr(0, Line.size() - 1)) != SectionNames.end();
+}
+
+bool isEntry(std::string_view Section, std::string_view Line) {
+  if (Section.empty() || !Line.starts_with("  ") || nameOf(Line).empty() ||
+      Line[2] == ' ' || Line[2] == '#')
+    return false;
+  std::string_view Value = Line.substr(nameOf(Line).size() + 4);
+  return Section == FleetSection ||
+         (Value.starts_with('{') && Value.ends_with('}'));
+}
+
+} // namespace
+
+base::ContentHash hashContent(std::string_view Text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned Size = 0;
+  EVP_Digest(Text.data(), Text.size(), Digest.data(), &Size, EVP_sha256(),
+             nullptr);
+  std::string Hex;
+  for (std::size_t Index = 0; Index < HashBytes; ++Index) {
+    Hex += Digits[Digest[Index] >> 4];
+    Hex += Digits[Digest[Index] & 0xf];
+  }
+  return base::ContentHash(Hex);
+}
+
+ConfigPartPtr makePart(std::string Name, std::string Text) {
+  boost::intrusive_ptr<ConfigPart> Part(new ConfigPart);
+  Part->Name = std::move(Name);
+  Part->Hash = hashContent(Text);
+  Part->Text = std::move(Text);
+  return Part;
+}
+
+std::uint32_t workspaceBucket(std::string_view Name) {
+  return bucketOf(Name, WorkspaceBuckets);
+}
+
+std::string workspacePart(std::uint32_t Bucket) {
+  return "workspaces/" + hexOf(Bucket);
+}
+
+PartSetPtr splitDocument(const std::string &Text) {
+  std::map<std::string, std::string> Texts;
+  std::map<std::string, std::string> LastSection;
+  std::string Section;
+  std::string_view Rest = Text;
+  while (!Rest.empty()) {
+    std::string_view Line = takeLine(Rest);
+    if (isSection(Line)) {
+      Section = std::string(Line.substr(0, Line.size() - 1));
+      continue;
+    }
+    if (!isEntry(Section, Line))
+      return nullptr;
+    std::string Name = partOf(Section, Line);
+    if (std::exchange(LastSection[Name], Section) != Section)
+      Texts[Name] += Section + ":\n";
+    Texts[Name] += std::string(Line) + "\n";
+  }
+  boost::intrusive_ptr<PartSet> Whole(new PartSet);
+  for (auto &[Name, PartText] : Texts)
+    Whole->Parts.emplace(Name, makePart(Name, std::move(PartText)));
+  return Whole;
+}
+
+std::string joinParts(const PartSet &Whole) {
+  std::map<std::string, std::vector<std::string_view>, std::less<>> Lines;
+  for (const auto &[Name, Part] : Whole.Parts) {
+    std::string Section;
+    std::string_view Rest = Part->Text;
+    while (!Rest.empty()) {
+      std::string_view Line = takeLine(Rest);
+      if (isSection(Line))
+        Section = std::string(Line.substr(0, Line.size() - 1));
+      else
+        Lines[Section].push_back(Line);
+    }
+  }
+  std::string Text;
+  for (std::string_view Section : SectionNames) {
+    auto Found = Lines.find(Section);
+    if (Found == Lines.end())
+      continue;
+    std::sort(Found->second.begin(), Found->second.end(),
+              [](std::string_view A, std::string_view B) {
+                return nameOf(A) < nameOf(B);
+              });
+    Text += std::string(Section) + ":\n";
+    for (std::string_view Line : Found->second)
+      Text.append(Line).append("\n");
+  }
+  return Text;
+}
+
+// Parts are shared between versions, so that most pairs are the same pointer.
+std::vector<std::string> changedParts(const PartSet &Old, const PartSet &New) {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Part] : New.Parts) {
+    auto Same = Old.Parts.find(Name);
+    if (Same == Old.Parts.end() ||
+        (Same->second != Part && Same->second->Hash != Part->Hash))
+      Names.push_back(Name);
+  }
+  for (const auto &[Name, Part] : Old.Parts)
+    if (!New.Parts.contains(Name))
+      Names.push_back(Name);
+  return Names;
+}
+
+Manifest manifestOf(const PartSet &Whole) {
+  Manifest Hashes;
+  for (const auto &[Name, Part] : Whole.Parts)
+    Hashes.emplace(Name, Part->Hash);
+  return Hashes;
+}
+
+std::string formatManifest(const Manifest &Hashes) {
+  std::string Text;
+  for (const auto &[Name, Hash] : Hashes)
+    Text += Name + " " + Hash.Value + "\n";
+  return Text;
+}
+
+std::optional<Manifest> parseManifest(const std::string &Text) {
+  Manifest Hashes;
+  std::string_view Rest = Text;
+  while (!Rest.empty()) {
+    std::string_view Line = takeLine(Rest);
+    std::size_t Space = Line.find(' ');
+    if (Space == 0 || Space == std::string_view::npos ||
+        Line.size() - Space - 1 != HashBytes * 2)
+      return std::nullopt;
+    Hashes.emplace(std::string(Line.substr(0, Space)),
+                   base::ContentHash(std::string(Line.substr(Space + 1))));
+  }
+  return Hashes;
+}
+
+base::ContentHash hashManifest(const PartSet &Whole) {
+  return hashContent(formatManifest(manifestOf(Whole)));
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/push_reply.h
@@ -0,0 +1,27 @@
+// What an operator is told of a push.
+//
+//   Effects.push_back(AnswerOperator{Call, acceptedReply(Row)});
+#ifndef CURRANTGAUGE_CONFIG_PUSH_REPLY_H
+#define CURRANTGAUGE_CONFIG_PUSH_REPLY_H
+
+#include "currantgauge/config/head_row.h"
+#include "currantgauge/core/operator.h"
+#include "currantgauge/core/state.h"
+
+#include <string>
+
+namespace currantgauge::config {
+
+// failure() returns a reply with an error.
+core::OperatorReply failure(const std::string &Text);
+
+// acceptedReply() names the version that a push became.
+core::OperatorReply acceptedReply(const HeadRow &Row);
+
+// staleReply() says who was first, when, and what differs between the version
+// in force and the node's pending push.
+core::OperatorReply staleReply(const core::State &Node);
+
+} // namespace currantgauge::config
+
+#endif // CURRANTGAUGE_CONFIG_PUSH_REPLY_H
--- /dev/null
+++ b/currantgauge/config/spread.cc
@@ -0,0 +1,281 @@
+#include "currantgauge/config/spread.h"
+
+#include "currantgauge/config/load.h"
+#include "currantgauge/config/push.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::size_t ToldPeers = 3; // of a new version, at once
+constexpr base::Duration StepLimit = base::seconds(8);
+// The whole fleet together reads the head row this often, however large.
+constexpr base::Duration FleetPollInterval = base::milliseconds(250);
+constexpr base::Duration MinPollInterval = base::seconds(2);
+// A node that starts asks its peers before it believes the store.
+constexpr base::Duration StartGrace = base::seconds(2);
+// How long a first version waits for a newer one known of before it serves.
+constexpr base::Duration ReadyGrace = base::seconds(10);
+
+bool isUsable(const membership::MemberRecord &Record) {
+  return Record.Phase == membership::MemberPhase::Alive;
+}
+
+// tellPeers() passes the version on at once; gossip reaches the rest. Each
+// node does so, and the news multiplies with every hop.
+void tellPeers(core::State &Node, core::EffectList &Effects) {
+  const auto &Members = Node.Membership.Members;
+  for (std::size_t Count = 0; Count < ToldPeers && !Members.empty(); ++Count) {
+    auto Chosen = std::next(
+        Members.begin(), static_cast<std::ptrdiff_t>(
+                             base::uniformBelow(Node.Source, Members.size())));
+    const membership::MemberRecord &Record = Chosen->second.Record;
+    if (!isUsable(Record) || Record.PeerAddress.empty() ||
+        Record.Version >= Node.Config.Document.Version)
+      continue;
+    membership::PeerMessage Message;
+    Message.From = Node.Self.Name;
+    Message.FromAddress = Node.Self.PeerAddress;
+    Message.Kind = membership::MessageKind::Ack;
+    Message.Version = Node.Config.Document.Version;
+    Message.Members = {Node.Membership.Self};
+    Effects.push_back(core::SendPeerMessage{Record.Name, Record.PeerAddress,
+                                            std::move(Message)});
+  }
+}
+
+void becomeReady(core::State &Node, core::EffectList &Effects) {
+  if (Node.Ready || Node.Stopping || !Node.Config.Current)
+    return;
+  bool IsNewest = Node.Config.Document.Version >= Node.Config.Heard;
+  if (Node.Config.ReadyBy == base::Never)
+    Node.Config.ReadyBy = Node.Now + ReadyGrace;
+  if (!IsNewest && Node.Now < Node.Config.ReadyBy)
+    return;
+  Node.Ready = true;
+  Effects.push_back(core::BecomeReady{true});
+}
+
+void startFetch(core::State &Node, const base::NodeName &From,
+                const base::NetAddress &Address, core::EffectList &Effects) {
+  base::CallId Call = core::nextCall(Node);
+  Node.Config.Lag = CatchUp{CatchUpPhase::Fetching, Call, Node.Now, {}};
+  Effects.push_back(
+      core::FetchConfig{Call, From, Address, Node.Config.Document.Version});
+}
+
+void readHead(core::State &Node, core::EffectList &Effects) {
+  base::CallId Call =
+      callStore(Node, base::ReadRow{ConfigTable, HeadKey}, Effects);
+  Node.Config.Lag = CatchUp{CatchUpPhase::ReadingHead, Call, Node.Now, {}};
+}
+
+// A peer of the own failure domain, else of the own region, costs least.
+int distanceOf(const core::State &Node,
+               const membership::MemberRecord &Record) {
+  if (Record.Domain == Node.Self.Domain)
+    return 0;
+  return Record.Region == Node.Self.Region ? 1 : 2;
+}
+
+const membership::MemberRecord *chooseHolder(core::State &Node) {
+  std::vector<const membership::MemberRecord *> Nearest;
+  int Distance = 3;
+  for (const auto &[Name, Member] : Node.Membership.Members) {
+    const membership::MemberRecord &Record = Member.Record;
+    if (!isUsable(Record) || Record.Version <= Node.Config.Document.Version)
+      continue;
+    int Own = distanceOf(Node, Record);
+    if (Own < Distance)
+      Nearest.clear();
+    Distance = std::min(Distance, Own);
+    if (Own == Distance)
+      Nearest.push_back(&Record);
+  }
+  if (Nearest.empty())
+    return nullptr;
+  return Nearest[base::uniformBelow(Node.Source, Nearest.size())];
+}
+
+bool lags(const core::State &Node) {
+  return Node.Config.Heard > Node.Config.Document.Version &&
+         Node.Config.Heard != Node.Config.Broken;
+}
+
+// Peers come first: they cost the store nothing and are there when it is not.
+// Every other try after a failure goes to the store.
+void lookForVersion(core::State &Node, core::EffectList &Effects) {
+  if (Node.Config.Lag.Phase != CatchUpPhase::Idle)
+    return;
+  bool TryStore = !Node.Self.Embedded && Node.Config.FailedFetches % 2 == 1;
+  const membership::MemberRecord *Holder =
+      lags(Node) && !TryStore ? chooseHolder(Node) : nullptr;
+  if (Holder)
+    return startFetch(Node, Holder->Name, Holder->PeerAddress, Effects);
+  if (Node.Self.Embedded || (Node.Now < Node.Config.NextPoll && !TryStore))
+    return;
+  auto Nodes = static_cast<std::int64_t>(Node.Membership.Members.size() + 1);
+  Node.Config.NextPoll =
+      Node.Now + std::max(MinPollInterval, FleetPollInterval * Nodes);
+  readHead(Node, Effects);
+}
+
+void endCatchUp(core::State &Node, bool Failed) {
+  Node.Config.Lag = CatchUp();
+  Node.Config.FailedFetches = Failed ? Node.Config.FailedFetches + 1 : 0;
+}
+
+void parseTarget(core::State &Node, const ConfigDocument &Target,
+                 core::EffectList &Effects) {
+  base::CallId Call = core::nextCall(Node);
+  Node.Config.Lag = CatchUp{CatchUpPhase::Parsing, Call, Node.Now, Target};
+  Effects.push_back(core::ParseConfig{
+      Call, AssembleRequest{"", Target.Parts, Node.Config.Document.Parts,
+                            Node.Config.Current}});
+}
+
+} // namespace
+
+base::CallId callStore(core::State &Node, base::StoreOperation Operation,
+                       core::EffectList &Effects) {
+  base::CallId Call = core::nextCall(Node);
+  Effects.push_back(
+      core::CallStore{Call, std::move(Operation), StoreTimeLimit});
+  return Call;
+}
+
+void startRounds(core::State &Node) {
+  Node.Config.NextPoll = Node.Now + StartGrace;
+  core::setTimer(Node.Timers, Node.Now + RoundInterval, core::ConfigRound{});
+}
+
+bool installVersion(core::State &Node, const ConfigDocument &Document,
+                    const ConfigurationPtr &Config, core::EffectList &Effects) {
+  ConfigState &Held = Node.Config;
+  Held.Heard = std::max(Held.Heard, Document.Version);
+  if (Document.Version <= Held.Document.Version || !Config)
+    return false;
+  Held.Document = Document;
+  Held.Current = Config;
+  Node.Membership.Self.Version = Document.Version;
+  Effects.push_back(core::ServeConfig{Document});
+  Effects.push_back(core::Measure{core::Metric::ConfigInForce, "", "",
+                                  static_cast<double>(Document.Version.Value)});
+  Effects.push_back(
+      core::LogLine{core::LogLevel::Info,
+                    "config_in_force",
+                    {{"version", std::to_string(Document.Version.Value)},
+                     {"author", Document.Author},
+                     {"push", Document.Push.Value}}});
+  becomeReady(Node, Effects);
+  tellPeers(Node, Effects);
+  onVersionInForce(Node, Effects);
+  return true;
+}
+
+void noteVersion(core::State &Node, base::ConfigVersion Version,
+                 const base::NodeName &From, const base::NetAddress &Address,
+                 core::EffectList &Effects) {
+  Node.Config.Heard = std::max(Node.Config.Heard, Version);
+  if (Version <= Node.Config.Document.Version ||
+      Version == Node.Config.Broken ||
+      Node.Config.Lag.Phase != CatchUpPhase::Idle)
+    return;
+  startFetch(Node, From, Address, Effects);
+}
+
+void onConfigFetched(core::State &Node, const core::ConfigFetched &Fetched,
+                     core::EffectList &Effects) {
+  if (Node.Config.Lag.Phase != CatchUpPhase::Fetching ||
+      Node.Config.Lag.Call != Fetched.Call)
+    return;
+  std::optional<ConfigDocument> Target;
+  if (Fetched.Found && Fetched.Delta.Version > Node.Config.Document.Version)
+    Target = applyDelta(Node.Config.Document, Fetched.Delta);
+  if (Target)
+    return parseTarget(Node, *Target, Effects);
+  endCatchUp(Node, true);
+}
+
+bool onCatchUpParsed(core::State &Node, const core::ConfigParsed &Parsed,
+                     core::EffectList &Effects) {
+  if (Node.Config.Lag.Phase != CatchUpPhase::Parsing ||
+      Node.Config.Lag.Call != Parsed.Call)
+    return false;
+  ConfigDocument Target = std::move(Node.Config.Lag.Target);
+  endCatchUp(Node, !Parsed.Config);
+  if (Parsed.Config) {
+    installVersion(Node, Target, Parsed.Config, Effects);
+  } else {
+    Node.Config.Broken = Target.Version;
+    Effects.push_back(
+        core::LogLine{core::LogLevel::Error,
+                      "config_unreadable",
+                      {{"version", std::to_string(Target.Version.Value)},
+                       {"error", Parsed.Error}}});
+  }
+  return true;
+}
+
+// A head row below the version held is old data: versions only rise.
+bool onCatchUpHead(core::State &Node, const core::StoreAnswered &Answer,
+                   core::EffectList &Effects) {
+  if (Node.Config.Lag.Phase != CatchUpPhase::ReadingHead ||
+      Node.Config.Lag.Call != Answer.Call)
+    return false;
+  std::optional<HeadRow> Head;
+  if (Answer.Result.Status == base::StoreStatus::Done &&
+      !Answer.Result.Rows.empty())
+    Head = parseHeadRow(Answer.Result.Rows.front());
+  endCatchUp(Node, !Head && lags(Node));
+  if (!Head)
+    return true;
+  if (Head->Version > Node.Config.Document.Version &&
+      Head->Version != Node.Config.Broken) {
+    Node.Config.Heard = std::max(Node.Config.Heard, Head->Version);
+    catchUpFromStore(Node, *Head, Effects);
+  } else if (Head->Version < Node.Config.Document.Version) {
+    Effects.push_back(core::LogLine{
+        core::LogLevel::Warn,
+        "config_store_lags",
+        {{"store", std::to_string(Head->Version.Value)},
+         {"in_force", std::to_string(Node.Config.Document.Version.Value)}}});
+  }
+  return true;
+}
+
+void catchUpFromStore(core::State &Node, const HeadRow &Head,
+                      core::EffectList &Effects) {
+  base::CallId Load = startLoad(Node, Head, std::nullopt, Effects);
+  Node.Config.Lag = CatchUp{CatchUpPhase::Loading, Load, Node.Now, {}};
+}
+
+void onVersionLoaded(core::State &Node,
+                     const std::optional<ConfigDocument> &Document,
+                     core::EffectList &Effects) {
+  if (Document && Document->Version > Node.Config.Document.Version)
+    return parseTarget(Node, *Document, Effects);
+  endCatchUp(Node, !Document);
+}
+
+// A step whose answer never comes must not stop the node from catching up.
+// Loading a whole large version takes long and has its own limits.
+void onConfigRound(core::State &Node, core::EffectList &Effects) {
+  CatchUp &Lag = Node.Config.Lag;
+  if ((Lag.Phase == CatchUpPhase::Fetching ||
+       Lag.Phase == CatchUpPhase::ReadingHead) &&
+      Node.Now - Lag.Since > StepLimit)
+    endCatchUp(Node, true);
+  lookForVersion(Node, Effects);
+  resumePush(Node, Effects);
+  becomeReady(Node, Effects);
+  core::setTimer(Node.Timers, Node.Now + RoundInterval, core::ConfigRound{});
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/config/state.h
+++ b/currantgauge/config/state.h
@@ -1,28 +1,106 @@
-// What a node knows of the fleet's configuration.
+// What a node knows of the fleet's configuration, and what it is doing to
+// change it or to catch up.
 //
 //   if (!State.Current) refuse(Reason::NoConfiguration);
 #ifndef CURRANTGAUGE_CONFIG_STATE_H
 #define CURRANTGAUGE_CONFIG_STATE_H
 
 #include "currantgauge/base/ids.h"
+#include "currantgauge/base/store.h"
+#include "currantgauge/base/units.h"
+#include "currantgauge/config/delta.h"
+#include "currantgauge/config/head_row.h"
 #include "currantgauge/config/model.h"
+#include "currantgauge/config/parts.h"
 
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace currantgauge::config {
 
-// ConfigDocument is an accepted version as it travels: its text and origin.
-struct ConfigDocument {
-  base::ConfigVersion Version;
+// PushRequest is an operator's document and the version it changes.
+struct PushRequest {
+  base::CallId Operator; // whom to answer
+  std::string Text;
+  base::ConfigVersion Base;
   base::PushId Push;
   std::string Author;
-  std::string Text; // the merged YAML document
 };
 
-// ConfigState holds the version in force here.
+// PushPhase is what a push waits for.
+enum class PushPhase {
+  Parsing,
+  ReadingHead,
+  Storing,        // of parts and manifest
+  Moving,         // of the head row, by compare-and-set
+  ReadingHistory, // whether an earlier try was accepted
+  CatchingUp,     // to say what another operator changed
+};
+
+// PendingPush is a push under way; a node runs one at a time.
+struct PendingPush {
+  PushRequest Asked;
+  PushPhase Phase = PushPhase::Parsing;
+  base::CallId Call; // of the step that is awaited
+  base::TimePoint Deadline;
+  bool RetryDue = false;     // at the next round
+  bool MayHaveMoved = false; // an answer of the compare-and-set was lost
+  bool Lost = false;         // the compare-and-set came too late
+  PartSetPtr Parts;
+  ConfigurationPtr Config;
+  HeadRow Head; // as read
+  HeadRow Next; // as this push would make it
+  std::deque<base::PutObject> ToStore;
+  std::map<base::CallId, base::PutObject> Storing;
+};
+
+// VersionLoad reads a version's parts from the store.
+struct VersionLoad {
+  HeadRow Row;
+  std::optional<base::CallId> Operator; // who asked to see it; none: catch-up
+  std::map<std::string, ConfigPartPtr> Got;
+  std::deque<std::pair<std::string, base::ContentHash>> Wanted;
+  std::map<base::CallId, std::pair<std::string, base::ContentHash>> Asked;
+};
+
+// CatchUpPhase is what a node that lags waits for.
+enum class CatchUpPhase { Idle, Fetching, ReadingHead, Loading, Parsing };
+
+// CatchUp is the way to a newer version.
+struct CatchUp {
+  CatchUpPhase Phase = CatchUpPhase::Idle;
+  base::CallId Call;
+  base::TimePoint Since;
+  ConfigDocument Target; // of Parsing
+};
+
+// View is an operator's question that a row of the store answers.
+struct View {
+  base::CallId Operator;
+  bool IsHistory = false; // else one version
+};
+
+// ConfigState holds the version in force here and what is under way.
 struct ConfigState {
   ConfigDocument Document;
-  ConfigurationPtr Current; // null until the first one is in force
+  ConfigurationPtr Current;   // null until the first one is in force
+  base::ConfigVersion Heard;  // highest accepted version known of
+  base::ConfigVersion Broken; // accepted, but this node can't parse it
+  CatchUp Lag;
+  std::uint32_t FailedFetches = 0; // in a row, of peers
+  base::TimePoint NextPoll;        // of the store's head row
+  base::TimePoint ReadyBy = base::Never;
+  std::optional<PendingPush> Push;
+  std::deque<PushRequest> Waiting;
+  std::map<base::CallId, VersionLoad> Loads;      // by their own id
+  std::map<base::CallId, base::CallId> LoadCalls; // store call to load
+  std::map<base::CallId, View> Views;             // by store call
+  std::deque<ConfigDocument> Memory; // embedded: the accepted versions
 };
 
 } // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/test_fleet.h
@@ -0,0 +1,314 @@
+// A few nodes side by side in one process for tests: virtual time, a lossy
+// network and a store in memory, all from one seed.
+//
+//   TestFleet Fleet(/*Nodes=*/5, /*Seed=*/7);
+//   push(Fleet, 0, Document, Base, "p-1");
+//   runFor(Fleet, base::seconds(5));
+#ifndef CURRANTGAUGE_CONFIG_TEST_FLEET_H
+#define CURRANTGAUGE_CONFIG_TEST_FLEET_H
+
+#include "currantgauge/base/random.h"
+#include "currantgauge/base/store.h"
+#include "currantgauge/config/assemble.h"
+#include "currantgauge/config/delta.h"
+#include "currantgauge/core/reduce.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::config {
+
+// TestStore keeps rows and objects, and fails on demand.
+struct TestStore {
+  std::map<std::pair<std::string, std::string>, base::StoreRow> Rows;
+  std::map<std::string, std::string> Objects;
+  std::uint64_t LastTag = 0;
+  bool Down = false;
+  double LostAnswers = 0;   // share of writes that apply and answer Unknown
+  std::uint64_t Writes = 0; // rows and objects
+};
+
+inline base::StoreResult apply(TestStore &Store, const base::ReadRow &Read) {
+  auto Found = Store.Rows.find({Read.Table, Read.Key});
+  if (Found == Store.Rows.end())
+    return {base::StoreStatus::NotFound, {}, ""};
+  return {base::StoreStatus::Done, {Found->second}, ""};
+}
+
+inline base::StoreResult apply(TestStore &Store, const base::ScanRows &Scan) {
+  base::StoreResult Result{base::StoreStatus::Done, {}, ""};
+  for (auto Row = Store.Rows.upper_bound({Scan.Table, Scan.After});
+       Row != Store.Rows.end() && Row->first.first == Scan.Table &&
+       Result.Rows.size() < Scan.Limit;
+       ++Row)
+    Result.Rows.push_back(Row->second);
+  return Result;
+}
+
+inline bool holds(const TestStore &Store, const base::RowWrite &Write) {
+  auto Found = Store.Rows.find({Write.Table, Write.Key});
+  if (Write.Condition == base::WriteCondition::IfAbsent)
+    return Found == Store.Rows.end();
+  return Write.Condition == base::WriteCondition::Always ||
+         (Found != Store.Rows.end() && Found->second.ETag == Write.ETag);
+}
+
+inline base::StoreResult apply(TestStore &Store, const base::WriteRows &Write) {
+  for (const base::RowWrite &Row : Write.Rows)
+    if (!holds(Store, Row))
+      return {base::StoreStatus::ConditionFailed, {}, ""};
+  for (const base::RowWrite &Row : Write.Rows)
+    Store.Rows[{Row.Table, Row.Key}] = {Row.Key, Row.Value,
+                                        std::to_string(++Store.LastTag)};
+  ++Store.Writes;
+  return {base::StoreStatus::Done, {}, ""};
+}
+
+inline base::StoreResult apply(TestStore &Store, const base::GetObject &Get) {
+  auto Found = Store.Objects.find(Get.Name);
+  if (Found == Store.Objects.end())
+    return {base::StoreStatus::NotFound, {}, ""};
+  return {base::StoreStatus::Done, {}, Found->second};
+}
+
+inline base::StoreResult apply(TestStore &Store, const base::PutObject &Put) {
+  Store.Objects[Put.Name] = Put.Bytes;
+  ++Store.Writes;
+  return {base::StoreStatus::Done, {}, ""};
+}
+
+// TestNode is one process: it starts anew with an empty state.
+struct TestNode {
+  core::State State;
+  ConfigServer Server;
+  bool Up = true;
+  std::uint64_t Life = 1;
+  base::ConfigVersion Highest; // of this process
+};
+
+// TestFleet is the nodes and all that is on its way.
+struct TestFleet {
+  struct Arrival {
+    std::size_t Node;
+    std::uint64_t Life;
+    core::EventBody Body;
+  };
+  struct Answer {
+    std::size_t Node;
+    base::CallId Call;
+    core::OperatorReply Reply;
+  };
+
+  std::vector<TestNode> Nodes;
+  TestStore Store;
+  base::Random Source;
+  base::TimePoint Now{1000000};
+  std::multimap<base::TimePoint, Arrival> Arrivals;
+  std::vector<Answer> Answers;
+  double Loss = 0; // share of messages between nodes
+  bool Embedded = false;
+  std::uint64_t LastOperator = 1u << 20;
+  std::uint64_t FetchedBytes = 0;
+
+  TestFleet(std::size_t Count, std::uint64_t Seed, bool InMemory = false);
+};
+
+inline base::NetAddress addressOf(std::size_t Node) {
+  return base::NetAddress("10.0.0." + std::to_string(Node) + ":1");
+}
+
+inline std::size_t indexOf(const base::NetAddress &Address) {
+  return std::stoul(Address.Value.substr(7));
+}
+
+inline void send(TestFleet &Fleet, std::size_t To, core::EventBody Body,
+                 base::Duration MaxDelay) {
+  auto Delay = base::Duration{static_cast<std::int64_t>(base::uniformBelow(
+      Fleet.Source, static_cast<std::uint64_t>(MaxDelay.Micros) + 1))};
+  Fleet.Arrivals.emplace(
+      Fleet.Now + Delay,
+      TestFleet::Arrival{To, Fleet.Nodes[To].Life, std::move(Body)});
+}
+
+inline bool happens(TestFleet &Fleet, double Share) {
+  return base::uniformUnit(Fleet.Source) < Share;
+}
+
+struct TestEffects {
+  TestFleet &Fleet;
+  std::size_t From;
+
+  void operator()(const core::WakeAt &Wake) const {
+    if (Wake.At != base::Never)
+      this->Fleet.Arrivals.emplace(
+          Wake.At,
+          TestFleet::Arrival{this->From, this->Fleet.Nodes[this->From].Life,
+                             core::TimerFired{}});
+  }
+  void operator()(const core::SendPeerMessage &Sent) const {
+    std::size_t To = indexOf(Sent.Address);
+    if (this->Fleet.Nodes[To].Up && !happens(this->Fleet, this->Fleet.Loss))
+      send(this->Fleet, To, core::PeerMessageArrived{Sent.Message},
+           base::milliseconds(20));
+  }
+  void operator()(const core::CallStore &Asked) const {
+    TestStore &Store = this->Fleet.Store;
+    core::StoreAnswered Answered{Asked.Call, {}};
+    if (!Store.Down) {
+      Answered.Result =
+          std::visit([&](const auto &What) { return apply(Store, What); },
+                     Asked.Operation);
+      if (std::holds_alternative<base::WriteRows>(Asked.Operation) &&
+          happens(this->Fleet, Store.LostAnswers))
+        Answered.Result.Status = base::StoreStatus::Unknown;
+    }
+    send(this->Fleet, this->From, Answered, base::milliseconds(30));
+  }
+  void operator()(const core::ParseConfig &Asked) const {
+    AssembledConfig Done = assembleConfig(Asked.Request);
+    send(this->Fleet, this->From,
+         core::ConfigParsed{Asked.Call, Done.Config, Done.Parts, Done.Error},
+         base::milliseconds(5));
+  }
+  void operator()(const core::FetchConfig &Asked) const {
+    const TestNode &Peer = this->Fleet.Nodes[indexOf(Asked.Address)];
+    core::ConfigFetched Fetched{Asked.Call, false, {}};
+    if (Peer.Up && !happens(this->Fleet, this->Fleet.Loss)) {
+      Fetched.Found = Peer.Server.Document.Version.Value != 0;
+      Fetched.Delta = deltaSince(Peer.Server, Asked.Have);
+      for (const ConfigPartPtr &Part : Fetched.Delta.Changed)
+        this->Fleet.FetchedBytes += Part->Text.size();
+    }
+    send(this->Fleet, this->From, Fetched, base::milliseconds(50));
+  }
+  void operator()(const core::ServeConfig &Served) const {
+    serveDocument(this->Fleet.Nodes[this->From].Server, Served.Document);
+  }
+  void operator()(const core::AnswerOperator &Answered) const {
+    this->Fleet.Answers.push_back({this->From, Answered.Call, Answered.Reply});
+  }
+  template <typename Other> void operator()(const Other &) const {}
+};
+
+inline void deliver(TestFleet &Fleet, std::size_t To, core::EventBody Body) {
+  TestNode &Node = Fleet.Nodes[To];
+  core::EffectList Effects;
+  core::reduce(Node.State,
+               core::Event{Fleet.Now, base::UnixTime{Fleet.Now.Micros / 1000},
+                           std::move(Body)},
+               Effects);
+  REQUIRE(Node.State.Config.Document.Version >= Node.Highest);
+  Node.Highest = Node.State.Config.Document.Version;
+  for (const core::Effect &Effect : Effects)
+    std::visit(TestEffects{Fleet, To}, Effect);
+}
+
+// startNode() starts a process anew: nothing of the last one is left.
+inline void startNode(TestFleet &Fleet, std::size_t Index) {
+  TestNode &Node = Fleet.Nodes[Index];
+  std::uint64_t Life = Node.Life + 1;
+  core::NodeIdentity Self;
+  Self.Name = base::NodeName("n" + std::to_string(Index));
+  Self.Domain = base::DomainName(Index % 2 == 0 ? "a" : "b");
+  Self.PeerAddress = addressOf(Index);
+  Self.Life = base::Incarnation(Life);
+  Self.Embedded = Fleet.Embedded;
+  Self.Seeds = {addressOf(0)};
+  Node = TestNode{core::makeState(Self, Fleet.Source()), {}, true, Life, {}};
+  deliver(Fleet, Index, core::Started{});
+}
+
+inline TestFleet::TestFleet(std::size_t Count, std::uint64_t Seed,
+                            bool InMemory)
+    : Nodes(Count), Source(Seed), Embedded(InMemory) {
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    startNode(*this, Index);
+}
+
+inline void runFor(TestFleet &Fleet, base::Duration Span) {
+  base::TimePoint End = Fleet.Now + Span;
+  while (!Fleet.Arrivals.empty() && Fleet.Arrivals.begin()->first <= End) {
+    TestFleet::Arrival Next = std::move(Fleet.Arrivals.begin()->second);
+    Fleet.Now = std::max(Fleet.Now, Fleet.Arrivals.begin()->first);
+    Fleet.Arrivals.erase(Fleet.Arrivals.begin());
+    if (Fleet.Nodes[Next.Node].Up && Fleet.Nodes[Next.Node].Life == Next.Life)
+      deliver(Fleet, Next.Node, std::move(Next.Body));
+  }
+  Fleet.Now = End;
+}
+
+// push() asks a node and returns the id of its answer.
+inline base::CallId push(TestFleet &Fleet, std::size_t Node,
+                         const std::string &Text, std::uint64_t Base,
+                         const std::string &PushId) {
+  base::CallId Call(++Fleet.LastOperator);
+  core::AskConfigPush Asked{Text, base::ConfigVersion(Base),
+                            base::PushId(PushId), "operator-" + PushId};
+  deliver(Fleet, Node, core::OperatorAsked{Call, Asked});
+  return Call;
+}
+
+inline base::CallId ask(TestFleet &Fleet, std::size_t Node,
+                        const core::OperatorQuery &Query) {
+  base::CallId Call(++Fleet.LastOperator);
+  deliver(Fleet, Node, core::OperatorAsked{Call, Query});
+  return Call;
+}
+
+// answerOf() returns the reply to a call, null while there is none.
+inline const core::OperatorReply *answerOf(const TestFleet &Fleet,
+                                           base::CallId Call) {
+  for (const TestFleet::Answer &Answer : Fleet.Answers)
+    if (Answer.Call == Call)
+      return &Answer.Reply;
+  return nullptr;
+}
+
+inline bool isAccepted(const TestFleet &Fleet, base::CallId Call) {
+  const core::OperatorReply *Reply = answerOf(Fleet, Call);
+  return Reply && Reply->Error.empty();
+}
+
+// highestAccepted() returns the version of the store's head row.
+inline base::ConfigVersion highestAccepted(const TestFleet &Fleet) {
+  auto Head = Fleet.Store.Rows.find({ConfigTable, HeadKey});
+  if (Head == Fleet.Store.Rows.end())
+    return base::ConfigVersion();
+  return parseHeadRow(Head->second)->Version;
+}
+
+inline bool isEverywhere(const TestFleet &Fleet, base::ConfigVersion Version) {
+  for (const TestNode &Node : Fleet.Nodes)
+    if (Node.Up && Node.State.Config.Document.Version != Version)
+      return false;
+  return true;
+}
+
+// sampleDocument() returns a small document; Mark tells them apart.
+inline std::string sampleDocument(const std::string &Mark,
+                                  std::size_t Workspaces = 3) {
+  std::string Text = "ranks:\n"
+                     "  normal: {deadline: 2s, order: 0, share: \"50%\"}\n"
+                     "services:\n"
+                     "  cutlist: {floor: \"60%\"}\n"
+                     "kinds:\n"
+                     "  read: {rank: normal, service: cutlist}\n"
+                     "routes:\n"
+                     "  lists: {kind: read, prefix: /" +
+                     Mark + "}\nworkspaces:\n";
+  for (std::size_t Index = 0; Index < Workspaces; ++Index)
+    Text += "  w" + std::to_string(Index) + ": {limit: 20/s}\n";
+  return Text;
+}
+
+} // namespace currantgauge::config
+
+#endif // CURRANTGAUGE_CONFIG_TEST_FLEET_H
--- /dev/null
+++ b/currantgauge/config/workspace_table.cc
@@ -0,0 +1,49 @@
+#include "currantgauge/config/workspace_table.h"
+
+#include "currantgauge/config/parts.h"
+
+namespace currantgauge::config {
+namespace {
+
+// ownBucket() returns a bucket that no other table shares.
+detail::WorkspaceBucket &ownBucket(WorkspaceTable &Table,
+                                   const base::WorkspaceName &Name) {
+  Table.Buckets.resize(WorkspaceBuckets);
+  auto &Bucket = Table.Buckets[workspaceBucket(Name.Value)];
+  if (!Bucket)
+    Bucket.reset(new detail::WorkspaceBucket);
+  else if (Bucket->use_count() > 1)
+    Bucket.reset(new detail::WorkspaceBucket(*Bucket));
+  return *Bucket;
+}
+
+} // namespace
+
+const WorkspaceTable::Entry *
+WorkspaceTable::find(const base::WorkspaceName &Name) const {
+  if (this->Buckets.empty())
+    return nullptr;
+  const auto &Bucket = this->Buckets[workspaceBucket(Name.Value)];
+  if (!Bucket)
+    return nullptr;
+  auto Found = Bucket->Entries.find(Name);
+  return Found == Bucket->Entries.end() ? nullptr : &*Found;
+}
+
+std::size_t WorkspaceTable::size() const {
+  std::size_t Count = 0;
+  for (const auto &Bucket : this->Buckets)
+    Count += Bucket ? Bucket->Entries.size() : 0;
+  return Count;
+}
+
+WorkspaceSettings &WorkspaceTable::operator[](const base::WorkspaceName &Name) {
+  return ownBucket(*this, Name).Entries[Name];
+}
+
+void WorkspaceTable::erase(const base::WorkspaceName &Name) {
+  if (this->contains(Name))
+    ownBucket(*this, Name).Entries.erase(Name);
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/workspace_table.h
@@ -0,0 +1,60 @@
+// Workspaces by name, in buckets that versions of the configuration share: a
+// change of one workspace copies one bucket.
+//
+//   if (const auto *Entry = Table.find(Name)) use(Entry->second);
+#ifndef CURRANTGAUGE_CONFIG_WORKSPACE_TABLE_H
+#define CURRANTGAUGE_CONFIG_WORKSPACE_TABLE_H
+
+#include "currantgauge/base/ids.h"
+#include "currantgauge/base/units.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <cstddef>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace currantgauge::config {
+
+// WorkspaceSettings is a customer's workspace and its limits.
+struct WorkspaceSettings {
+  base::WorkspaceName Name;
+  base::PerSecond Limit; // in each node; zero: none
+  double Burst = 0;      // requests; zero: one second's worth
+  double Weight = 1;     // in the fair queue
+};
+
+namespace detail {
+
+struct WorkspaceBucket
+    : boost::intrusive_ref_counter<WorkspaceBucket,
+                                   boost::thread_safe_counter> {
+  std::map<base::WorkspaceName, WorkspaceSettings> Entries;
+};
+
+} // namespace detail
+
+// WorkspaceTable is a map from names to settings. A copy shares its buckets
+// until one of the two changes.
+struct WorkspaceTable {
+  using Entry = std::pair<const base::WorkspaceName, WorkspaceSettings>;
+
+  std::vector<boost::intrusive_ptr<detail::WorkspaceBucket>> Buckets;
+
+  // find() returns the entry of a workspace, null when there is none.
+  const Entry *find(const base::WorkspaceName &Name) const;
+  // end() is what find() returns for no entry.
+  const Entry *end() const { return nullptr; }
+  bool contains(const base::WorkspaceName &Name) const {
+    return this->find(Name) != nullptr;
+  }
+  std::size_t size() const;
+  WorkspaceSettings &operator[](const base::WorkspaceName &Name);
+  void erase(const base::WorkspaceName &Name);
+};
+
+} // namespace currantgauge::config
+
+#endif // CURRANTGAUGE_CONFIG_WORKSPACE_TABLE_H
--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -9,7 +9,8 @@
 #include "currantgauge/base/store.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
-#include "currantgauge/config/state.h"
+#include "currantgauge/config/assemble.h"
+#include "currantgauge/config/delta.h"
 #include "currantgauge/core/operator.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/membership/message.h"
@@ -102,15 +103,18 @@
 // ParseConfig asks for a document to be parsed; ConfigParsed follows.
 struct ParseConfig {
   base::CallId Call;
-  std::string Text;
+  config::AssembleRequest Request; // for config::assembleConfig()
 };
-// FetchConfig asks a peer for its configuration; ConfigFetched follows.
+// FetchConfig asks a peer for what changed since version Have, 0 for all of
+// it; ConfigFetched follows.
 struct FetchConfig {
   base::CallId Call;
   base::NodeName From;
   base::NetAddress Address;
+  base::ConfigVersion Have;
 };
-// ServeConfig makes a document available to peers that fetch it.
+// ServeConfig makes a document available to peers that fetch it, by
+// config::serveDocument().
 struct ServeConfig {
   config::ConfigDocument Document;
 };
--- a/currantgauge/core/event.h
+++ b/currantgauge/core/event.h
@@ -10,8 +10,9 @@
 #include "currantgauge/base/store.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
+#include "currantgauge/config/delta.h"
 #include "currantgauge/config/model.h"
-#include "currantgauge/config/state.h"
+#include "currantgauge/config/parts.h"
 #include "currantgauge/core/operator.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/membership/message.h"
@@ -91,14 +92,15 @@
 struct ConfigParsed {
   base::CallId Call;
   config::ConfigurationPtr Config;
+  config::PartSetPtr Parts;
   std::string Error;
 };
 // ConfigFetched: a peer answered a FetchConfig; Found is false when it has
-// none.
+// none, Delta is what config::deltaSince() returned there.
 struct ConfigFetched {
   base::CallId Call;
   bool Found = false;
-  config::ConfigDocument Document;
+  config::ConfigDelta Delta;
 };
 
 // OperatorAsked: an operator's query.
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -1,5 +1,8 @@
 #include "currantgauge/core/operations.h"
 
+#include "currantgauge/config/push.h"
+#include "currantgauge/config/queries.h"
+#include "currantgauge/config/spread.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/membership/anti_entropy.h"
@@ -46,7 +49,9 @@
 }
 
 void onTimer(State &Node, const HealthRound &, EffectList &Effects) {}
-void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
+void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {
+  config::onConfigRound(Node, Effects);
+}
 void onTimer(State &Node, const ActionRound &, EffectList &Effects) {}
 
 void onTimer(State &Node, const RequestDeadline &Due, EffectList &Effects) {
@@ -92,13 +97,17 @@
          phaseName(Server.Record.Phase), std::to_string(Server.Record.Slots),
          std::to_string(Server.Running)});
   OperatorTable Nodes{
-      "nodes", {"node", "region", "failure_domain", "phase", "path"}, {}};
+      "nodes",
+      {"node", "region", "failure_domain", "phase", "path", "config"},
+      {}};
   for (const auto &[Name, Member] : Node.Membership.Members)
     Nodes.Rows.push_back(
         {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value,
          std::string(membership::phaseName(Member.Record.Phase)),
-         Member.PathFailed ? "failed" : "ok"});
-  Reply.Tables = {std::move(Servers), std::move(Nodes)};
+         Member.PathFailed ? "failed" : "ok",
+         std::to_string(Member.Record.Version.Value)});
+  Reply.Tables = {std::move(Servers), std::move(Nodes),
+                  config::spreadTable(Node)};
   return Reply;
 }
 
@@ -115,15 +124,6 @@
   return Reply;
 }
 
-OperatorReply answer(State &Node, const AskConfig &) {
-  OperatorReply Reply;
-  Reply.Fields = {
-      {"version", std::to_string(Node.Config.Document.Version.Value)},
-      {"author", Node.Config.Document.Author}};
-  Reply.Text = Node.Config.Document.Text;
-  return Reply;
-}
-
 template <typename Query> OperatorReply answer(State &, const Query &) {
   OperatorReply Reply;
   Reply.Error = "this node does not answer that yet";
@@ -135,6 +135,7 @@
 void onStarted(State &Node, const Started &, EffectList &Effects) {
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
   setTimer(Node.Timers, Node.Now, GossipRound{});
+  config::startRounds(Node);
   Effects.push_back(LogLine{LogLevel::Info,
                             "started",
                             {{"node", Node.Self.Name.Value},
@@ -177,31 +178,15 @@
 
 void onOperatorAsked(State &Node, const OperatorAsked &Asked,
                      EffectList &Effects) {
-  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query)) {
-    Node.Config.Document = config::ConfigDocument{Push->BaseVersion, Push->Push,
-                                                  Push->Author, Push->Text};
-    Effects.push_back(ParseConfig{Asked.Call, Push->Text});
-    return;
-  }
+  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query))
+    return config::onPushAsked(Node, Asked.Call, *Push, Effects);
+  if (const auto *Wanted = std::get_if<AskConfig>(&Asked.Query))
+    return config::onConfigAsked(Node, Asked.Call, *Wanted, Effects);
+  if (std::holds_alternative<AskConfigHistory>(Asked.Query))
+    return config::onHistoryAsked(Node, Asked.Call, Effects);
   OperatorReply Reply = std::visit(
       [&](const auto &Query) { return answer(Node, Query); }, Asked.Query);
   Effects.push_back(AnswerOperator{Asked.Call, std::move(Reply)});
 }
 
-void onConfigParsed(State &Node, const ConfigParsed &Parsed,
-                    EffectList &Effects) {
-  OperatorReply Reply;
-  Reply.Error = Parsed.Error;
-  if (Parsed.Error.empty()) {
-    Node.Config.Current = Parsed.Config;
-    ++Node.Config.Document.Version.Value;
-    Node.Membership.Self.Version = Node.Config.Document.Version;
-    Effects.push_back(BecomeReady{true});
-    Effects.push_back(ServeConfig{Node.Config.Document});
-    Reply.Fields = {
-        {"version", std::to_string(Node.Config.Document.Version.Value)}};
-  }
-  Effects.push_back(AnswerOperator{Parsed.Call, std::move(Reply)});
-}
-
 } // namespace currantgauge::core
--- a/currantgauge/core/operations.h
+++ b/currantgauge/core/operations.h
@@ -18,8 +18,6 @@
                         EffectList &Effects);
 void onOperatorAsked(State &Node, const OperatorAsked &Asked,
                      EffectList &Effects);
-void onConfigParsed(State &Node, const ConfigParsed &Parsed,
-                    EffectList &Effects);
 
 // stopWhenIdle() ends the process once a stopping node has nothing in flight.
 void stopWhenIdle(State &Node, EffectList &Effects);
--- a/currantgauge/core/operator.h
+++ b/currantgauge/core/operator.h
@@ -6,6 +6,7 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
+#include "currantgauge/config/parts.h"
 
 #include <cstdint>
 #include <string>
@@ -62,7 +63,8 @@
   std::string Error;
   std::vector<std::pair<std::string, std::string>> Fields;
   std::vector<OperatorTable> Tables;
-  std::string Text; // a document, of AskConfig
+  std::string Text;
+  config::PartSetPtr Document; // of AskConfig; encoded in place of Text
 };
 
 } // namespace currantgauge::core
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/core/reduce.h"
 
+#include "currantgauge/config/queries.h"
+#include "currantgauge/config/spread.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
@@ -41,15 +43,22 @@
   }
   void operator()(const PeerMessageArrived &E) {
     membership::onMessage(Node, E.Message, Effects);
+    config::noteVersion(Node, E.Message.Version, E.Message.From,
+                        E.Message.FromAddress, Effects);
   }
   void operator()(const PeerSendFailed &E) {
     membership::onSendFailed(Node, E, Effects);
   }
   void operator()(const StoreAnswered &E) {
-    membership::onStoreAnswered(Node, E, Effects);
+    if (!config::onStoreAnswered(Node, E, Effects))
+      membership::onStoreAnswered(Node, E, Effects);
+  }
+  void operator()(const ConfigParsed &E) {
+    config::onConfigParsed(Node, E, Effects);
+  }
+  void operator()(const ConfigFetched &E) {
+    config::onConfigFetched(Node, E, Effects);
   }
-  void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
-  void operator()(const ConfigFetched &) {}
   void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
 };
 
--- a/currantgauge/http/operator_codec.cc
+++ b/currantgauge/http/operator_codec.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/http/operator_codec.h"
 
+#include "currantgauge/config/parts.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -182,7 +184,9 @@
   Body["tables"] = Json::array();
   for (const core::OperatorTable &Table : Reply.Tables)
     Body["tables"].push_back(toJson(Table));
-  if (!Reply.Text.empty())
+  if (Reply.Document)
+    Body["text"] = config::joinParts(*Reply.Document);
+  else if (!Reply.Text.empty())
     Body["text"] = Reply.Text;
   return dump(Body);
 }
