--- /dev/null
+++ b/currantgauge/config/examples_test.cc
@@ -0,0 +1,56 @@
+#include "currantgauge/config/document.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+namespace currantgauge::config {
+namespace {
+
+std::vector<ConfigFile> filesOf(const std::string &Example) {
+  std::vector<ConfigFile> Files;
+  for (const auto &Entry : std::filesystem::directory_iterator(
+           std::string(CURRANTGAUGE_SOURCE_DIR) + "/examples/" + Example)) {
+    std::ifstream File(Entry.path());
+    Files.push_back({Entry.path().filename().string(),
+                     {std::istreambuf_iterator<char>(File), {}}});
+  }
+  return Files;
+}
+
+ConfigurationPtr check(const std::string &Example) {
+  SettingsErrors Errors;
+  Document Merged = mergeDocument(filesOf(Example), Errors);
+  ConfigurationPtr Config = checkDocument(Merged, Errors);
+  for (const SettingsError &Error : Errors)
+    FAIL_CHECK(formatError(Error));
+  return Config;
+}
+
+} // namespace
+
+TEST_CASE("the example of Waitaha is valid") {
+  ConfigurationPtr Config = check("waitaha");
+  REQUIRE(Config);
+  CHECK(Config->Services.size() == 2);
+  const KindSettings *Commit = findRoute(*Config, "POST", "/cut-orders/7");
+  REQUIRE(Commit);
+  CHECK_FALSE(Commit->Idempotent);
+  CHECK(Commit->Deadline == base::seconds(4));
+}
+
+TEST_CASE("the example of Okonkwo is valid") {
+  ConfigurationPtr Config = check("okonkwo");
+  REQUIRE(Config);
+  CHECK(Config->Services.size() == 2);
+  const KindSettings *Dispatch = findRoute(*Config, "POST", "/dispatches");
+  REQUIRE(Dispatch);
+  CHECK_FALSE(Dispatch->Idempotent);
+  CHECK_FALSE(Config->AnyWorkspace);
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/fuzz_test.cc
@@ -0,0 +1,157 @@
+#include "currantgauge/base/random.h"
+#include "currantgauge/config/assemble.h"
+#include "currantgauge/config/document.h"
+#include "currantgauge/config/head_row.h"
+#include "currantgauge/config/node_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr int Rounds = 1500;
+
+const std::string ValidDocument =
+    "fleet:\n  unlisted_workspaces: refuse\n"
+    "ranks:\n  normal: {order: 0, share: \"50%\", deadline: 2s}\n"
+    "services:\n  cutlist: {floor: \"60%\", hold_off: 5s}\n"
+    "kinds:\n  read: {service: cutlist, rank: normal, idempotent: true}\n"
+    "routes:\n  lists: {method: GET, prefix: /lists, kind: read}\n"
+    "workspaces:\n  depot: {limit: 20/s, burst: 40, weight: 2}\n";
+
+const std::string ValidSettings =
+    "name: a\nregion: north\nfailure_domain: north-a\n"
+    "listen: {callers: 127.0.0.1:1, peers: 127.0.0.1:2}\n"
+    "seeds: [127.0.0.1:3]\nlimits: {body: 64KiB, caller_read: 250ms}\n";
+
+// Pieces that YAML gives a meaning to are likelier to break a parser than
+// random bytes.
+const std::vector<std::string> Pieces = {
+    "{",     "}",      "[",     "]",   ": ",
+    "\n",    "  ",     "- ",    "&a",  "*a",
+    "|",     "\"",     "'",     "#",   "~",
+    "null",  "<<: *a", "!!str", "%",   "\xff",
+    "?",     "\t",     "1e",    "-1s", "999999999999999999999s",
+    "\x00x", "\r\n"};
+
+std::string mutate(std::string Text, base::Random &Source) {
+  std::size_t Changes = 1 + base::uniformBelow(Source, 6);
+  for (std::size_t Change = 0; Change < Changes && !Text.empty(); ++Change) {
+    std::size_t At = base::uniformBelow(Source, Text.size());
+    std::size_t Length = base::uniformBelow(Source, 12);
+    switch (base::uniformBelow(Source, 4)) {
+    case 0:
+      Text.erase(At, Length);
+      break;
+    case 1:
+      Text.insert(At, Pieces[base::uniformBelow(Source, Pieces.size())]);
+      break;
+    case 2:
+      Text[At] = static_cast<char>(base::uniformBelow(Source, 256));
+      break;
+    default:
+      Text.insert(
+          At, Text.substr(base::uniformBelow(Source, Text.size()), Length * 4));
+    }
+  }
+  return Text;
+}
+
+// Each mistake must name its place and say something.
+void checkErrors(const SettingsErrors &Errors) {
+  for (const SettingsError &Error : Errors) {
+    CHECK_FALSE(Error.Text.empty());
+    CHECK(Error.Line >= 1);
+    CHECK(Error.Column >= 1);
+  }
+}
+
+} // namespace
+
+TEST_CASE("fuzzing: a broken document gives errors or a valid configuration") {
+  base::Random Source(20);
+  int Refused = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    CAPTURE(Round);
+    SettingsErrors Errors;
+    std::string Text = mutate(ValidDocument, Source);
+    ConfigurationPtr Config = parseDocument(Text, "fuzz.yaml", Errors);
+    CHECK((Config == nullptr) == !Errors.empty());
+    checkErrors(Errors);
+    Refused += Config ? 0 : 1;
+  }
+  CHECK(Refused > Rounds / 2);
+}
+
+TEST_CASE("fuzzing: merging keeps to its canonical form") {
+  base::Random Source(21);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    CAPTURE(Round);
+    SettingsErrors Errors;
+    std::string Merged = mergeFiles(
+        {{"a.yaml", ValidDocument}, {"b.yaml", mutate(ValidDocument, Source)}},
+        Errors);
+    SettingsErrors Again;
+    CHECK(mergeFiles({{"c.yaml", Merged}}, Again) == Merged);
+    CHECK(Again.empty());
+    PartSetPtr Parts = splitDocument(Merged);
+    REQUIRE(Parts);
+    CHECK(joinParts(*Parts) == Merged);
+  }
+}
+
+TEST_CASE("fuzzing: a pushed document never passes with an error") {
+  base::Random Source(22);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    CAPTURE(Round);
+    AssembledConfig Result = assembleConfig(
+        AssembleRequest{mutate(ValidDocument, Source), {}, {}, {}});
+    CHECK((Result.Config == nullptr) == !Result.Error.empty());
+  }
+}
+
+TEST_CASE("fuzzing: a broken settings file gives errors with their places") {
+  base::Random Source(23);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    CAPTURE(Round);
+    SettingsErrors Errors;
+    parseNodeSettings(mutate(ValidSettings, Source), "node.yaml", Errors);
+    checkErrors(Errors);
+  }
+}
+
+TEST_CASE("fuzzing: a broken head row or manifest is refused") {
+  base::Random Source(24);
+  HeadRow Row{base::ConfigVersion(7),
+              base::PushId("p"),
+              "ana",
+              {5},
+              base::ContentHash("00"),
+              ""};
+  PartSetPtr Parts = splitDocument(ValidDocument);
+  REQUIRE(Parts);
+  std::string Manifest = formatManifest(manifestOf(*Parts));
+  for (int Round = 0; Round < Rounds; ++Round) {
+    parseHeadRow({"head", mutate(formatHeadRow(Row), Source), ""});
+    parseManifest(mutate(Manifest, Source));
+  }
+  CHECK(parseHeadRow({"head", formatHeadRow(Row), ""})->Push == Row.Push);
+  CHECK(parseManifest(Manifest) == manifestOf(*Parts));
+}
+
+TEST_CASE("deep nesting is refused before it can exhaust the stack") {
+  SettingsErrors Errors;
+  parseDocument(std::string(100000, '['), "deep.yaml", Errors);
+  CHECK(Errors.size() == 1);
+  std::string Stairs;
+  for (std::size_t Depth = 0; Depth < 2000; ++Depth)
+    Stairs += std::string(Depth, ' ') + "a:\n";
+  parseDocument(Stairs, "stairs.yaml", Errors);
+  CHECK(Errors.size() == 2);
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/config/merge.cc
+++ b/currantgauge/config/merge.cc
@@ -11,18 +11,17 @@
 constexpr std::string_view NameSymbols =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-/@";
 
-bool isName(std::string_view Text) {
-  return !Text.empty() && Text.size() <= MaxNameLength &&
-         Text.find_first_not_of(NameSymbols) == std::string_view::npos &&
-         Text.front() != '-' && Text.front() != '@';
-}
-
+// isPlain() says whether YAML reads a word as it stands, with no quotes.
 bool isPlain(std::string_view Text) {
   return !Text.empty() && Text.front() != '-' && Text.front() != '@' &&
          Text.find_first_not_of(NameSymbols) == std::string_view::npos &&
          Text != "null" && Text != "Null" && Text != "NULL";
 }
 
+bool isName(std::string_view Text) {
+  return isPlain(Text) && Text.size() <= MaxNameLength;
+}
+
 // Plain words stay as they are; everything else is double-quoted, in JSON's
 // escapes, which YAML shares.
 std::string quoted(std::string_view Text) {
--- a/currantgauge/config/parts.cc
+++ b/currantgauge/config/parts.cc
@@ -139,10 +139,12 @@
     auto Found = Lines.find(Section);
     if (Found == Lines.end())
       continue;
-    std::sort(Found->second.begin(), Found->second.end(),
-              [](std::string_view A, std::string_view B) {
-                return nameOf(A) < nameOf(B);
-              });
+    // Buckets are in the order of their numbers; the base part is in its own.
+    if (Section == "routes" || Section == "workspaces")
+      std::sort(Found->second.begin(), Found->second.end(),
+                [](std::string_view A, std::string_view B) {
+                  return nameOf(A) < nameOf(B);
+                });
     Text += std::string(Section) + ":\n";
     for (std::string_view Line : Found->second)
       Text.append(Line).append("\n");
