peer, runtime: fetch the parts that changed since a version

Cause: a peer's fetch carried the whole document whatever the asker held. FetchConfig names the version held; the answer has the parts that differ.

--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -189,24 +189,25 @@
                 });
 }
 
-void fetchConfig(
-    PeerClient &Client, const base::NetAddress &Address,
-    std::function<void(std::optional<config::ConfigDocument>)> Done) {
+void fetchConfig(PeerClient &Client, const base::NetAddress &Address,
+                 base::ConfigVersion Have,
+                 std::function<void(std::optional<config::ConfigDelta>)> Done) {
   struct Call {
     grpc::ClientContext Context;
     v1::FetchConfigRequest Request;
     v1::FetchConfigReply Reply;
   };
   auto Open = std::make_shared<Call>();
+  Open->Request.set_have(Have.Value);
   Open->Context.set_deadline(after(FetchLimit));
   channelTo(Client, Address)
       .Stub->async()
       ->FetchConfig(&Open->Context, &Open->Request, &Open->Reply,
                     [Open, Done = std::move(Done)](const grpc::Status &Status) {
-                      config::ConfigDocument Document;
+                      config::ConfigDelta Delta;
                       bool Good = Status.ok() && Open->Reply.found() &&
-                                  fromWire(Open->Reply.document(), Document);
-                      Done(Good ? std::optional(std::move(Document))
+                                  fromWire(Open->Reply.delta(), Delta);
+                      Done(Good ? std::optional(std::move(Delta))
                                 : std::nullopt);
                     });
 }
--- a/currantgauge/peer/client.h
+++ b/currantgauge/peer/client.h
@@ -8,7 +8,7 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
-#include "currantgauge/config/state.h"
+#include "currantgauge/config/delta.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/membership/message.h"
 #include "currantgauge/runtime/answer_pipe.h"
@@ -48,9 +48,9 @@
              std::function<void(bool)> Done);
 
 // fetchConfig() asks a node for its configuration; Done gets none on failure.
-void fetchConfig(
-    PeerClient &Client, const base::NetAddress &Address,
-    std::function<void(std::optional<config::ConfigDocument>)> Done);
+void fetchConfig(PeerClient &Client, const base::NetAddress &Address,
+                 base::ConfigVersion Have,
+                 std::function<void(std::optional<config::ConfigDelta>)> Done);
 
 } // namespace currantgauge::peer
 
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -244,18 +244,34 @@
          enumFromWire(From.reason(), base::LastReason, To.Why);
 }
 
-void toWire(const config::ConfigDocument &From, v1::ConfigDocument &To) {
+void toWire(const config::ConfigDelta &From, v1::ConfigDelta &To) {
   To.set_version(From.Version.Value);
+  To.set_since(From.Since.Value);
   To.set_push(From.Push.Value);
   To.set_author(From.Author);
-  To.set_text(From.Text);
+  To.set_when_millis(From.When.Millis);
+  To.set_whole(From.Whole.Value);
+  for (const config::ConfigPartPtr &Part : From.Changed) {
+    v1::ConfigPart &Sent = *To.add_changed();
+    Sent.set_name(Part->Name);
+    Sent.set_text(Part->Text);
+  }
+  for (const std::string &Name : From.Removed)
+    To.add_removed(Name);
 }
 
-bool fromWire(const v1::ConfigDocument &From, config::ConfigDocument &To) {
+// Hashes of parts are worked out here: what arrived is what counts.
+bool fromWire(const v1::ConfigDelta &From, config::ConfigDelta &To) {
+  To = config::ConfigDelta();
   To.Version.Value = From.version();
+  To.Since.Value = From.since();
   To.Push.Value = From.push();
   To.Author = From.author();
-  To.Text = From.text();
+  To.When.Millis = From.when_millis();
+  To.Whole.Value = From.whole();
+  for (const v1::ConfigPart &Part : From.changed())
+    To.Changed.push_back(config::makePart(Part.name(), Part.text()));
+  To.Removed.assign(From.removed().begin(), From.removed().end());
   return true;
 }
 
--- a/currantgauge/peer/codec.h
+++ b/currantgauge/peer/codec.h
@@ -7,7 +7,7 @@
 #ifndef CURRANTGAUGE_PEER_CODEC_H
 #define CURRANTGAUGE_PEER_CODEC_H
 
-#include "currantgauge/config/state.h"
+#include "currantgauge/config/delta.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/membership/message.h"
 
@@ -18,7 +18,7 @@
 namespace v1 {
 class AttemptFacts;
 class AttemptOutcome;
-class ConfigDocument;
+class ConfigDelta;
 class PeerMessage;
 } // namespace v1
 
@@ -31,8 +31,8 @@
 void toWire(const core::AttemptOutcome &From, v1::AttemptOutcome &To);
 bool fromWire(const v1::AttemptOutcome &From, core::AttemptOutcome &To);
 
-void toWire(const config::ConfigDocument &From, v1::ConfigDocument &To);
-bool fromWire(const v1::ConfigDocument &From, config::ConfigDocument &To);
+void toWire(const config::ConfigDelta &From, v1::ConfigDelta &To);
+bool fromWire(const v1::ConfigDelta &From, config::ConfigDelta &To);
 
 } // namespace currantgauge::peer
 
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -104,10 +104,13 @@
   Outcome.Load.RefusedShare = 0.5;
   Outcome.Elsewhere = base::NodeName("c");
   checkRoundTrip<v1::AttemptOutcome>(Outcome);
-  config::ConfigDocument Document;
-  Document.Version = base::ConfigVersion(6);
-  Document.Text = std::string("kinds:\n\0", 8);
-  checkRoundTrip<v1::ConfigDocument>(Document);
+  config::ConfigDelta Delta;
+  Delta.Version = base::ConfigVersion(6);
+  Delta.Since = base::ConfigVersion(4);
+  Delta.When = base::UnixTime{7};
+  Delta.Changed = {config::makePart("base", std::string("kinds:\n\0", 8))};
+  Delta.Removed = {"routes/1f"};
+  checkRoundTrip<v1::ConfigDelta>(Delta);
 }
 
 TEST_CASE("an unknown enumeration value is refused") {
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -123,13 +123,14 @@
   }
 
   grpc::ServerUnaryReactor *FetchConfig(grpc::CallbackServerContext *Context,
-                                        const v1::FetchConfigRequest *,
+                                        const v1::FetchConfigRequest *Request,
                                         v1::FetchConfigReply *Reply) override {
     grpc::ServerUnaryReactor *Reactor = Context->DefaultReactor();
-    auto Document = this->Handlers.FetchConfig();
-    Reply->set_found(Document.has_value());
-    if (Document)
-      toWire(*Document, *Reply->mutable_document());
+    auto Delta =
+        this->Handlers.FetchConfig(base::ConfigVersion(Request->have()));
+    Reply->set_found(Delta.has_value());
+    if (Delta)
+      toWire(*Delta, *Reply->mutable_delta());
     Reactor->Finish(grpc::Status::OK);
     return Reactor;
   }
--- a/currantgauge/peer/server.h
+++ b/currantgauge/peer/server.h
@@ -7,7 +7,7 @@
 #define CURRANTGAUGE_PEER_SERVER_H
 
 #include "currantgauge/base/ids.h"
-#include "currantgauge/config/state.h"
+#include "currantgauge/config/delta.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/membership/message.h"
 #include "currantgauge/runtime/answer_pipe.h"
@@ -26,7 +26,8 @@
   std::function<void(core::AttemptFacts, runtime::RequestMessagePtr,
                      runtime::AnswerPipePtr)>
       Forward;
-  std::function<std::optional<config::ConfigDocument>()> FetchConfig;
+  std::function<std::optional<config::ConfigDelta>(base::ConfigVersion Have)>
+      FetchConfig;
 };
 
 namespace detail {
--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -1,6 +1,6 @@
 #include "currantgauge/runtime/effects.h"
 
-#include "currantgauge/config/document.h"
+#include "currantgauge/config/assemble.h"
 #include "currantgauge/telemetry/log.h"
 
 #include <boost/asio/post.hpp>
@@ -193,32 +193,30 @@
 
 void carryOut(Node &Self, core::ParseConfig &What) {
   onTraffic(Self, [&Self, What = std::move(What)] {
-    config::SettingsErrors Errors;
-    core::ConfigParsed Parsed;
-    Parsed.Call = What.Call;
-    Parsed.Config = config::parseDocument(What.Text, "document", Errors);
-    for (const config::SettingsError &Error : Errors)
-      Parsed.Error += config::formatError(Error) + "\n";
-    post(Self, inputOf(std::move(Parsed)));
+    config::AssembledConfig Done = config::assembleConfig(What.Request);
+    post(Self, inputOf(core::ConfigParsed{What.Call, std::move(Done.Config),
+                                          std::move(Done.Parts),
+                                          std::move(Done.Error)}));
   });
 }
 
 void carryOut(Node &Self, core::FetchConfig &What) {
   onTraffic(Self, [&Self, What] {
-    peer::fetchConfig(Self.Peers, What.Address, [&Self, What](auto Document) {
+    auto Done = [&Self, What](std::optional<config::ConfigDelta> Delta) {
       core::ConfigFetched Fetched;
       Fetched.Call = What.Call;
-      Fetched.Found = Document.has_value();
-      if (Document)
-        Fetched.Document = std::move(*Document);
+      Fetched.Found = Delta.has_value();
+      if (Delta)
+        Fetched.Delta = std::move(*Delta);
       post(Self, inputOf(std::move(Fetched)));
-    });
+    };
+    peer::fetchConfig(Self.Peers, What.Address, What.Have, std::move(Done));
   });
 }
 
 void carryOut(Node &Self, core::ServeConfig &What) {
-  std::lock_guard<std::mutex> Guard(Self.DocumentLock);
-  Self.Document = std::move(What.Document);
+  std::lock_guard<std::mutex> Guard(Self.ServedLock);
+  config::serveDocument(Self.Served, What.Document);
 }
 
 void carryOut(Node &Self, core::AnswerOperator &What) {
--- a/currantgauge/runtime/journal.cc
+++ b/currantgauge/runtime/journal.cc
@@ -1,6 +1,6 @@
 #include "currantgauge/runtime/journal.h"
 
-#include "currantgauge/config/document.h"
+#include "currantgauge/config/assemble.h"
 #include "currantgauge/core/reduce.h"
 #include "currantgauge/runtime/journal_codec.h"
 
@@ -23,23 +23,25 @@
 
 // Documents parsed in a replay, by the call that asked for them.
 struct ParsedDocuments {
-  std::map<base::CallId, std::string> Texts;
+  std::map<base::CallId, config::AssembleRequest> Requests;
 };
 
-void noteTexts(ParsedDocuments &Known, const core::EffectList &Effects) {
+void noteRequests(ParsedDocuments &Known, const core::EffectList &Effects) {
   for (const core::Effect &Each : Effects)
     if (const auto *Parse = std::get_if<core::ParseConfig>(&Each))
-      Known.Texts[Parse->Call] = Parse->Text;
+      Known.Requests[Parse->Call] = Parse->Request;
 }
 
-void restoreConfig(const ParsedDocuments &Known, core::Event &Happened) {
+void restoreConfig(ParsedDocuments &Known, core::Event &Happened) {
   auto *Parsed = std::get_if<core::ConfigParsed>(&Happened.Body);
-  if (!Parsed || !Parsed->Error.empty())
+  if (!Parsed)
     return;
-  auto Text = Known.Texts.find(Parsed->Call);
-  config::SettingsErrors Ignored;
-  if (Text != Known.Texts.end())
-    Parsed->Config = config::parseDocument(Text->second, "journal", Ignored);
+  auto Request = Known.Requests.extract(Parsed->Call);
+  if (Request.empty() || !Parsed->Error.empty())
+    return;
+  config::AssembledConfig Done = config::assembleConfig(Request.mapped());
+  Parsed->Config = std::move(Done.Config);
+  Parsed->Parts = std::move(Done.Parts);
 }
 
 } // namespace
@@ -86,7 +88,7 @@
       restoreConfig(Known, Happened);
       core::EffectList Effects;
       core::reduce(Node, Happened, Effects);
-      noteTexts(Known, Effects);
+      noteRequests(Known, Effects);
       ++Result.Events;
       if (digest(Effects) == Entry.at("effects").get<std::uint64_t>())
         continue;
--- a/currantgauge/runtime/journal_codec.h
+++ b/currantgauge/runtime/journal_codec.h
@@ -8,6 +8,7 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/config/model.h"
+#include "currantgauge/config/parts.h"
 #include "currantgauge/runtime/fields.h"
 
 #include <nlohmann/json.hpp>
@@ -27,10 +28,21 @@
 
 using Json = nlohmann::json;
 
-// The pointer to a configuration is not written: a replay parses its text.
+// The pointer to a configuration is not written: a replay parses its parts.
 inline Json toJson(const config::ConfigurationPtr &) { return nullptr; }
 inline void fromJson(const Json &, config::ConfigurationPtr &) {}
 
+// A whole document is written as its hash, which tells two of them apart; a
+// replay works its parts out again.
+inline Json toJson(const config::PartSetPtr &Whole) {
+  return Whole ? Json(config::hashManifest(*Whole).Value) : Json(nullptr);
+}
+inline void fromJson(const Json &, config::PartSetPtr &) {}
+
+// A part that arrived from elsewhere is written as it is.
+inline Json toJson(const config::ConfigPartPtr &Part);
+inline void fromJson(const Json &From, config::ConfigPartPtr &Part);
+
 // All are declared before the first use: the types' own namespaces don't have
 // them, so argument-dependent lookup would not find a later one.
 template <typename T> Json toJson(const T &Value);
@@ -82,6 +94,17 @@
   }
 }
 
+inline Json toJson(const config::ConfigPartPtr &Part) {
+  return Json::array({toJson(Part->Name), toJson(Part->Text)});
+}
+inline void fromJson(const Json &From, config::ConfigPartPtr &Part) {
+  std::string Name;
+  std::string Text;
+  fromJson(From.at(0), Name);
+  fromJson(From.at(1), Text);
+  Part = config::makePart(std::move(Name), std::move(Text));
+}
+
 template <typename Tag> Json toJson(const base::StrongName<Tag> &Name) {
   return toJson(Name.Value);
 }
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -102,9 +102,12 @@
       post(Self, ControlInput{core::AttemptCancelled{Attempt}, {}, {}, {}, {}});
     });
   };
-  Handlers.FetchConfig = [&Self] {
-    std::lock_guard<std::mutex> Guard(Self.DocumentLock);
-    return Self.Document;
+  Handlers.FetchConfig =
+      [&Self](base::ConfigVersion Have) -> std::optional<config::ConfigDelta> {
+    std::lock_guard<std::mutex> Guard(Self.ServedLock);
+    if (!Self.Served.Document.Parts)
+      return std::nullopt;
+    return config::deltaSince(Self.Served, Have);
   };
   return Handlers;
 }
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -8,8 +8,8 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/memory_store.h"
+#include "currantgauge/config/delta.h"
 #include "currantgauge/config/node_settings.h"
-#include "currantgauge/config/state.h"
 #include "currantgauge/core/state.h"
 #include "currantgauge/http/backend_client.h"
 #include "currantgauge/http/caller_session.h"
@@ -84,8 +84,8 @@
 
   // Read by other threads.
   std::atomic<bool> Ready{false};
-  std::mutex DocumentLock;
-  std::optional<config::ConfigDocument> Document; // served to peers
+  std::mutex ServedLock;
+  config::ConfigServer Served; // to peers
   std::function<void(int)> OnStop;
 };
 
