--- a/currantgauge/config/load.cc
+++ b/currantgauge/config/load.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/config/load.h"
 
 #include "currantgauge/config/spread.h"
+#include "currantgauge/config/time_text.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
@@ -116,7 +117,7 @@
   core::OperatorReply Reply;
   Reply.Fields = {{"version", std::to_string(Document.Version.Value)},
                   {"author", Document.Author},
-                  {"when", std::to_string(Document.When.Millis)},
+                  {"when", formatTime(Document.When)},
                   {"push", Document.Push.Value}};
   Reply.Document = Document.Parts;
   return Reply;
--- a/currantgauge/config/push_reply.cc
+++ b/currantgauge/config/push_reply.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/config/diff.h"
 #include "currantgauge/config/parts.h"
+#include "currantgauge/config/time_text.h"
 
 #include <cstddef>
 
@@ -58,7 +59,7 @@
       std::to_string(Push.Asked.Base.Value));
   Reply.Fields = {{"version", std::to_string(Winner.Version.Value)},
                   {"author", Winner.Author},
-                  {"when", std::to_string(Winner.When.Millis)},
+                  {"when", formatTime(Winner.When)},
                   {"push", Winner.Push.Value}};
   if (IsHere)
     Reply.Tables.push_back(changesTable(Present.Parts, Push.Parts));
--- a/currantgauge/config/queries.cc
+++ b/currantgauge/config/queries.cc
@@ -3,6 +3,7 @@
 #include "currantgauge/config/load.h"
 #include "currantgauge/config/push.h"
 #include "currantgauge/config/spread.h"
+#include "currantgauge/config/time_text.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -24,7 +25,7 @@
 
 void addVersion(core::OperatorTable &Table, const HeadRow &Row) {
   Table.Rows.push_back({std::to_string(Row.Version.Value), Row.Author,
-                        std::to_string(Row.When.Millis), Row.Push.Value});
+                        formatTime(Row.When), Row.Push.Value});
 }
 
 void answerWithError(base::CallId Operator, const std::string &Text,
--- a/currantgauge/config/spread_test.cc
+++ b/currantgauge/config/spread_test.cc
@@ -1,7 +1,9 @@
 #include "currantgauge/config/test_fleet.h"
+#include "currantgauge/config/time_text.h"
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
 
 namespace currantgauge::config {
@@ -182,6 +184,12 @@
   }
 }
 
+TEST_CASE("times are shown in UTC, also those that no calendar has") {
+  CHECK(formatTime({1796383362174}) == "2026-12-04T11:22:42Z");
+  CHECK(formatTime({-5}) == "1970-01-01T00:00:00Z");
+  CHECK(formatTime({INT64_MAX}) == "9999-12-31T23:59:59Z");
+}
+
 TEST_CASE("a push with a mistake says where it is and changes nothing") {
   TestFleet Fleet(1, 10, true);
   base::CallId Call = push(Fleet, 0, "services:\n  a: {flor: 60%}\n", 0, "p1");
--- /dev/null
+++ b/currantgauge/config/time_text.cc
@@ -0,0 +1,27 @@
+#include "currantgauge/config/time_text.h"
+
+#include <boost/date_time/gregorian/greg_date.hpp>
+#include <boost/date_time/posix_time/posix_time.hpp>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace currantgauge::config {
+namespace {
+
+constexpr std::int64_t MillisPerSecond = 1000;
+constexpr std::int64_t LastSecond = 253402300799; // of the year 9999
+
+} // namespace
+
+// A row of the store may hold any number; the calendar ends with year 9999.
+std::string formatTime(base::UnixTime At) {
+  std::int64_t Seconds =
+      std::clamp(At.Millis / MillisPerSecond, std::int64_t{0}, LastSecond);
+  boost::posix_time::ptime Start(boost::gregorian::date(1970, 1, 1));
+  return boost::posix_time::to_iso_extended_string(
+             Start + boost::posix_time::seconds(Seconds)) +
+         "Z";
+}
+
+} // namespace currantgauge::config
--- /dev/null
+++ b/currantgauge/config/time_text.h
@@ -0,0 +1,18 @@
+// Wall-clock times as operators read them.
+//
+//   formatTime(base::UnixTime{0}); // "1970-01-01T00:00:00Z"
+#ifndef CURRANTGAUGE_CONFIG_TIME_TEXT_H
+#define CURRANTGAUGE_CONFIG_TIME_TEXT_H
+
+#include "currantgauge/base/units.h"
+
+#include <string>
+
+namespace currantgauge::config {
+
+// formatTime() returns a time in UTC as in RFC 3339, in whole seconds.
+std::string formatTime(base::UnixTime At);
+
+} // namespace currantgauge::config
+
+#endif // CURRANTGAUGE_CONFIG_TIME_TEXT_H
