--- a/currantgauge/config/assemble.cc
+++ b/currantgauge/config/assemble.cc
@@ -57,6 +57,11 @@
     Config.Workspaces.erase(base::WorkspaceName(Workspace));
 }
 
+// Nothing refers to a workspace, and each is checked as it is read.
+bool isWorkspacePart(const std::string &Name) {
+  return Name.starts_with("workspaces/");
+}
+
 // Each part is parsed alone and let go, so that the parser's memory is that of
 // one part and not of the document.
 void replaceParts(const AssembleRequest &Request, const PartSet &Parts,
@@ -64,7 +69,9 @@
   PartSet Nothing;
   const PartSet &Old =
       Request.Base && Request.BaseParts ? *Request.BaseParts : Nothing;
+  bool CheckAll = false;
   for (const std::string &Name : changedParts(Old, Parts)) {
+    CheckAll = CheckAll || !isWorkspacePart(Name);
     removeEntries(Name, Old, Config);
     auto Part = Parts.Parts.find(Name);
     if (Part == Parts.Parts.end())
@@ -73,6 +80,8 @@
     mergeInto(Entries, Name, Part->second->Text, Errors);
     buildConfiguration(Entries, Config, Errors);
   }
+  if (CheckAll)
+    checkConfiguration(Document(), Config, Errors);
 }
 
 } // namespace
@@ -83,10 +92,8 @@
   Result.Parts = partsOf(Request, Errors);
   boost::intrusive_ptr<Configuration> Config(
       Request.Base ? new Configuration(*Request.Base) : new Configuration);
-  if (Errors.empty() && Result.Parts) {
+  if (Errors.empty() && Result.Parts)
     replaceParts(Request, *Result.Parts, *Config, Errors);
-    checkConfiguration(Document(), *Config, Errors);
-  }
   Result.Error = joinErrors(Errors);
   if (!Result.Parts && Result.Error.empty())
     Result.Error = "the document can't be split into parts";
