--- a/currantgauge/config/test_fleet.h
+++ b/currantgauge/config/test_fleet.h
@@ -7,6 +7,7 @@
 #ifndef CURRANTGAUGE_CONFIG_TEST_FLEET_H
 #define CURRANTGAUGE_CONFIG_TEST_FLEET_H
 
+#include "currantgauge/base/memory_store.h"
 #include "currantgauge/base/random.h"
 #include "currantgauge/base/store.h"
 #include "currantgauge/config/assemble.h"
@@ -26,65 +27,14 @@
 
 namespace currantgauge::config {
 
-// TestStore keeps rows and objects, and fails on demand.
+// TestStore is the platform's service in memory, and fails on demand.
 struct TestStore {
-  std::map<std::pair<std::string, std::string>, base::StoreRow> Rows;
-  std::map<std::string, std::string> Objects;
-  std::uint64_t LastTag = 0;
+  base::MemoryStore Memory;
   bool Down = false;
   double LostAnswers = 0;   // share of writes that apply and answer Unknown
   std::uint64_t Writes = 0; // rows and objects
 };
 
-inline base::StoreResult apply(TestStore &Store, const base::ReadRow &Read) {
-  auto Found = Store.Rows.find({Read.Table, Read.Key});
-  if (Found == Store.Rows.end())
-    return {base::StoreStatus::NotFound, {}, ""};
-  return {base::StoreStatus::Done, {Found->second}, ""};
-}
-
-inline base::StoreResult apply(TestStore &Store, const base::ScanRows &Scan) {
-  base::StoreResult Result{base::StoreStatus::Done, {}, ""};
-  for (auto Row = Store.Rows.upper_bound({Scan.Table, Scan.After});
-       Row != Store.Rows.end() && Row->first.first == Scan.Table &&
-       Result.Rows.size() < Scan.Limit;
-       ++Row)
-    Result.Rows.push_back(Row->second);
-  return Result;
-}
-
-inline bool holds(const TestStore &Store, const base::RowWrite &Write) {
-  auto Found = Store.Rows.find({Write.Table, Write.Key});
-  if (Write.Condition == base::WriteCondition::IfAbsent)
-    return Found == Store.Rows.end();
-  return Write.Condition == base::WriteCondition::Always ||
-         (Found != Store.Rows.end() && Found->second.ETag == Write.ETag);
-}
-
-inline base::StoreResult apply(TestStore &Store, const base::WriteRows &Write) {
-  for (const base::RowWrite &Row : Write.Rows)
-    if (!holds(Store, Row))
-      return {base::StoreStatus::ConditionFailed, {}, ""};
-  for (const base::RowWrite &Row : Write.Rows)
-    Store.Rows[{Row.Table, Row.Key}] = {Row.Key, Row.Value,
-                                        std::to_string(++Store.LastTag)};
-  ++Store.Writes;
-  return {base::StoreStatus::Done, {}, ""};
-}
-
-inline base::StoreResult apply(TestStore &Store, const base::GetObject &Get) {
-  auto Found = Store.Objects.find(Get.Name);
-  if (Found == Store.Objects.end())
-    return {base::StoreStatus::NotFound, {}, ""};
-  return {base::StoreStatus::Done, {}, Found->second};
-}
-
-inline base::StoreResult apply(TestStore &Store, const base::PutObject &Put) {
-  Store.Objects[Put.Name] = Put.Bytes;
-  ++Store.Writes;
-  return {base::StoreStatus::Done, {}, ""};
-}
-
 // TestNode is one process: it starts anew with an empty state.
 struct TestNode {
   core::State State;
@@ -163,11 +113,11 @@
     TestStore &Store = this->Fleet.Store;
     core::StoreAnswered Answered{Asked.Call, {}};
     if (!Store.Down) {
-      Answered.Result =
-          std::visit([&](const auto &What) { return apply(Store, What); },
-                     Asked.Operation);
-      if (std::holds_alternative<base::WriteRows>(Asked.Operation) &&
-          happens(this->Fleet, Store.LostAnswers))
+      Answered.Result = base::applyOperation(Store.Memory, Asked.Operation);
+      bool IsRow = std::holds_alternative<base::WriteRows>(Asked.Operation);
+      if (IsRow || std::holds_alternative<base::PutObject>(Asked.Operation))
+        ++Store.Writes;
+      if (IsRow && happens(this->Fleet, Store.LostAnswers))
         Answered.Result.Status = base::StoreStatus::Unknown;
     }
     send(this->Fleet, this->From, Answered, base::milliseconds(30));
@@ -279,10 +229,11 @@
 
 // highestAccepted() returns the version of the store's head row.
 inline base::ConfigVersion highestAccepted(const TestFleet &Fleet) {
-  auto Head = Fleet.Store.Rows.find({ConfigTable, HeadKey});
-  if (Head == Fleet.Store.Rows.end())
+  auto Rows = Fleet.Store.Memory.Tables.find(ConfigTable);
+  if (Rows == Fleet.Store.Memory.Tables.end())
     return base::ConfigVersion();
-  return parseHeadRow(Head->second)->Version;
+  const std::string &Value = Rows->second.at(HeadKey).Value;
+  return parseHeadRow({HeadKey, Value, ""})->Version;
 }
 
 inline bool isEverywhere(const TestFleet &Fleet, base::ConfigVersion Version) {
