http, runtime: TLS on the operators' listener

Cause: certificate and key were read from the settings and not used. Replies to operators are now encoded on a traffic thread: a document of the largest size would have held up the control thread.

--- a/currantgauge/http/service.cc
+++ b/currantgauge/http/service.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
 
 #include <chrono>
 #include <memory>
@@ -52,18 +53,19 @@
   co_return std::move(*Wait->Answer);
 }
 
-asio::awaitable<void> serve(tcp::socket Socket, ServiceHandler Handler) {
-  beast::tcp_stream Stream(std::move(Socket));
+template <typename Stream>
+asio::awaitable<void> serve(Stream &Peer, const ServiceHandler &Handler) {
+  beast::tcp_stream &Socket = beast::get_lowest_layer(Peer);
   beast::flat_buffer Input;
   while (true) {
     beast::http::request_parser<beast::http::string_body> Parser;
     Parser.body_limit(ServiceBodyLimit);
-    Stream.expires_after(ReadLimit);
+    Socket.expires_after(ReadLimit);
     ErrorCode Error;
-    co_await beast::http::async_read(Stream, Input, Parser, into(Error));
+    co_await beast::http::async_read(Peer, Input, Parser, into(Error));
     if (Error)
       break;
-    Stream.expires_never();
+    Socket.expires_never();
     ServiceAnswer Answer = co_await askHandler(Handler, Parser.get());
     beast::http::response<beast::http::string_body> Response;
     Response.version(11);
@@ -72,24 +74,47 @@
     Response.keep_alive(Parser.get().keep_alive());
     Response.body() = std::move(Answer.Body);
     Response.prepare_payload();
-    Stream.expires_after(ReadLimit);
-    co_await beast::http::async_write(Stream, Response, into(Error));
+    Socket.expires_after(ReadLimit);
+    co_await beast::http::async_write(Peer, Response, into(Error));
     if (Error || !Response.keep_alive())
       break;
   }
 }
 
+asio::awaitable<void> servePlain(tcp::socket Socket, ServiceHandler Handler) {
+  beast::tcp_stream Peer(std::move(Socket));
+  co_await serve(Peer, Handler);
+}
+
+asio::awaitable<void> serveTls(tcp::socket Socket, ServiceHandler Handler,
+                               TlsContextPtr Tls) {
+  beast::ssl_stream<beast::tcp_stream> Peer(std::move(Socket), *Tls);
+  ErrorCode Error;
+  beast::get_lowest_layer(Peer).expires_after(ReadLimit);
+  co_await Peer.async_handshake(asio::ssl::stream_base::server, into(Error));
+  if (Error)
+    co_return;
+  co_await serve(Peer, Handler);
+  beast::get_lowest_layer(Peer).expires_after(ReadLimit);
+  co_await Peer.async_shutdown(into(Error));
+}
+
 } // namespace
 
 std::uint16_t listenService(asio::io_context &Io,
                             const base::NetAddress &Address,
-                            ServiceHandler Handler, ErrorCode &Error) {
+                            ServiceHandler Handler, ErrorCode &Error,
+                            TlsContextPtr Tls) {
   return listen(
       Io, Address, [&Io]() -> asio::io_context & { return Io; },
-      [Handler = std::move(Handler)](tcp::socket Socket) {
+      [Handler = std::move(Handler), Tls](tcp::socket Socket) {
         auto Executor = Socket.get_executor();
-        asio::co_spawn(Executor, serve(std::move(Socket), Handler),
-                       asio::detached);
+        if (Tls)
+          asio::co_spawn(Executor, serveTls(std::move(Socket), Handler, Tls),
+                         asio::detached);
+        else
+          asio::co_spawn(Executor, servePlain(std::move(Socket), Handler),
+                         asio::detached);
       },
       Error);
 }
--- a/currantgauge/http/service.h
+++ b/currantgauge/http/service.h
@@ -7,6 +7,7 @@
 #define CURRANTGAUGE_HTTP_SERVICE_H
 
 #include "currantgauge/base/ids.h"
+#include "currantgauge/http/tls.h"
 
 #include <utility>
 
@@ -35,11 +36,12 @@
     std::function<void(const ServiceRequest &, ServiceReply)>;
 
 // listenService() serves an address and returns its port; 0 and Error when it
-// can't be used.
+// can't be used. With Tls, connections that speak no TLS are closed.
 std::uint16_t listenService(boost::asio::io_context &Io,
                             const base::NetAddress &Address,
                             ServiceHandler Handler,
-                            boost::system::error_code &Error);
+                            boost::system::error_code &Error,
+                            TlsContextPtr Tls = nullptr);
 
 } // namespace currantgauge::http
 
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -4,8 +4,10 @@
 #include "currantgauge/http/listener.h"
 #include "currantgauge/http/operator_codec.h"
 #include "currantgauge/http/service.h"
+#include "currantgauge/http/tls.h"
 #include "currantgauge/routing/state.h"
 
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
@@ -77,8 +79,11 @@
     return Reply(errorAnswer(400, Error));
   ControlInput Input;
   Input.Body = core::OperatorAsked{base::CallId(), std::move(*Query)};
-  Input.Reply = [Reply](const core::OperatorReply &Answer) {
-    Reply({200, "application/json", http::encodeReply(Answer) + "\n"});
+  // Encoding a large document takes long: it is kept off the control thread.
+  Input.Reply = [&Self, Reply](const core::OperatorReply &Answer) {
+    asio::post(Self.Traffic.Threads.back()->Io, [Reply, Answer] {
+      Reply({200, "application/json", http::encodeReply(Answer) + "\n"});
+    });
   };
   post(Self, std::move(Input));
 }
@@ -124,6 +129,24 @@
              Failed) != 0;
 }
 
+bool openOperators(Node &Self, asio::io_context &Io,
+                   boost::system::error_code &Failed) {
+  const config::NodeSettings &Settings = Self.Settings;
+  http::TlsContextPtr Tls;
+  if (!Settings.OperatorCertificate.empty())
+    Tls = http::makeTls(Settings.OperatorCertificate, Settings.OperatorKey,
+                        Failed);
+  if (Failed)
+    return false;
+  return http::listenService(
+             Io, Settings.OperatorAddress,
+             [&Self](const http::ServiceRequest &Request,
+                     http::ServiceReply Reply) {
+               operatorService(Self, Request, std::move(Reply));
+             },
+             Failed, Tls) != 0;
+}
+
 bool openServices(Node &Self, boost::system::error_code &Failed) {
   asio::io_context &Io = Self.Traffic.Threads.back()->Io;
   return http::listenService(
@@ -133,13 +156,7 @@
                Reply(localService(Self, Request));
              },
              Failed) != 0 &&
-         http::listenService(
-             Io, Self.Settings.OperatorAddress,
-             [&Self](const http::ServiceRequest &Request,
-                     http::ServiceReply Reply) {
-               operatorService(Self, Request, std::move(Reply));
-             },
-             Failed) != 0;
+         openOperators(Self, Io, Failed);
 }
 
 } // namespace
@@ -156,7 +173,7 @@
   boost::system::error_code Failed;
   if (openServices(Self, Failed) && openCallers(Self, Failed))
     return true;
-  Error = "an address can't be used: " + Failed.message();
+  Error = "a listener can't be opened: " + Failed.message();
   return false;
 }
 
