--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -2,6 +2,9 @@
 
 #include "currantgauge/actions/guard.h"
 #include "currantgauge/actions/quarantine.h"
+#include "currantgauge/config/push.h"
+#include "currantgauge/config/queries.h"
+#include "currantgauge/config/spread.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/explain.h"
 #include "currantgauge/core/owner.h"
@@ -59,7 +62,10 @@
     setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
 }
 
-void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {}
+void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {
+  config::onConfigRound(Node, Effects);
+}
+
 void onTimer(State &Node, const ActionRound &, EffectList &Effects) {
   actions::onActionRound(Node, Effects);
 }
@@ -102,15 +108,19 @@
       {"stopping", Node.Stopping ? "true" : "false"},
   };
   OperatorTable Nodes{
-      "nodes", {"node", "region", "failure_domain", "phase", "path"}, {}};
+      "nodes",
+      {"node", "region", "failure_domain", "phase", "path", "config"},
+      {}};
   OperatorTable Servers =
       routing::healthRows(Node.Routing, base::ServiceName(), Node.Now);
   for (const auto &[Name, Member] : Node.Membership.Members)
     Nodes.Rows.push_back(
         {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value,
          std::string(membership::phaseName(Member.Record.Phase)),
-         Member.PathFailed ? "failed" : "ok"});
-  Reply.Tables = {std::move(Servers), std::move(Nodes)};
+         Member.PathFailed ? "failed" : "ok",
+         std::to_string(Member.Record.Version.Value)});
+  Reply.Tables = {std::move(Servers), std::move(Nodes),
+                  config::spreadTable(Node)};
   return Reply;
 }
 
@@ -131,15 +141,6 @@
   return Reply;
 }
 
-OperatorReply answer(State &Node, const AskConfig &) {
-  OperatorReply Reply;
-  Reply.Fields = {
-      {"version", std::to_string(Node.Config.Document.Version.Value)},
-      {"author", Node.Config.Document.Author}};
-  Reply.Text = Node.Config.Document.Text;
-  return Reply;
-}
-
 OperatorReply answer(State &Node, const AskQuarantine &) {
   return actions::listQuarantine(Node.Actions);
 }
@@ -160,6 +161,7 @@
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
   setTimer(Node.Timers, Node.Now, GossipRound{});
   setTimer(Node.Timers, Node.Now, ActionRound{});
+  config::startRounds(Node);
   Effects.push_back(LogLine{LogLevel::Info,
                             "started",
                             {{"node", Node.Self.Name.Value},
@@ -204,31 +206,15 @@
 
 void onOperatorAsked(State &Node, const OperatorAsked &Asked,
                      EffectList &Effects) {
-  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query)) {
-    Node.Config.Document = config::ConfigDocument{Push->BaseVersion, Push->Push,
-                                                  Push->Author, Push->Text};
-    Effects.push_back(ParseConfig{Asked.Call, Push->Text});
-    return;
-  }
+  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query))
+    return config::onPushAsked(Node, Asked.Call, *Push, Effects);
+  if (const auto *Wanted = std::get_if<AskConfig>(&Asked.Query))
+    return config::onConfigAsked(Node, Asked.Call, *Wanted, Effects);
+  if (std::holds_alternative<AskConfigHistory>(Asked.Query))
+    return config::onHistoryAsked(Node, Asked.Call, Effects);
   OperatorReply Reply = std::visit(
       [&](const auto &Query) { return answer(Node, Query); }, Asked.Query);
   Effects.push_back(AnswerOperator{Asked.Call, std::move(Reply)});
 }
 
-void onConfigParsed(State &Node, const ConfigParsed &Parsed,
-                    EffectList &Effects) {
-  OperatorReply Reply;
-  Reply.Error = Parsed.Error;
-  if (Parsed.Error.empty()) {
-    Node.Config.Current = Parsed.Config;
-    ++Node.Config.Document.Version.Value;
-    Node.Membership.Self.Version = Node.Config.Document.Version;
-    Effects.push_back(BecomeReady{true});
-    Effects.push_back(ServeConfig{Node.Config.Document});
-    Reply.Fields = {
-        {"version", std::to_string(Node.Config.Document.Version.Value)}};
-  }
-  Effects.push_back(AnswerOperator{Parsed.Call, std::move(Reply)});
-}
-
 } // namespace currantgauge::core
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -2,6 +2,8 @@
 
 #include "currantgauge/actions/action_ids.h"
 #include "currantgauge/actions/claim_store.h"
+#include "currantgauge/config/queries.h"
+#include "currantgauge/config/spread.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
@@ -43,17 +45,24 @@
   }
   void operator()(const PeerMessageArrived &E) {
     membership::onMessage(Node, E.Message, Effects);
+    config::noteVersion(Node, E.Message.Version, E.Message.From,
+                        E.Message.FromAddress, Effects);
   }
   void operator()(const PeerSendFailed &E) {
     membership::onSendFailed(Node, E, Effects);
   }
   // A call belongs to one component: each knows its own.
   void operator()(const StoreAnswered &E) {
-    if (!actions::onStoreAnswered(Node, E, Effects))
+    if (!actions::onStoreAnswered(Node, E, Effects) &&
+        !config::onStoreAnswered(Node, E, Effects))
       membership::onStoreAnswered(Node, E, Effects);
   }
-  void operator()(const ConfigParsed &E) { onConfigParsed(Node, E, Effects); }
-  void operator()(const ConfigFetched &) {}
+  void operator()(const ConfigParsed &E) {
+    config::onConfigParsed(Node, E, Effects);
+  }
+  void operator()(const ConfigFetched &E) {
+    config::onConfigFetched(Node, E, Effects);
+  }
   void operator()(const OperatorAsked &E) { onOperatorAsked(Node, E, Effects); }
   void operator()(const ActionIdAsked &E) {
     actions::onActionIdAsked(Node, E, Effects);
