config: fetch from a node that holds the version

Cause: since gossip names the highest version known, not held, nodes fetched from peers that lacked it; a peer asked for what it serves sent the whole document (349,022 bytes of parts for a change of 100, spread_test). Now the sender's own record or another known holder decides, and a fetch that finds nothing newer is empty.

--- a/currantgauge/config/delta.cc
+++ b/currantgauge/config/delta.cc
@@ -45,6 +45,8 @@
                     Served.When,    {}, {},          {}};
   if (!Served.Parts)
     return Delta;
+  if (Have >= Served.Version)
+    return Delta;
   Delta.Whole = hashManifest(*Served.Parts);
   auto Names = namesSince(Server, Have);
   if (!Names) {
--- a/currantgauge/config/delta.h
+++ b/currantgauge/config/delta.h
@@ -54,7 +54,8 @@
 // serveDocument() makes a newer document the served one; others are ignored.
 void serveDocument(ConfigServer &Server, const ConfigDocument &Document);
 
-// deltaSince() returns the way from version Have to the served document.
+// deltaSince() returns the way from version Have to the served document; a
+// delta without parts when that is not newer.
 ConfigDelta deltaSince(const ConfigServer &Server, base::ConfigVersion Have);
 
 // applyDelta() returns the newer document; none when the delta does not fit
--- a/currantgauge/config/spread.cc
+++ b/currantgauge/config/spread.cc
@@ -179,15 +179,18 @@
   return true;
 }
 
-void noteVersion(core::State &Node, base::ConfigVersion Version,
-                 const base::NodeName &From, const base::NetAddress &Address,
+void noteVersion(core::State &Node, const membership::PeerMessage &Message,
                  core::EffectList &Effects) {
-  Node.Config.Heard = std::max(Node.Config.Heard, Version);
-  if (Version <= Node.Config.Document.Version ||
-      Version == Node.Config.Broken ||
-      Node.Config.Lag.Phase != CatchUpPhase::Idle)
+  ConfigState &Held = Node.Config;
+  Held.Heard = std::max(Held.Heard, Message.Version);
+  if (Message.Version <= Held.Document.Version ||
+      Message.Version == Held.Broken || Held.Lag.Phase != CatchUpPhase::Idle)
     return;
-  startFetch(Node, From, Address, Effects);
+  for (const membership::MemberRecord &Record : Message.Members)
+    if (Record.Name == Message.From && Record.Version > Held.Document.Version)
+      return startFetch(Node, Message.From, Message.FromAddress, Effects);
+  if (const membership::MemberRecord *Holder = chooseHolder(Node))
+    startFetch(Node, Holder->Name, Holder->PeerAddress, Effects);
 }
 
 void onConfigFetched(core::State &Node, const core::ConfigFetched &Fetched,
--- a/currantgauge/config/spread.h
+++ b/currantgauge/config/spread.h
@@ -1,8 +1,7 @@
 // How a version comes into force at a node, and how a node that lags learns of
 // a newer one: from gossip, from a peer, or from the store.
 //
-//   noteVersion(Node, Message.Version, Message.From, Message.FromAddress,
-//               Effects);
+//   noteVersion(Node, Message, Effects);
 #ifndef CURRANTGAUGE_CONFIG_SPREAD_H
 #define CURRANTGAUGE_CONFIG_SPREAD_H
 
@@ -11,6 +10,7 @@
 #include "currantgauge/core/effect.h"
 #include "currantgauge/core/event.h"
 #include "currantgauge/core/state.h"
+#include "currantgauge/membership/message.h"
 
 namespace currantgauge::config {
 
@@ -32,10 +32,10 @@
 bool installVersion(core::State &Node, const ConfigDocument &Document,
                     const ConfigurationPtr &Config, core::EffectList &Effects);
 
-// noteVersion() takes word of an accepted version from a peer that has it, and
-// fetches it when it is newer.
-void noteVersion(core::State &Node, base::ConfigVersion Version,
-                 const base::NodeName &From, const base::NetAddress &Address,
+// noteVersion() takes the highest accepted version that a peer knows of, and
+// fetches it when it is newer: from that peer when it has it, else from
+// another one.
+void noteVersion(core::State &Node, const membership::PeerMessage &Message,
                  core::EffectList &Effects);
 
 // onConfigFetched() takes a peer's answer to FetchConfig.
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -45,8 +45,7 @@
   }
   void operator()(const PeerMessageArrived &E) {
     membership::onMessage(Node, E.Message, Effects);
-    config::noteVersion(Node, E.Message.Version, E.Message.From,
-                        E.Message.FromAddress, Effects);
+    config::noteVersion(Node, E.Message, Effects);
   }
   void operator()(const PeerSendFailed &E) {
     membership::onSendFailed(Node, E, Effects);
--- a/tests/integration/config_spread_test.cc
+++ b/tests/integration/config_spread_test.cc
@@ -27,6 +27,19 @@
   }
 }
 
+// Each node must know the others first: --wait is about the nodes known.
+bool waitForMembers(Fleet &Some) {
+  return waitUntil([&] {
+    for (const NodeProcess &Node : Some.Nodes) {
+      std::string Text = query(Node, R"({"query":"status"})");
+      for (const NodeProcess &Other : Some.Nodes)
+        if (Text.find("\"" + Other.Name + "\"") == std::string::npos)
+          return false;
+    }
+    return true;
+  });
+}
+
 int push(const Fleet &Some, std::size_t Node, const std::string &Example,
          const std::vector<std::string> &Flags = {}) {
   std::vector<std::string> Arguments = {
@@ -88,6 +101,7 @@
 TEST_CASE("config push --wait returns when every node has the version") {
   Fleet Some;
   startTwelveNodes(Some);
+  REQUIRE(waitForMembers(Some));
   REQUIRE(push(Some, 2, "waitaha", {"--wait"}) == 0);
   CHECK(isEverywhere(Some, 1));
   CHECK(push(Some, 9, "okonkwo", {"--base=7"}) == 1);
