Send a repeated answer and its end in one job

Cause: RepeatAnswer and EndAttempt were posted to traffic threads in turn, so the end could overtake the parts, which the pipe then dropped: the caller of a repeated answer waited until its own timeout.

--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -143,8 +143,13 @@
   if (Found == Self.Owned.end())
     return;
   AnswerPipePtr Pipe = Found->second.Pipe;
+  KeptAnswer Repeat = std::move(Found->second.Repeat);
   Self.Owned.erase(Found);
-  onTraffic(Self, [Pipe, Outcome = What.Outcome] {
+  // One job: on another thread the end could overtake the parts before it.
+  onTraffic(Self, [Pipe, Repeat, Outcome = What.Outcome] {
+    if (Repeat)
+      for (const AnswerPart &Part : *Repeat)
+        pushPart(*Pipe, Part);
     pushPart(*Pipe, AnswerEnd{Outcome});
     setOnCancel(*Pipe, nullptr);
   });
@@ -171,10 +176,7 @@
   auto Found = Self.Owned.find(What.Attempt);
   if (Kept == Self.Kept.end() || Found == Self.Owned.end())
     return;
-  onTraffic(Self, [Parts = Kept->second, Pipe = Found->second.Pipe] {
-    for (const AnswerPart &Part : *Parts)
-      pushPart(*Pipe, Part);
-  });
+  Found->second.Repeat = Kept->second;
 }
 
 void carryOut(Node &Self, core::SendPeerMessage &What) {
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -42,17 +42,18 @@
   std::vector<AnswerPipePtr> Pipes; // of its attempts
 };
 
+// KeptAnswer is an answer kept for later asks.
+using KeptAnswer = std::shared_ptr<const std::vector<AnswerPart>>;
+
 // OwnerHandle is an attempt that this node owns.
 struct OwnerHandle {
   RequestMessagePtr Message;
   AnswerPipePtr Pipe;
   base::RequestId Request;
   http::BackendExchangePtr Exchange;
+  KeptAnswer Repeat; // goes out before the end; null: the backend's answer
 };
 
-// KeptAnswer is an answer kept for a later ask.
-using KeptAnswer = std::shared_ptr<const std::vector<AnswerPart>>;
-
 // Node is one process.
 struct Node {
   config::NodeSettings Settings;
