--- /dev/null
+++ b/tests/integration/actions_test.cc
@@ -0,0 +1,262 @@
+#include "tests/integration/fleet.h"
+#include "tests/integration/proxy.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace currantgauge::integration {
+namespace {
+
+const std::string ConfigFolder =
+    std::string(CURRANTGAUGE_SOURCE_DIR) + "/examples/demo/config";
+const std::string Secret = "actions: {secret: integration}\n";
+// Longer than any lease of a backend server or a node.
+constexpr std::chrono::seconds PastAnyLease{7};
+
+// Three nodes before the platform's stand-in, which a fault proxy precedes.
+struct ActionFleet {
+  Fleet Some;
+  std::string Platform; // past the proxy
+  Proxy Store;
+};
+
+void startNodes(ActionFleet &With) {
+  startPlatform(With.Some);
+  With.Platform = With.Some.Platform;
+  With.Store = startProxy(With.Platform);
+  With.Some.Platform = With.Store.Address;
+  startNode(With.Some, "a", "north", "north-a", Secret);
+  startNode(With.Some, "b", "north", "north-a", Secret);
+  startNode(With.Some, "c", "north", "north-b", Secret);
+}
+
+void addServer(ActionFleet &With, const char *Name, std::size_t Node,
+               const std::vector<std::string> &Flags = {}) {
+  startServer(With.Some, Name, "cutlist", With.Some.Nodes[Node], Flags);
+}
+
+void serve(ActionFleet &With) {
+  REQUIRE(pushConfig(With.Some, ConfigFolder));
+  REQUIRE(waitForServers(With.Some, With.Some.Servers.size()));
+}
+
+std::optional<Answer> commit(ActionFleet &With, std::size_t Node,
+                             const std::string &Key,
+                             const std::string &Body = "order 12") {
+  return ask(With.Some.Nodes[Node].Callers, "POST", "/commits/9", Body,
+             {{"Idempotency-Key", Key}});
+}
+
+std::optional<Answer> commitById(ActionFleet &With, std::size_t Node,
+                                 const std::string &Id) {
+  return ask(With.Some.Nodes[Node].Callers, "POST", "/commits/9", "order 12",
+             {{"Currantgauge-Action-Id", Id}});
+}
+
+std::string takeId(ActionFleet &With, std::size_t Node) {
+  auto Issued =
+      ask(With.Some.Nodes[Node].Callers, "POST", "/.currantgauge/actions");
+  REQUIRE(Issued.has_value());
+  REQUIRE(Issued->Status == 201);
+  return nlohmann::json::parse(Issued->Body)["action"];
+}
+
+std::uint64_t totalRuns(ActionFleet &With) {
+  std::uint64_t Runs = 0;
+  for (const ServerProcess &Server : With.Some.Servers)
+    Runs += runsOf(Server);
+  return Runs;
+}
+
+std::uint64_t claimedRows(ActionFleet &With) {
+  auto Rows = ask(With.Platform, "GET", "/tables/claims/rows?after=&limit=100");
+  return Rows ? nlohmann::json::parse(Rows->Body)["rows"].size() : 0;
+}
+
+std::string fieldOf(const std::optional<Answer> &Got, const char *Name) {
+  return Got && Got->Fields.contains(Name) ? Got->Fields.at(Name) : "";
+}
+
+std::string verdictOf(const std::optional<Answer> &Got) {
+  return fieldOf(Got, "currantgauge-verdict");
+}
+
+std::string reasonOf(const std::optional<Answer> &Got) {
+  return fieldOf(Got, "currantgauge-reason");
+}
+
+// askUntilRan() repeats an ask until it is answered by a backend server.
+std::optional<Answer> askUntilRan(ActionFleet &With, std::size_t Node,
+                                  const std::string &Key) {
+  std::optional<Answer> Got;
+  waitUntil([&] {
+    Got = commit(With, Node, Key);
+    return verdictOf(Got) == "ran";
+  });
+  return Got;
+}
+
+} // namespace
+
+TEST_CASE("a key runs once, however often and wherever it is asked for") {
+  ActionFleet With;
+  startNodes(With);
+  addServer(With, "cutlist-1", 1, {"--work_ms=100"});
+  addServer(With, "cutlist-2", 2, {"--work_ms=100"});
+  serve(With);
+  std::vector<std::future<std::optional<Answer>>> Asks;
+  for (std::size_t Number = 0; Number < 9; ++Number)
+    Asks.push_back(std::async(std::launch::async, [&With, Number] {
+      return commit(With, Number % 3, "once");
+    }));
+  for (auto &Ask : Asks) {
+    auto Got = Ask.get();
+    bool Running = reasonOf(Got) == "action_running";
+    CHECK(verdictOf(Got) == (Running ? "may_have_run" : "ran"));
+  }
+  std::optional<Answer> First = askUntilRan(With, 0, "once");
+  REQUIRE(First.has_value());
+  for (std::size_t Node : {0, 1, 2}) {
+    CAPTURE(Node);
+    auto Again = commit(With, Node, "once");
+    REQUIRE(verdictOf(Again) == "ran");
+    CHECK(Again->Body == First->Body);
+  }
+  auto Other = commit(With, 0, "once", "order 13");
+  CHECK(verdictOf(Other) == "not_run");
+  CHECK(reasonOf(Other) == "action_mismatch");
+  CHECK(totalRuns(With) == 1);
+}
+
+TEST_CASE("an owner killed while it runs an action leaves it in doubt") {
+  ActionFleet With;
+  startNodes(With);
+  addServer(With, "cutlist-1", 1, {"--work_ms=1500"});
+  serve(With);
+  auto First =
+      std::async(std::launch::async, [&] { return commit(With, 0, "killed"); });
+  REQUIRE(waitUntil([&] { return totalRuns(With) == 1; }));
+  sendSignal(With.Some.Nodes[1].Process, SIGKILL);
+  CHECK(verdictOf(First.get()) == "may_have_run");
+  addServer(With, "cutlist-2", 2);
+  REQUIRE(waitUntil(
+      [&] { return verdictOf(commit(With, 0, "another key")) == "ran"; }));
+  CHECK(verdictOf(commit(With, 0, "killed")) == "may_have_run");
+  CHECK(verdictOf(commit(With, 2, "killed")) == "may_have_run");
+  restartNode(With.Some, With.Some.Nodes[1]);
+  CHECK(verdictOf(commit(With, 2, "killed")) == "may_have_run");
+  CHECK(runsOf(With.Some.Servers[0]) == 1);
+  CHECK(runsOf(With.Some.Servers[1]) == 1); // the other key
+}
+
+TEST_CASE("a holder paused past any lease runs nothing when it wakes") {
+  ActionFleet With;
+  startNodes(With);
+  addServer(With, "cutlist-1", 1);
+  serve(With);
+  order(With.Store, R"({"route":0,"delay_ms":100})");
+  auto First =
+      std::async(std::launch::async, [&] { return commit(With, 0, "paused"); });
+  // The row is written; its answer is still on the way to the holder.
+  REQUIRE(waitUntil([&] { return claimedRows(With) == 1; }));
+  sendSignal(With.Some.Nodes[1].Process, SIGSTOP);
+  order(With.Store, R"({"route":0,"delay_ms":0})");
+  addServer(With, "cutlist-2", 2);
+  CHECK(verdictOf(First.get()) == "may_have_run");
+  std::this_thread::sleep_for(PastAnyLease);
+  CHECK(verdictOf(commit(With, 2, "paused")) == "may_have_run");
+  sendSignal(With.Some.Nodes[1].Process, SIGCONT);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  CHECK(totalRuns(With) == 0);
+  CHECK(verdictOf(askUntilRan(With, 2, "paused")) == "ran");
+  CHECK(totalRuns(With) == 1);
+}
+
+TEST_CASE("a store that is gone in the middle of a claim runs nothing") {
+  ActionFleet With;
+  startNodes(With);
+  addServer(With, "cutlist-1", 1);
+  addServer(With, "cutlist-2", 2);
+  serve(With);
+  REQUIRE(verdictOf(askUntilRan(With, 0, "warm")) == "ran");
+  // Writes are applied, their answers and later reads get lost.
+  order(With.Store, R"({"route":0,"drop_to_client":true})");
+  auto Lost = commit(With, 0, "lost answer");
+  CHECK(verdictOf(Lost) == "not_run");
+  CHECK(reasonOf(Lost) == "store_unavailable");
+  order(With.Store, R"({"route":0,"refuse":true})");
+  order(With.Store, R"({"route":0,"reset_open":true})");
+  for (int Number = 0; Number < 5; ++Number) {
+    auto Refused = commit(With, 0, "refused");
+    CHECK(verdictOf(Refused) == "not_run");
+    CHECK(reasonOf(Refused) == "store_unavailable");
+  }
+  CHECK(totalRuns(With) == 1);
+  std::string Id = takeId(With, 0);
+  CHECK(verdictOf(commitById(With, 0, Id)) == "ran");
+  CHECK(totalRuns(With) == 2);
+  order(With.Store, R"({"route":0})");
+  CHECK(verdictOf(askUntilRan(With, 2, "lost answer")) == "ran");
+  CHECK(verdictOf(askUntilRan(With, 1, "refused")) == "ran");
+  CHECK(totalRuns(With) == 4);
+}
+
+TEST_CASE("an action id runs once and never after its issuer was replaced") {
+  ActionFleet With;
+  startNodes(With);
+  addServer(With, "cutlist-1", 1);
+  serve(With);
+  std::string Id = takeId(With, 0);
+  std::string Open = takeId(With, 0);
+  auto First = commitById(With, 2, Id); // not the issuer, not the owner
+  REQUIRE(verdictOf(First) == "ran");
+  for (std::size_t Node : {0, 1, 2}) {
+    auto Again = commitById(With, Node, Id);
+    REQUIRE(verdictOf(Again) == "ran");
+    CHECK(Again->Body == First->Body);
+  }
+  auto Forged = commitById(With, 0, Id + "0");
+  CHECK(verdictOf(Forged) == "not_run");
+  CHECK(reasonOf(Forged) == "action_forged");
+  sendSignal(With.Some.Nodes[0].Process, SIGKILL);
+  restartNode(With.Some, With.Some.Nodes[0]);
+  REQUIRE(pushConfig(With.Some, ConfigFolder));
+  REQUIRE(waitForServers(With.Some, 1));
+  for (std::size_t Node : {0, 1, 2})
+    CHECK(verdictOf(commitById(With, Node, Open)) == "may_have_run");
+  CHECK(totalRuns(With) == 1);
+}
+
+TEST_CASE("a request that kills servers is quarantined after two") {
+  ActionFleet With;
+  startNodes(With);
+  for (const char *Name : {"cutlist-1", "cutlist-2", "cutlist-3"})
+    addServer(With, Name, 1);
+  serve(With);
+  auto Kill = [&] {
+    return ask(With.Some.Nodes[0].Callers, "POST", "/commits/9", "CRASH");
+  };
+  auto Listed = [&](const std::string &Phase) {
+    return query(With.Some.Nodes[1], R"({"query":"quarantine"})")
+               .find('"' + Phase + '"') != std::string::npos;
+  };
+  CHECK(verdictOf(Kill()) == "may_have_run");
+  REQUIRE(waitUntil([&] { return Listed("suspected"); }));
+  CHECK(verdictOf(Kill()) == "may_have_run");
+  REQUIRE(waitUntil([&] { return Listed("quarantined"); }));
+  for (int Number = 0; Number < 5; ++Number) {
+    auto Refused = Kill();
+    CHECK(verdictOf(Refused) == "not_run");
+    CHECK(reasonOf(Refused) == "quarantined");
+  }
+  auto Healthy = ask(With.Some.Nodes[0].Callers, "POST", "/commits/9", "order");
+  CHECK(verdictOf(Healthy) == "ran");
+}
+
+} // namespace currantgauge::integration
--- /dev/null
+++ b/tests/integration/proxy.cc
@@ -0,0 +1,45 @@
+#include "tests/integration/proxy.h"
+
+#include <boost/process.hpp>
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace currantgauge::integration {
+
+namespace bp = boost::process;
+
+namespace detail {
+
+// The proxy ends when its input does.
+struct ProxyChild {
+  bp::opstream Input;
+  bp::ipstream Output;
+  bp::child Process;
+};
+
+} // namespace detail
+
+Proxy startProxy(const std::string &Target) {
+  auto Started = std::make_shared<detail::ProxyChild>();
+  std::string Route = "--route=0:" + Target.substr(Target.rfind(':') + 1);
+  Started->Process =
+      bp::child(std::string(CURRANTGAUGE_BINARY_DIR) + "/fault_proxy", Route,
+                bp::std_in<Started->Input, bp::std_out> Started->Output);
+  std::string Line;
+  std::getline(Started->Output, Line);
+  auto First = nlohmann::json::parse(Line, nullptr, false);
+  if (!First.is_object() || !First.contains("routes"))
+    throw std::runtime_error("the fault proxy printed no ports: " + Line);
+  return Proxy{Started, "127.0.0.1:" + First["routes"][0].dump()};
+}
+
+void order(const Proxy &Between, const std::string &Json) {
+  Between.Process->Input << Json << std::endl;
+  std::string Answer;
+  std::getline(Between.Process->Output, Answer);
+  if (Answer.find("error") != std::string::npos)
+    throw std::runtime_error("the fault proxy refused: " + Answer);
+}
+
+} // namespace currantgauge::integration
--- /dev/null
+++ b/tests/integration/proxy.h
@@ -0,0 +1,32 @@
+// The fault proxy as a process of a test.
+//
+//   Proxy Between = startProxy(Port);
+//   order(Between, R"({"route":0,"refuse":true})");
+#ifndef CURRANTGAUGE_TESTS_INTEGRATION_PROXY_H
+#define CURRANTGAUGE_TESTS_INTEGRATION_PROXY_H
+
+#include <memory>
+#include <string>
+
+namespace currantgauge::integration {
+
+namespace detail {
+struct ProxyChild;
+} // namespace detail
+
+// Proxy is a running fault proxy with one route. It ends with the struct.
+struct Proxy {
+  std::shared_ptr<detail::ProxyChild> Process;
+  std::string Address; // IP:port
+};
+
+// startProxy() starts a proxy before Target, IP:port on 127.0.0.1.
+Proxy startProxy(const std::string &Target);
+
+// order() sends one line of JSON (see stand_ins::controlProxy()) and waits for
+// its answer.
+void order(const Proxy &Between, const std::string &Json);
+
+} // namespace currantgauge::integration
+
+#endif // CURRANTGAUGE_TESTS_INTEGRATION_PROXY_H
