Pass over owners that refuse a rank, count the wait for the next slot

Cause: with a third of the servers sick an entry refused urgent requests for the pressure of a sick owner while others had room, and a sick owner kept them 40 ms before it refused, too late to try elsewhere.

The expected wait counts the time until a running attempt ends, so a slow owner refuses at once. Credit spans half a second.

--- a/currantgauge/admission/entry.cc
+++ b/currantgauge/admission/entry.cc
@@ -40,10 +40,10 @@
 }
 
 base::Reason admitAttempt(AdmissionState &State, const AttemptPlan &Plan,
-                          base::Random &Source, core::EffectList &Effects) {
+                          core::EffectList &Effects) {
   std::uint32_t Order = rankOrder(Plan.Config, Plan.Kind.Rank);
   if (shedsHere(State, Plan.Kind.Service, Plan.Server.Record.Owner, Order,
-                Plan.Now, Source))
+                Plan.Now, Plan.Draw))
     return base::Reason::ShedByPressure;
   if (!crossesLink(Plan))
     return base::Reason::None;
--- a/currantgauge/admission/entry.h
+++ b/currantgauge/admission/entry.h
@@ -7,7 +7,6 @@
 
 #include "currantgauge/admission/state.h"
 #include "currantgauge/base/ids.h"
-#include "currantgauge/base/random.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/config/model.h"
@@ -38,12 +37,13 @@
   base::RegionName Here; // of the entry
   base::ByteCount BodyBytes;
   base::TimePoint Now;
+  double Draw = 1; // uniform in [0, 1), one for the request
 };
 
 // admitAttempt() returns why an attempt is not sent to its owner, else None. It
 // charges the link when the owner is in another region.
 base::Reason admitAttempt(AdmissionState &State, const AttemptPlan &Plan,
-                          base::Random &Source, core::EffectList &Effects);
+                          core::EffectList &Effects);
 
 // noteAttemptEnd() learns what an attempt's answer tells: pressure, successes
 // and bytes that crossed the link.
--- a/currantgauge/admission/pressure.cc
+++ b/currantgauge/admission/pressure.cc
@@ -119,9 +119,8 @@
 
 bool shedsHere(const AdmissionState &State, const base::ServiceName &Service,
                const base::NodeName &Owner, std::uint32_t RankOrder,
-               base::TimePoint Now, base::Random &Source) {
-  double Share = pressureCost(State, Service, Owner, RankOrder, Now);
-  return Share > 0 && base::uniformUnit(Source) < Share;
+               base::TimePoint Now, double Draw) {
+  return Draw < pressureCost(State, Service, Owner, RankOrder, Now);
 }
 
 } // namespace currantgauge::admission
--- a/currantgauge/admission/pressure.h
+++ b/currantgauge/admission/pressure.h
@@ -7,7 +7,6 @@
 
 #include "currantgauge/admission/state.h"
 #include "currantgauge/base/ids.h"
-#include "currantgauge/base/random.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/core/request.h"
@@ -18,7 +17,7 @@
 
 // While a rank is pressed, an attempt is queued only when it will start soon,
 // and waits no longer: a refusal is then early, the way back included.
-constexpr base::Duration PressedWait = base::milliseconds(30);
+constexpr base::Duration PressedWait = base::milliseconds(35);
 constexpr base::Duration PressedPatience = base::milliseconds(40);
 constexpr base::Duration LinkPatience = base::milliseconds(28); // over the link
 
@@ -52,10 +51,11 @@
                     base::TimePoint Now);
 
 // shedsHere() decides whether an entry refuses a request that it would send to
-// Owner. Some always pass: their answers tell when the pressure ends.
+// Owner. Draw is uniform in [0, 1) and the same for each owner that is weighed
+// for a request. Some always pass: their answers tell when the pressure ends.
 bool shedsHere(const AdmissionState &State, const base::ServiceName &Service,
                const base::NodeName &Owner, std::uint32_t RankOrder,
-               base::TimePoint Now, base::Random &Source);
+               base::TimePoint Now, double Draw);
 
 } // namespace currantgauge::admission
 
--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -82,7 +82,8 @@
   base::Duration InOrder =
       base::scaled(Urgent, 1 / Slots) +
       base::scaled(Own, 1 / slotsFor(Queue, Attempt.RankOrder));
-  return std::min(InOrder, guaranteedWait(Queue, Rank, Own));
+  return nextSlotWait(Queue) +
+         std::min(InOrder, guaranteedWait(Queue, Rank, Own));
 }
 
 const config::ServiceSettings &settingsOf(const config::Configuration &Config,
@@ -163,8 +164,6 @@
                          const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Attempt.Deadline <= Now)
     return base::Reason::DeadlinePassed;
-  if (Queue.Length == 0)
-    return base::Reason::None;
   base::Duration Wait = waitOf(Queue, Attempt);
   if (isPressed(Rank, Now) && Wait > std::min(PressedWait, patienceOf(Attempt)))
     return base::Reason::ShedByPressure;
--- a/currantgauge/admission/rank_share.cc
+++ b/currantgauge/admission/rank_share.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Credit and debt are bounded by this much of a rank's share, and one attempt.
-constexpr base::Duration CreditSpan = base::milliseconds(300);
+constexpr base::Duration CreditSpan = base::milliseconds(500);
 constexpr base::Duration UseSpan = base::milliseconds(200);
 constexpr double LeastSlots = 0.05;
 constexpr base::Duration NoGuarantee = base::minutes(60);
@@ -57,6 +57,7 @@
 
 void noteTaken(RankQueue &Rank, base::Duration Expected) {
   ++Rank.Running;
+  Rank.RunningTime += Expected;
   Rank.Credit -= static_cast<double>(Expected.Micros);
 }
 
@@ -64,6 +65,7 @@
                   base::Duration Used) {
   if (Rank.Running > 0)
     --Rank.Running;
+  Rank.RunningTime = Rank.RunningTime - Expected;
   Rank.Credit += static_cast<double>((Expected - Used).Micros);
 }
 
@@ -81,6 +83,18 @@
   return std::max({Left, Own, LeastSlots});
 }
 
+base::Duration nextSlotWait(const ServiceQueue &Queue) {
+  std::uint32_t Running = 0;
+  base::Duration Times;
+  for (const auto &[Order, Rank] : Queue.ByRank) {
+    Running += Rank.Running;
+    Times += Rank.RunningTime;
+  }
+  if (Running == 0 || Running < Queue.OpenSlots)
+    return {};
+  return Times / Running / Running;
+}
+
 base::Duration guaranteedWait(const ServiceQueue &Queue, const RankQueue &Rank,
                               base::Duration Work) {
   double Slots = guaranteed(Queue, Rank);
--- a/currantgauge/admission/rank_share.h
+++ b/currantgauge/admission/rank_share.h
@@ -30,6 +30,10 @@
 // the others leave, or its guaranteed share when that is more.
 double slotsFor(const ServiceQueue &Queue, std::uint32_t RankOrder);
 
+// nextSlotWait() returns when one of the running attempts is likely to end;
+// zero while a slot is free.
+base::Duration nextSlotWait(const ServiceQueue &Queue);
+
 // guaranteedWait() returns when a rank's guaranteed share has served Work that
 // waits in front; a very long time for a rank without a share.
 base::Duration guaranteedWait(const ServiceQueue &Queue, const RankQueue &Rank,
--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -39,10 +39,11 @@
   base::Percent Share; // guaranteed, of the open slots
   std::uint32_t Length = 0;
   base::ByteCount Bytes;
-  base::Duration Work;       // expected slot time of all that waits
-  std::uint32_t Running = 0; // slots held
-  double Use = 0;            // slots held, averaged over time
-  double Credit = 0;         // guaranteed slot time not yet used, microseconds
+  base::Duration Work;        // expected slot time of all that waits
+  std::uint32_t Running = 0;  // slots held
+  base::Duration RunningTime; // expected slot time of those
+  double Use = 0;             // slots held, averaged over time
+  double Credit = 0;          // guaranteed slot time not yet used, microseconds
   RefusalWindow Window;
   double Keep = 1; // share of the rank's work that entries may send here
   base::TimePoint PressureEnds;
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::core {
 namespace {
@@ -19,6 +20,7 @@
 constexpr std::uint32_t ReferralLimit = 4; // of one request
 // A request that two servers died with is not tried on a third.
 constexpr std::uint32_t DeathLimit = 2;
+constexpr std::size_t ChoiceLimit = 4; // servers weighed for an attempt
 constexpr base::Duration DefaultDeadline = base::seconds(30);
 // What an attempt's deadline is ahead of its request's, so that the owner's
 // answer arrives before the entry gives up: there and back.
@@ -130,7 +132,7 @@
 admission::AttemptPlan planOf(const State &Node, const EntryRequest &Request,
                               const routing::BackendServer &Server) {
   return {*Node.Config.Current,    Request.Kind, Server, Node.Self.Region,
-          Request.Facts.BodyBytes, Node.Now};
+          Request.Facts.BodyBytes, Node.Now,     1};
 }
 
 void noteEnd(State &Node, const EntryRequest &Request,
@@ -169,6 +171,7 @@
 }
 
 routing::Choice chooseFor(State &Node, const EntryRequest &Request,
+                          const std::vector<base::BackendName> &Avoid,
                           EffectList &Effects) {
   static const config::ServiceSettings Defaults;
   routing::ChoiceQuery Query;
@@ -177,6 +180,7 @@
   Query.Worth = Request.Kind.Worth;
   Query.Idempotent = Request.Kind.Idempotent;
   Query.Tried = Request.Tried;
+  Query.Tried.insert(Query.Tried.end(), Avoid.begin(), Avoid.end());
   Query.Now = Node.Now;
   const auto &Services = Node.Config.Current->Services;
   auto Found = Services.find(Query.Service);
@@ -185,20 +189,36 @@
       Node.Source, Effects);
 }
 
+// placeAttempt() chooses a server whose owner takes this rank, and returns why
+// there is none. Owners that refuse it now are passed over a few times.
+base::Reason placeAttempt(State &Node, const EntryRequest &Request,
+                          routing::Choice &Chosen, EffectList &Effects) {
+  double Draw = base::uniformUnit(Node.Source);
+  std::vector<base::BackendName> Avoid;
+  base::Reason Why = base::Reason::None;
+  while (Avoid.size() < ChoiceLimit) {
+    Chosen = chooseFor(Node, Request, Avoid, Effects);
+    if (!Chosen.Server)
+      return base::Reason::NoBackend;
+    admission::AttemptPlan Plan = planOf(Node, Request, *Chosen.Server);
+    Plan.Draw = Draw;
+    Why = admission::admitAttempt(Node.Admission, Plan, Effects);
+    if (Why == base::Reason::None)
+      return Why;
+    Avoid.push_back(Chosen.Server->Record.Name);
+  }
+  return Why;
+}
+
 void startNextAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
   if (actions::isQuarantined(Node.Actions, Request.Print))
     return refuse(Node, Request, base::Reason::Quarantined, base::Duration{},
                   Effects);
-  routing::Choice Chosen = chooseFor(Node, Request, Effects);
-  const routing::BackendServer *Server = Chosen.Server;
-  if (!Server) {
-    refuse(Node, Request, base::Reason::NoBackend, base::seconds(1), Effects);
-    return;
-  }
-  base::Reason Why = admission::admitAttempt(
-      Node.Admission, planOf(Node, Request, *Server), Node.Source, Effects);
+  routing::Choice Chosen;
+  base::Reason Why = placeAttempt(Node, Request, Chosen, Effects);
   if (Why != base::Reason::None)
     return refuse(Node, Request, Why, base::seconds(1), Effects);
+  const routing::BackendServer *Server = Chosen.Server;
   ++Request.Attempts;
   newAttempt(Node, Request);
   Request.CurrentServer = Server->Record.Name;
