--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -13,6 +13,7 @@
 #include "currantgauge/membership/gossip.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/membership/rumours.h"
+#include "currantgauge/routing/ejection.h"
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/health_report.h"
 #include "currantgauge/routing/registry.h"
@@ -136,6 +137,7 @@
     return Reply;
   }
   Found->second.Drained = !Asked.Undo;
+  routing::markStale(Node.Routing, Found->second.Record.Service);
   Reply.Fields = {{"server", Asked.Server.Value},
                   {"drained", Asked.Undo ? "false" : "true"}};
   return Reply;
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -25,13 +25,18 @@
   const ServerStanding *Place = nullptr;
 };
 
-// Pools are a service's servers by how far down the list they come.
-struct Pools {
-  std::vector<Candidate> Here;  // in the set, own region
-  std::vector<Candidate> There; // in the set, other regions
-  std::vector<Candidate> Bad;   // in the set, tried before or a bad path
-  std::vector<Candidate> Out;   // ejected
-  const BackendServer *Trial = nullptr;
+// Best is the cheapest candidate seen.
+struct Best {
+  const BackendServer *Server = nullptr;
+  double Cost = HUGE_VAL;
+};
+
+// Search is a choice on its way. Avoid: leave out tried servers and bad paths.
+struct Search {
+  const RoutingState &State;
+  const RoutingSet &Set;
+  const ChoiceQuery &Query;
+  bool Avoid = true;
 };
 
 bool takesWork(const BackendServer &Server) {
@@ -48,44 +53,10 @@
          std::max<std::uint32_t>(Server.Record.Slots, 1);
 }
 
-bool isOut(const ServerStanding *Place) {
-  return Place &&
-         (Place->Where == Standing::Ejected || Place->Where == Standing::Trial);
-}
-
-bool wantsTrial(const ChoiceQuery &Query, const ServerStanding *Place) {
-  return Query.Idempotent && Query.Tried.empty() && Place &&
-         Place->Where == Standing::Trial && Place->Trial.Sequence == 0 &&
-         !Place->TrialFailed;
-}
-
-Pools sortOut(const RoutingState &State, const ChoiceQuery &Query,
-              const std::set<base::BackendName> &Names) {
-  Pools Sorted;
-  auto Set = State.Sets.find(Query.Service);
-  for (const base::BackendName &Name : Names) {
-    const BackendServer &Server = State.Servers.at(Name);
-    if (!takesWork(Server))
-      continue;
-    const ServerStanding *Place = nullptr;
-    if (Set != State.Sets.end())
-      if (auto Found = Set->second.Servers.find(Name);
-          Found != Set->second.Servers.end())
-        Place = &Found->second;
-    bool PathBad = isPathBad(State.Paths, Server.Record.Owner, Query.Now);
-    if (isOut(Place)) {
-      if (!Sorted.Trial && !PathBad && wantsTrial(Query, Place))
-        Sorted.Trial = &Server;
-      Sorted.Out.push_back({&Server, Place});
-    } else if (PathBad || wasTried(Query, Name)) {
-      Sorted.Bad.push_back({&Server, Place});
-    } else if (Server.Record.Region == State.Region) {
-      Sorted.Here.push_back({&Server, Place});
-    } else {
-      Sorted.There.push_back({&Server, Place});
-    }
-  }
-  return Sorted;
+bool wantsTrial(const ChoiceQuery &Query, const ServerStanding &Place) {
+  return Query.Idempotent && Query.Tried.empty() &&
+         Place.Where == Standing::Trial && Place.Trial.Sequence == 0 &&
+         !Place.TrialFailed;
 }
 
 double queueCost(const ChoiceQuery &Query, const BackendServer &Server) {
@@ -111,25 +82,61 @@
   return Cost;
 }
 
-// Best is the cheapest of a few candidates picked at random.
-struct Best {
-  const BackendServer *Server = nullptr;
-  double Cost = HUGE_VAL;
-};
+// Names may be a little out of date: a server is looked up before it is taken.
+Candidate lookUp(const Search &For, const base::BackendName &Name) {
+  auto Server = For.State.Servers.find(Name);
+  auto Place = For.Set.Servers.find(Name);
+  if (Server == For.State.Servers.end() || Place == For.Set.Servers.end() ||
+      !takesWork(Server->second))
+    return {};
+  bool Avoided =
+      wasTried(For.Query, Name) ||
+      isPathBad(For.State.Paths, Server->second.Record.Owner, For.Query.Now);
+  if (For.Avoid && Avoided)
+    return {};
+  return {&Server->second, &Place->second};
+}
+
+void consider(const Search &For, const base::BackendName &Name, Best &Found) {
+  Candidate One = lookUp(For, Name);
+  if (!One.Server)
+    return;
+  double Cost = costOf(For.State, For.Query, One);
+  if (Cost < Found.Cost)
+    Found = Best{One.Server, Cost};
+}
 
-Best sampleBest(const RoutingState &State, const ChoiceQuery &Query,
-                std::vector<Candidate> &Pool, base::Random &Source) {
+// A few random ones are enough, all are looked at only if none of them serves.
+Best sampleBest(const Search &For, const std::vector<base::BackendName> &Names,
+                base::Random &Source) {
   Best Found;
-  for (std::size_t I = 0; I < std::min(SampleSize, Pool.size()); ++I) {
-    std::size_t Pick = I + base::uniformBelow(Source, Pool.size() - I);
-    std::swap(Pool[I], Pool[Pick]);
-    double Cost = costOf(State, Query, Pool[I]);
-    if (Cost < Found.Cost)
-      Found = Best{Pool[I].Server, Cost};
-  }
+  if (Names.size() > SampleSize)
+    for (std::size_t I = 0; I < SampleSize; ++I)
+      consider(For, Names[base::uniformBelow(Source, Names.size())], Found);
+  if (!Found.Server)
+    for (const base::BackendName &Name : Names)
+      consider(For, Name, Found);
   return Found;
 }
 
+const BackendServer *findTrial(const Search &For) {
+  for (const base::BackendName &Name : For.Set.Out) {
+    Candidate One = lookUp(For, Name);
+    if (One.Server && wantsTrial(For.Query, *One.Place))
+      return One.Server;
+  }
+  return nullptr;
+}
+
+// Nothing better is left: a server tried before, a bad path, an ejected one.
+Choice lastResort(Search For, base::Random &Source) {
+  For.Avoid = false;
+  for (const auto *Names : {&For.Set.Here, &For.Set.There, &For.Set.Out})
+    if (Best Found = sampleBest(For, *Names, Source); Found.Server)
+      return {Found.Server, ChoiceWhy::LastResort};
+  return {};
+}
+
 bool isWorthTheLink(const ChoiceQuery &Query, const Best &Here,
                     const Best &There) {
   double Price = LinkCost / std::max(Query.Worth, 1e-3);
@@ -167,24 +174,21 @@
 
 Choice chooseServer(const RoutingState &State, const ChoiceQuery &Query,
                     base::Random &Source) {
-  auto Found = State.ByService.find(Query.Service);
-  if (Found == State.ByService.end())
+  auto Set = State.Sets.find(Query.Service);
+  if (Set == State.Sets.end())
     return {};
-  Pools Sorted = sortOut(State, Query, Found->second);
-  if (Sorted.Trial)
-    return {Sorted.Trial, ChoiceWhy::Trial};
-  Best Here = sampleBest(State, Query, Sorted.Here, Source);
+  Search For{State, Set->second, Query};
+  if (const BackendServer *Trial = findTrial(For))
+    return {Trial, ChoiceWhy::Trial};
+  Best Here = sampleBest(For, Set->second.Here, Source);
   Best There;
   if (!Here.Server || Here.Cost > 1)
-    There = sampleBest(State, Query, Sorted.There, Source);
+    There = sampleBest(For, Set->second.There, Source);
   if (Here.Server && !isWorthTheLink(Query, Here, There))
     return {Here.Server, ChoiceWhy::Local};
   if (There.Server)
     return {There.Server, ChoiceWhy::Spill};
-  Best Last = sampleBest(State, Query, Sorted.Bad, Source);
-  if (!Last.Server)
-    Last = sampleBest(State, Query, Sorted.Out, Source);
-  return {Last.Server, ChoiceWhy::LastResort};
+  return lastResort(For, Source);
 }
 
 BackendServer *chooseOwnServer(RoutingState &State, const ChoiceQuery &Query,
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -47,7 +47,8 @@
 
 // chooseServer() returns the least loaded of a few servers of the routing set,
 // in the own region while it has capacity that the work is worth waiting for.
-// A trial is to be recorded by the caller in the routing set.
+// The routing set must be up to date (updateRoutingSet()); a trial is to be
+// recorded in it by the caller.
 Choice chooseServer(const RoutingState &State, const ChoiceQuery &Query,
                     base::Random &Source);
 
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -41,13 +41,21 @@
   return Query;
 }
 
+// choose() works the routing set out anew, as a changed record would.
+Choice choose(RoutingState &State, const ChoiceQuery &Query,
+              base::Random &Source) {
+  updateRoutingSet(State, Cutlist, config::ServiceSettings(), Source,
+                   Query.Now);
+  return chooseServer(State, Query, Source);
+}
+
 } // namespace
 
 TEST_CASE("work stays in its region until it is worth the link") {
   RoutingState State = twoRegions();
   base::Random Source(1);
   auto Where = [&](double Worth) {
-    return chooseServer(State, query(Worth), Source).Server->Record.Region;
+    return choose(State, query(Worth), Source).Server->Record.Region;
   };
   CHECK(Where(1) == State.Region);
   for (const char *Name : {"n1", "n2", "n3"})
@@ -68,11 +76,11 @@
   for (int I = 0; I < 2; ++I)
     notePathFailure(State.Paths[base::NodeName("owner-n2")], Query.Now);
   for (int I = 0; I < 50; ++I)
-    CHECK(chooseServer(State, Query, Source).Server->Record.Name ==
+    CHECK(choose(State, Query, Source).Server->Record.Name ==
           base::BackendName("n3"));
   for (auto &[Name, Server] : State.Servers)
     Server.Drained = Name != base::BackendName("n2");
-  CHECK(chooseServer(State, Query, Source).Why == ChoiceWhy::LastResort);
+  CHECK(choose(State, Query, Source).Why == ChoiceWhy::LastResort);
 }
 
 TEST_CASE("an ejected server gets one trial at a time, of idempotent work") {
@@ -80,16 +88,18 @@
   base::Random Source(1);
   ServerStanding &Place = State.Sets[Cutlist].Servers[base::BackendName("n1")];
   Place.Where = Standing::Ejected;
+  Place.Until = base::Never;
   for (int I = 0; I < 50; ++I)
-    CHECK(chooseServer(State, query(), Source).Server->Record.Name !=
+    CHECK(choose(State, query(), Source).Server->Record.Name !=
           base::BackendName("n1"));
   Place.Where = Standing::Trial;
+  Place.Since = query().Now;
   ChoiceQuery Action = query();
   Action.Idempotent = false;
-  CHECK(chooseServer(State, Action, Source).Why == ChoiceWhy::Local);
-  CHECK(chooseServer(State, query(), Source).Why == ChoiceWhy::Trial);
+  CHECK(choose(State, Action, Source).Why == ChoiceWhy::Local);
+  CHECK(choose(State, query(), Source).Why == ChoiceWhy::Trial);
   Place.Trial = base::AttemptId{1, 1};
-  CHECK(chooseServer(State, query(), Source).Why == ChoiceWhy::Local);
+  CHECK(choose(State, query(), Source).Why == ChoiceWhy::Local);
 }
 
 TEST_CASE("one lost attempt is a dead connection, two are a bad path") {
--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -197,6 +197,19 @@
   }
 }
 
+base::TimePoint nextUpdate(const std::vector<Member> &Members,
+                           base::TimePoint Now) {
+  base::TimePoint Next = base::Never;
+  for (const Member &One : Members) {
+    const ServerStanding &Place = *One.Place;
+    if (Place.Where == Standing::Trial)
+      Next = std::min(Next, Place.Since + TrialPatience);
+    else if (Place.Where != Standing::In && Place.Until > Now)
+      Next = std::min(Next, Place.Until);
+  }
+  return Next;
+}
+
 } // namespace
 
 std::string_view standingName(Standing Where) {
@@ -285,14 +298,50 @@
   for (std::size_t I = 0; I < Members.size(); ++I)
     place(Step, Members[I], Out[I]);
   countSlots(Set, Members);
+  indexRoutingSet(State, Set);
+  Set.KnownServers = State.ByService[Service].size();
+  Set.NextUpdate = nextUpdate(Members, Now);
+  Set.Stale = false;
   return std::move(Step.Changes);
 }
 
+bool needsUpdate(const RoutingState &State, const base::ServiceName &Service,
+                 base::TimePoint Now) {
+  auto Set = State.Sets.find(Service);
+  auto Known = State.ByService.find(Service);
+  return Set == State.Sets.end() || Known == State.ByService.end() ||
+         Set->second.Stale || Now >= Set->second.NextUpdate ||
+         Set->second.KnownServers != Known->second.size();
+}
+
+void markStale(RoutingState &State, const base::ServiceName &Service) {
+  if (auto Set = State.Sets.find(Service); Set != State.Sets.end())
+    Set->second.Stale = true;
+}
+
+void indexRoutingSet(const RoutingState &State, RoutingSet &Set) {
+  Set.Here.clear();
+  Set.There.clear();
+  Set.Out.clear();
+  for (const auto &[Name, Place] : Set.Servers) {
+    auto Server = State.Servers.find(Name);
+    if (Server == State.Servers.end())
+      continue;
+    if (isOut(Place))
+      Set.Out.push_back(Name);
+    else if (Server->second.Record.Region == State.Region)
+      Set.Here.push_back(Name);
+    else
+      Set.There.push_back(Name);
+  }
+}
+
 void noteTrial(RoutingSet &Set, const base::BackendName &Server,
                base::AttemptId Attempt, TrialEnd How) {
   auto Found = Set.Servers.find(Server);
   if (Found == Set.Servers.end() || Found->second.Trial != Attempt)
     return;
+  Set.Stale = true;
   ServerStanding &Place = Found->second;
   Place.Trial = base::AttemptId();
   if (How == TrialEnd::Passed)
--- a/currantgauge/routing/ejection.h
+++ b/currantgauge/routing/ejection.h
@@ -56,11 +56,19 @@
   double PeerSuspicion = 0;
 };
 
-// RoutingSet is an entry's view of one service.
+// RoutingSet is an entry's view of one service. It is worked out anew when a
+// record changed or a time has come, not at every choice.
 struct RoutingSet {
   std::map<base::BackendName, ServerStanding> Servers;
   std::uint32_t AnnouncedSlots = 0;
   std::uint32_t HealthySlots = 0; // of the servers in the set
+  // Names by where choices look for them.
+  std::vector<base::BackendName> Here;  // in the set, own region
+  std::vector<base::BackendName> There; // in the set, other regions
+  std::vector<base::BackendName> Out;   // ejected or on trial
+  std::size_t KnownServers = 0;         // of the service, at the last update
+  base::TimePoint NextUpdate;
+  bool Stale = true;
 };
 
 // StandingChange is an ejection or a return, for logs and counters.
@@ -93,6 +101,16 @@
                  const config::ServiceSettings &Settings, base::Random &Source,
                  base::TimePoint Now);
 
+// needsUpdate() says that the set of a service may have changed.
+bool needsUpdate(const RoutingState &State, const base::ServiceName &Service,
+                 base::TimePoint Now);
+
+// markStale() has the set of a service worked out anew at its next choice.
+void markStale(RoutingState &State, const base::ServiceName &Service);
+
+// indexRoutingSet() sorts the set's servers by where choices look for them.
+void indexRoutingSet(const RoutingState &State, RoutingSet &Set);
+
 // TrialEnd is what a trial request says of its server; Open: nothing.
 enum class TrialEnd { Passed, Failed, Open };
 
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -110,6 +110,7 @@
   bool Tell = shouldTell(Record, Evidence, Level, Now);
   bool Rises = Level > Record.Suspicion;
   if (Tell) {
+    markStale(State, Record.Service);
     Record.Suspicion = Level;
     Record.FailShare =
         std::round(Evidence.FailShare / FailShareStep) * FailShareStep;
@@ -295,9 +296,10 @@
 Choice selectServer(RoutingState &State, const ChoiceQuery &Query,
                     const config::ServiceSettings &Settings,
                     base::Random &Source, core::EffectList &Effects) {
-  for (const StandingChange &Change :
-       updateRoutingSet(State, Query.Service, Settings, Source, Query.Now))
-    report(Query.Service, Change, Effects);
+  if (needsUpdate(State, Query.Service, Query.Now))
+    for (const StandingChange &Change :
+         updateRoutingSet(State, Query.Service, Settings, Source, Query.Now))
+      report(Query.Service, Change, Effects);
   return chooseServer(State, Query, Source);
 }
 
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -27,6 +27,14 @@
   ++Record.Revision;
 }
 
+// Usual times and failure shares change often and matter to owners alone.
+bool changesRouting(const BackendRecord &Old, const BackendRecord &New) {
+  return std::tie(Old.Service, Old.Owner, Old.Region, Old.Life, Old.Slots,
+                  Old.Phase, Old.Suspicion) !=
+         std::tie(New.Service, New.Owner, New.Region, New.Life, New.Slots,
+                  New.Phase, New.Suspicion);
+}
+
 } // namespace
 
 bool announce(RoutingState &State, const Announcement &Word,
@@ -43,6 +51,8 @@
     Server.ReadySince = Now;
   if (Known && Server.Record.Service != Word.Service)
     State.ByService[Server.Record.Service].erase(Word.Name);
+  markStale(State, Server.Record.Service);
+  markStale(State, Word.Service);
   fillRecord(Server.Record, Word, State);
   State.ByService[Word.Service].insert(Word.Name);
   State.Owned.insert(Word.Name);
@@ -57,6 +67,7 @@
     if (Server.LeaseEnds > Now || Server.Record.Phase == BackendPhase::Gone)
       continue;
     Server.Record.Phase = BackendPhase::Gone;
+    markStale(State, Server.Record.Service);
     ++Server.Record.Revision;
     Gone.push_back(Server.Record);
   }
@@ -76,6 +87,10 @@
     State.ByService[Server.Record.Service].erase(Record.Name);
   if (!Known || Server.Record.Life != Record.Life)
     Server.ReadySince = Now;
+  if (changesRouting(Server.Record, Record)) {
+    markStale(State, Server.Record.Service);
+    markStale(State, Record.Service);
+  }
   Server.Record = Record;
   State.ByService[Record.Service].insert(Record.Name);
   State.Owned.erase(Record.Name);
@@ -106,6 +121,7 @@
       continue;
     }
     State.ByService[It->second.Record.Service].erase(It->first);
+    markStale(State, It->second.Record.Service);
     It = State.Servers.erase(It);
   }
 }
