Tell entries of a server's health by rumours, and of nodes out of reach

Routing raised a record's revision but only recent entries heard of it. It now notes the server in State.News; membership passes a moved suspicion on at once and the rest, usual times and failure shares, as news that may wait. The codec carries both new fields.

A suspected or dead node, or one that is silent towards this node alone, is a bad path to routing, and its servers are no capacity that the floor counts on: half a fleet lost with a region would otherwise let the rest be ejected.

--- a/currantgauge/membership/detector.cc
+++ b/currantgauge/membership/detector.cc
@@ -123,6 +123,7 @@
     State.BadPaths.insert(Name);
   else
     State.BadPaths.erase(Name);
+  tellRouting(Node, Name);
   Effects.push_back(
       core::LogLine{Failed ? core::LogLevel::Warn : core::LogLevel::Info,
                     Failed ? "path_failed" : "path_restored",
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -96,10 +96,14 @@
   }
   const MembershipState &Cut = Net.Nodes[0]->Node.Membership;
   CHECK_FALSE(isReachable(Cut, base::NodeName("node-2")));
+  CHECK(routing::isPathBad(Net.Nodes[0]->Node.Routing.Paths,
+                           base::NodeName("node-2"), Net.Now));
   CHECK(isReachable(Net.Nodes[1]->Node.Membership, base::NodeName("node-2")));
   Net.Cuts.clear();
   run(Net, base::seconds(10));
   CHECK(isReachable(Cut, base::NodeName("node-2")));
+  CHECK_FALSE(routing::isPathBad(Net.Nodes[0]->Node.Routing.Paths,
+                                 base::NodeName("node-2"), Net.Now));
 }
 
 TEST_CASE("loss of messages kills nobody: suspicions are refuted") {
--- a/currantgauge/membership/member.cc
+++ b/currantgauge/membership/member.cc
@@ -4,6 +4,7 @@
 #include "currantgauge/membership/roster.h"
 #include "currantgauge/membership/seeds.h"
 #include "currantgauge/membership/servers.h"
+#include "currantgauge/routing/path.h"
 
 #include <algorithm>
 #include <cmath>
@@ -108,6 +109,7 @@
   if (PhaseChanged) {
     Who.PhaseSince = Node.Now;
     followPhase(Node, Who, WasLive);
+    tellRouting(Node, Who.Record.Name);
     logPhase(Who.Record, Effects);
   }
   bool VersionOnly = !PhaseChanged && Before.Life == Who.Record.Life;
@@ -150,6 +152,12 @@
   return Who && Who->Record.Phase == MemberPhase::Alive && !Who->PathFailed;
 }
 
+void tellRouting(core::State &Node, const base::NodeName &Name) {
+  bool Known = findMember(Node.Membership, Name) != nullptr;
+  routing::setUnreachable(Node.Routing.Paths, Name,
+                          Known && !isReachable(Node.Membership, Name));
+}
+
 base::NetAddress addressOf(const MembershipState &State,
                            const base::NodeName &Name) {
   const Member *Who = findMember(State, Name);
@@ -217,6 +225,7 @@
       continue;
     forgetServers(Node, Name);
     State.Members.erase(Name);
+    tellRouting(Node, Name);
     removeRow(Node, Name, Effects);
   }
 }
--- a/currantgauge/membership/member.h
+++ b/currantgauge/membership/member.h
@@ -34,6 +34,9 @@
 // or left, and it answers this node itself. True for this node.
 bool isReachable(const MembershipState &State, const base::NodeName &Name);
 
+// tellRouting() passes on to routing whether a node is reachable.
+void tellRouting(core::State &Node, const base::NodeName &Name);
+
 // addressOf() returns a node's peer address, empty when it is unknown.
 base::NetAddress addressOf(const MembershipState &State,
                            const base::NodeName &Name);
--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -104,6 +104,19 @@
   Queue.FlushWanted = urgentWaits(Queue);
 }
 
+// Takes over what routing has changed of own servers.
+void collectNews(core::State &Node) {
+  for (const auto &[Name, Urgent] : std::exchange(Node.Routing.News, {})) {
+    auto Found = Node.Routing.Servers.find(Name);
+    if (Found == Node.Routing.Servers.end())
+      continue;
+    if (Urgent)
+      queueRumour(Node.Membership, Found->second.Record);
+    else
+      queueSlowRumour(Node.Membership, Name);
+  }
+}
+
 } // namespace
 
 void queueRumour(MembershipState &State, const MemberRecord &Record,
@@ -192,6 +205,8 @@
 
 void flushRumours(core::State &Node, core::EffectList &Effects) {
   MembershipState &State = Node.Membership;
+  if (!Node.Routing.News.empty())
+    collectNews(Node);
   RumourQueue &Queue = State.Rumours;
   if (State.Self.Version > State.Accepted) {
     State.Accepted = State.Self.Version;
--- a/currantgauge/membership/size.cc
+++ b/currantgauge/membership/size.cc
@@ -1,7 +1,9 @@
 #include "currantgauge/membership/size.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 // The encoding is peer/peer.proto's; peer/codec_test.cc holds this file to it.
 // All field numbers are below 16, so that a tag is one byte.
@@ -33,6 +35,11 @@
                static_cast<std::uint64_t>(Value >> 63));
 }
 
+std::size_t microsField(base::Duration Span) {
+  return field(
+      static_cast<std::uint64_t>(std::max<std::int64_t>(Span.Micros, 0)));
+}
+
 std::size_t fixedField(std::uint64_t Value) { return Value == 0 ? 0 : 9; }
 
 std::size_t doubleField(double Value) { return Value == 0 ? 0 : 9; }
@@ -71,6 +78,12 @@
                          enumField(Record.Phase) + field(Record.Version.Value));
 }
 
+std::size_t encodedSize(const routing::KindTime &Time) {
+  return lengthDelimited(
+      field(Time.Kind.Value) + microsField(Time.Times.Median) +
+      microsField(Time.Times.Q90) + microsField(Time.Times.Q99));
+}
+
 std::size_t encodedSize(const routing::BackendRecord &Record) {
   return lengthDelimited(
       field(Record.Name.Value) + field(Record.Service.Value) +
@@ -78,7 +91,8 @@
       field(Record.Domain.Value) + field(Record.Address.Value) +
       field(Record.Life.Value) + field(Record.Revision) + field(Record.Slots) +
       enumField(Record.Phase) + zigzagField(Record.ColdStart.Micros) +
-      doubleField(Record.Suspicion));
+      doubleField(Record.Suspicion) + doubleField(Record.FailShare) +
+      listSize(Record.Times));
 }
 
 std::size_t encodedSize(const QuarantineRecord &Record) {
--- a/currantgauge/membership/size.h
+++ b/currantgauge/membership/size.h
@@ -6,6 +6,7 @@
 
 #include "currantgauge/membership/message.h"
 #include "currantgauge/routing/backend_server.h"
+#include "currantgauge/routing/time_profile.h"
 
 #include <cstddef>
 
@@ -16,6 +17,7 @@
 std::size_t encodedSize(const MemberRecord &Record);
 std::size_t encodedSize(const routing::BackendRecord &Record);
 std::size_t encodedSize(const QuarantineRecord &Record);
+std::size_t encodedSize(const routing::KindTime &Time);
 
 // encodedSize() of a message returns the bytes of its protobuf encoding.
 std::size_t encodedSize(const PeerMessage &Message);
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/peer/generated/peer.pb.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -59,6 +60,28 @@
   return enumFromWire(From.phase(), MemberPhase::Left, To.Phase);
 }
 
+std::uint64_t microsToWire(base::Duration Span) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(Span.Micros, 0));
+}
+
+base::Duration microsFromWire(std::uint64_t Wire) {
+  return base::Duration{static_cast<std::int64_t>(Wire)};
+}
+
+void toWire(const routing::KindTime &From, v1::KindTime &To) {
+  To.set_kind(From.Kind.Value);
+  To.set_median_micros(microsToWire(From.Times.Median));
+  To.set_q90_micros(microsToWire(From.Times.Q90));
+  To.set_q99_micros(microsToWire(From.Times.Q99));
+}
+
+void fromWire(const v1::KindTime &From, routing::KindTime &To) {
+  To.Kind.Value = From.kind();
+  To.Times.Median = microsFromWire(From.median_micros());
+  To.Times.Q90 = microsFromWire(From.q90_micros());
+  To.Times.Q99 = microsFromWire(From.q99_micros());
+}
+
 void toWire(const routing::BackendRecord &From, v1::BackendRecord &To) {
   To.set_name(From.Name.Value);
   To.set_service(From.Service.Value);
@@ -72,6 +95,9 @@
   To.set_phase(enumToWire(From.Phase));
   To.set_cold_start_micros(From.ColdStart.Micros);
   To.set_suspicion(From.Suspicion);
+  To.set_fail_share(From.FailShare);
+  for (const routing::KindTime &Time : From.Times)
+    toWire(Time, *To.add_times());
 }
 
 bool fromWire(const v1::BackendRecord &From, routing::BackendRecord &To) {
@@ -86,6 +112,9 @@
   To.Slots = From.slots();
   To.ColdStart.Micros = From.cold_start_micros();
   To.Suspicion = From.suspicion();
+  To.FailShare = From.fail_share();
+  for (const v1::KindTime &Time : From.times())
+    fromWire(Time, To.Times.emplace_back());
   return enumFromWire(From.phase(), BackendPhase::Gone, To.Phase);
 }
 
@@ -235,6 +264,7 @@
   To.set_permitted(From.Permitted);
   To.set_server_died(From.ServerDied);
   To.set_request_at_fault(From.RequestAtFault);
+  To.set_answer_bytes(From.AnswerBytes.Bytes);
 }
 
 bool fromWire(const v1::AttemptOutcome &From, core::AttemptOutcome &To) {
@@ -248,6 +278,7 @@
   To.Permitted = From.permitted();
   To.ServerDied = From.server_died();
   To.RequestAtFault = From.request_at_fault();
+  To.AnswerBytes = base::ByteCount{From.answer_bytes()};
   return enumFromWire(From.verdict(), base::Verdict::Ran, To.What) &&
          enumFromWire(From.reason(), base::LastReason, To.Why);
 }
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -37,6 +37,11 @@
   Backend.Phase = routing::BackendPhase::Leaving;
   Backend.ColdStart = base::milliseconds(1500);
   Backend.Suspicion = 0.25;
+  Backend.FailShare = 0.05;
+  routing::KindTime &Time = Backend.Times.emplace_back();
+  Time.Kind = base::KindName("read");
+  Time.Times = {base::milliseconds(3), base::milliseconds(9),
+                base::milliseconds(400)};
   membership::QuarantineRecord &Quarantine = Message.Quarantine.emplace_back();
   Quarantine.Print = base::Fingerprint(77);
   Quarantine.Crashed = {base::BackendName("cutlist-1")};
@@ -71,6 +76,7 @@
   CHECK(Back.Kind == membership::MessageKind::PingRequest);
   CHECK(Back.Members.at(0).Name.Value == "\xff not UTF-8");
   CHECK(Back.Backends.at(0).Suspicion == 0.25);
+  CHECK(Back.Backends.at(0).Times == sampleMessage().Backends[0].Times);
   CHECK(Back.Quarantine.at(0).Crashed.size() == 1);
   CHECK(Back.BucketHashes.at(1) == ~0ULL);
 }
--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -89,7 +89,10 @@
     const BackendServer &Server = State.Servers.at(Name);
     if (Server.Record.Phase == BackendPhase::Gone)
       continue;
-    bool Takes = Server.Record.Phase == BackendPhase::Ready && !Server.Drained;
+    // What can't be reached is no capacity that the floor may count on.
+    bool Takes = Server.Record.Phase == BackendPhase::Ready &&
+                 !Server.Drained &&
+                 !isUnreachable(State.Paths, Server.Record.Owner);
     Members.push_back(
         {&Server,
          &Set.Servers[Name],
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -81,7 +81,7 @@
     membership::PeerMessage Message;
     Message.From = Peers.Self.Name;
     Message.FromAddress = Peers.Self.PeerAddress;
-    Message.Kind = membership::MessageKind::Ack;
+    Message.Kind = membership::MessageKind::Rumours;
     Message.Version = Peers.Self.Version;
     Message.Backends.push_back(Record);
     Effects.push_back(core::SendPeerMessage{
@@ -109,6 +109,7 @@
   double Level = std::floor(Raw * SuspicionSteps) / SuspicionSteps;
   bool Tell = shouldTell(Record, Evidence, Level, Now);
   bool Rises = Level > Record.Suspicion;
+  bool Moves = Level != Record.Suspicion;
   if (Tell) {
     markStale(State, Record.Service);
     Record.Suspicion = Level;
@@ -124,6 +125,8 @@
   }
   if (Tell)
     ++Record.Revision;
+  if (Tell)
+    State.News[Record.Name] |= Moves;
   if (Rises)
     tellEntries(State, Peers, Evidence, Record, Effects);
 }
--- a/currantgauge/routing/path.cc
+++ b/currantgauge/routing/path.cc
@@ -21,8 +21,27 @@
 
 void notePathOk(std::map<base::NodeName, PathEvidence> &Paths,
                 const base::NodeName &Owner) {
-  if (!Paths.empty())
-    Paths.erase(Owner);
+  auto Found = Paths.find(Owner);
+  if (Found == Paths.end())
+    return;
+  if (!Found->second.Unreachable)
+    Paths.erase(Found);
+  else
+    Found->second = PathEvidence{0, {}, true};
+}
+
+void setUnreachable(std::map<base::NodeName, PathEvidence> &Paths,
+                    const base::NodeName &Owner, bool Unreachable) {
+  if (Unreachable)
+    Paths[Owner].Unreachable = true;
+  else if (auto Found = Paths.find(Owner); Found != Paths.end())
+    Found->second.Unreachable = false;
+}
+
+bool isUnreachable(const std::map<base::NodeName, PathEvidence> &Paths,
+                   const base::NodeName &Owner) {
+  auto Found = Paths.find(Owner);
+  return Found != Paths.end() && Found->second.Unreachable;
 }
 
 bool isPathBad(const std::map<base::NodeName, PathEvidence> &Paths,
@@ -30,7 +49,8 @@
   if (Paths.empty())
     return false;
   auto Found = Paths.find(Owner);
-  return Found != Paths.end() && Now < Found->second.BadUntil;
+  return Found != Paths.end() &&
+         (Found->second.Unreachable || Now < Found->second.BadUntil);
 }
 
 } // namespace currantgauge::routing
--- a/currantgauge/routing/path.h
+++ b/currantgauge/routing/path.h
@@ -18,6 +18,7 @@
 struct PathEvidence {
   std::uint32_t Failures = 0;
   base::TimePoint BadUntil;
+  bool Unreachable = false; // membership says so
 };
 
 // notePathFailure() counts an attempt that the owner could not be given, or
@@ -28,6 +29,15 @@
 void notePathOk(std::map<base::NodeName, PathEvidence> &Paths,
                 const base::NodeName &Owner);
 
+// setUnreachable() is membership's word on a node: suspected, dead, or alive
+// but silent towards this node.
+void setUnreachable(std::map<base::NodeName, PathEvidence> &Paths,
+                    const base::NodeName &Owner, bool Unreachable);
+
+// isUnreachable() returns membership's last word on a node.
+bool isUnreachable(const std::map<base::NodeName, PathEvidence> &Paths,
+                   const base::NodeName &Owner);
+
 // isPathBad() says that work should go elsewhere while it can.
 bool isPathBad(const std::map<base::NodeName, PathEvidence> &Paths,
                const base::NodeName &Owner, base::TimePoint Now);
