Weigh an owner's pressure on the rank when a server is chosen

Cause: the choice read a table by service and owner that nothing fills, so it passed over no pressed owner by itself.

Change: it asks admission::pressureCost() for the rank; the empty table goes.

Built and run on this base: core_test 8, routing_test 21 and admission_test 26 cases pass; the other folders' tests were not run on it.

--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -88,9 +88,6 @@
   // The rest is used at the entry.
   std::map<std::pair<base::ServiceName, base::RankName>, RetryBudget> Budgets;
   std::map<PressureKey, KnownPressure> RankPressures;
-  // By service and owner, for choices that know no rank.
-  std::map<std::pair<base::ServiceName, base::NodeName>, core::Pressure>
-      Pressures;
   RateLimits Limits;
   LinkBudget Link;
 };
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -176,7 +176,9 @@
   static const config::ServiceSettings Defaults;
   routing::ChoiceQuery Query;
   Query.Service = Request.Kind.Service;
-  Query.Pressures = &Node.Admission.Pressures;
+  Query.Pressure = &Node.Admission;
+  Query.RankOrder =
+      admission::rankOrder(*Node.Config.Current, Request.Kind.Rank);
   Query.Worth = Request.Kind.Worth;
   Query.Idempotent = Request.Kind.Idempotent;
   Query.Tried = Request.Tried;
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/routing/choose.h"
 
+#include "currantgauge/admission/pressure.h"
 #include "currantgauge/routing/slots.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 constexpr double OtherDomainCost = 0.25;
 // Only proven sickness costs: less would starve the test of evidence.
 constexpr double SickCost = 2;
-constexpr double QueueDelayUnit = 0.05; // seconds of queue that cost 1
 // Work of worth 1 leaves the region when every server sampled there costs this
 // much more than its slots; work of worth 10 when they are a tenth over.
 constexpr double LinkCost = 1;
@@ -59,14 +59,13 @@
          !Place.TrialFailed;
 }
 
+// An owner that refuses part of the rank costs as much as one more full load.
 double queueCost(const ChoiceQuery &Query, const BackendServer &Server) {
-  if (!Query.Pressures || Query.Pressures->empty())
+  if (!Query.Pressure)
     return 0;
-  auto Found = Query.Pressures->find({Query.Service, Server.Record.Owner});
-  if (Found == Query.Pressures->end())
-    return 0;
-  return base::toSeconds(Found->second.QueueDelay) / QueueDelayUnit +
-         Found->second.RefusedShare;
+  return admission::pressureCost(*Query.Pressure, Query.Service,
+                                 Server.Record.Owner, Query.RankOrder,
+                                 Query.Now);
 }
 
 double costOf(const RoutingState &State, const ChoiceQuery &Query,
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -9,24 +9,23 @@
 #include "currantgauge/base/random.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/config/model.h"
-#include "currantgauge/core/request.h"
 #include "currantgauge/routing/state.h"
 
-#include <map>
+#include <cstdint>
 #include <string_view>
-#include <utility>
 #include <vector>
 
-namespace currantgauge::routing {
+namespace currantgauge::admission {
+struct AdmissionState;
+} // namespace currantgauge::admission
 
-// PressureTable is what owners said of their queues.
-using PressureTable =
-    std::map<std::pair<base::ServiceName, base::NodeName>, core::Pressure>;
+namespace currantgauge::routing {
 
 // ChoiceQuery is what a choice depends on.
 struct ChoiceQuery {
   base::ServiceName Service;
-  const PressureTable *Pressures = nullptr; // null: none known
+  const admission::AdmissionState *Pressure = nullptr; // null: none known
+  std::uint32_t RankOrder = 0;
   double Worth = 1;
   bool Idempotent = false;              // may be a trial request
   std::vector<base::BackendName> Tried; // avoided while others remain
