Take deaths of quarantined requests as no evidence against the server

RequestAtFault (the request was running when another server died) now reaches the owner's evidence as Reason::Quarantined, which routing counts as nothing. actions_test (20,000 schedules, 0 violations), core_test, routing_test and the integration cases 'a request that kills servers' and 'a key runs once' pass.

--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -241,8 +241,11 @@
   AttemptOutcome Outcome = outcomeOf(Ended.Outcome);
   Found->second->AnswerBytes = Ended.Outcome.AnswerBytes;
   actions::judgeDeath(Node, *Found->second, Ended.Outcome, Outcome, Effects);
+  // A request that other servers died with is no evidence against this one.
+  base::Reason Evidence =
+      Outcome.RequestAtFault ? base::Reason::Quarantined : Outcome.Why;
   routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
-                           Ended.Outcome, Outcome.Why, Node.Now, Effects);
+                           Ended.Outcome, Evidence, Node.Now, Effects);
   endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   runQueued(Node, Service, Effects);
 }
