Compare more buckets at once while few records are known; pass quarantines on

A joining node compared eight buckets each 100 ms whatever was in them: at 1,000 nodes and servers, two records a bucket, it did not know all members 15 s after its start. A comparison now covers buckets of about 400 records, 8 to 128. A quarantine that changes at a node is queued as a rumour (the hook was empty).

membership_test 18, peer_test 4, core_test 8, routing_test 21, actions_test 20 cases and the 9 integration tests: all passed.

--- a/currantgauge/actions/quarantine.cc
+++ b/currantgauge/actions/quarantine.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/actions/quarantine.h"
 
+#include "currantgauge/membership/rumours.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -44,7 +46,7 @@
 }
 
 void tellPeers(core::State &Node, const QuarantineRecord &Of) {
-  // Hook: membership::queueRumour(Node.Membership, Of);
+  membership::queueRumour(Node.Membership, Of);
 }
 
 void logQuarantine(const QuarantineRecord &Of, core::EffectList &Effects) {
--- a/currantgauge/membership/anti_entropy.cc
+++ b/currantgauge/membership/anti_entropy.cc
@@ -7,6 +7,7 @@
 #include "currantgauge/membership/send.h"
 #include "currantgauge/membership/size.h"
 
+#include <algorithm>
 #include <bit>
 #include <cstdint>
 #include <optional>
@@ -18,9 +19,12 @@
 namespace currantgauge::membership {
 namespace {
 
-// Buckets of one comparison. More differ only when a node has missed much, and
-// then the next comparison follows at once.
-constexpr std::size_t BucketsAtOnce = 8;
+// One comparison covers buckets of about so many records; the budget of a
+// message holds as many. More differ only when a node has missed much, and then
+// the next comparison follows at once.
+constexpr std::size_t RecordsAtOnce = 400;
+constexpr std::size_t LeastBuckets = 8;
+constexpr std::size_t MostBuckets = 128;
 constexpr base::Duration CatchUpInterval = base::milliseconds(100);
 constexpr std::uint64_t FarSyncs = 6;
 constexpr std::size_t WantedLimit = 1024;
@@ -85,8 +89,12 @@
       differing(State, Message.BucketHashes, Node.Source);
   if (Found.empty())
     return;
-  if (Found.size() > BucketsAtOnce) {
-    Found.resize(BucketsAtOnce);
+  std::size_t AtOnce =
+      std::clamp(RecordsAtOnce * Message.BucketHashes.size() /
+                     std::max<std::size_t>(State.Records.Count, 1),
+                 LeastBuckets, MostBuckets);
+  if (Found.size() > AtOnce) {
+    Found.resize(AtOnce);
     State.NextSync = Node.Now + CatchUpInterval;
     setTimer(Node.Timers, State.NextSync, core::SyncDue{});
   }
