Mark routing sets stale when a node's reach or a forgotten server changes them

Routing sets are worked out only when something changed; a node that becomes unreachable, a server that is forgotten and one that is disowned are such changes. membership_test 18, core_test 8, routing_test 21 cases: all passed.

--- a/currantgauge/membership/member.cc
+++ b/currantgauge/membership/member.cc
@@ -154,8 +154,12 @@
 
 void tellRouting(core::State &Node, const base::NodeName &Name) {
   bool Known = findMember(Node.Membership, Name) != nullptr;
-  routing::setUnreachable(Node.Routing.Paths, Name,
-                          Known && !isReachable(Node.Membership, Name));
+  bool Unreachable = Known && !isReachable(Node.Membership, Name);
+  if (routing::isUnreachable(Node.Routing.Paths, Name) == Unreachable)
+    return;
+  routing::setUnreachable(Node.Routing.Paths, Name, Unreachable);
+  for (auto &[Service, Set] : Node.Routing.Sets)
+    Set.Stale = true;
 }
 
 base::NetAddress addressOf(const MembershipState &State,
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -101,6 +101,7 @@
   auto Found = State.Servers.find(Name);
   if (Found == State.Servers.end())
     return;
+  markStale(State, Found->second.Record.Service);
   State.ByService[Found->second.Record.Service].erase(Name);
   State.Owned.erase(Name);
   State.Servers.erase(Found);
@@ -109,6 +110,7 @@
 BackendRecord disownServer(RoutingState &State, BackendRecord Record) {
   Record.Phase = BackendPhase::Gone;
   ++Record.Revision;
+  markStale(State, Record.Service);
   State.ByService[Record.Service].insert(Record.Name);
   State.Servers[Record.Name].Record = Record;
   return Record;
