Bring suspicion with every answer, wait out a slow service, let fewer rumours go

Cause: levels under 0.5 came and went at healthy servers as rumours, yet the comparison with the peers needs them; after a service-wide stall, requests that still hung made single servers look sick; with three slots, one fresh exchange could not fill the part of the threshold that silence may not. Answers now carry the owner's suspicion, records tell of 0.5, 0.75 and 1, no new ejection for 10 s after the median of a service was suspect, and silence fills 60% of the threshold.

--- a/bench/health_fleet.h
+++ b/bench/health_fleet.h
@@ -319,6 +319,9 @@
   if (auto *Ended = std::get_if<core::AttemptEnded>(&Next.Body))
     if (World.OnOutcome)
       World.OnOutcome(Next.Node, Ended->Outcome);
+  if (auto *Ended = std::get_if<core::AttemptEnded>(&Next.Body))
+    if (!World.TellSuspicion)
+      Ended->Outcome.Suspicion = 0;
   apply(World, Next.Node, std::move(Next.Body));
 }
 
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -244,8 +244,9 @@
   // A request that other servers died with is no evidence against this one.
   base::Reason Evidence =
       Outcome.RequestAtFault ? base::Reason::Quarantined : Outcome.Why;
-  routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
-                           Ended.Outcome, Evidence, Node.Now, Effects);
+  Outcome.Suspicion =
+      routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
+                               Ended.Outcome, Evidence, Node.Now, Effects);
   endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   runQueued(Node, Service, Effects);
 }
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -86,6 +86,7 @@
   bool ServerDied = false;  // the backend server's process died meanwhile
   // The request is quarantined for it: no evidence against the server.
   bool RequestAtFault = false;
+  double Suspicion = 0; // owner's evidence against Server, 0 to 1
 };
 
 } // namespace currantgauge::core
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -265,6 +265,7 @@
   To.set_server_died(From.ServerDied);
   To.set_request_at_fault(From.RequestAtFault);
   To.set_answer_bytes(From.AnswerBytes.Bytes);
+  To.set_suspicion(From.Suspicion);
 }
 
 bool fromWire(const v1::AttemptOutcome &From, core::AttemptOutcome &To) {
@@ -272,6 +273,7 @@
   To.Status = From.status();
   To.RetryAfter.Micros = From.retry_after_micros();
   To.Server.Value = From.server();
+  To.Suspicion = From.suspicion();
   if (From.has_load())
     fromWire(From.load(), To.Load);
   To.Elsewhere.Value = From.elsewhere();
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -76,6 +76,7 @@
   CHECK(Back.Kind == membership::MessageKind::PingRequest);
   CHECK(Back.Members.at(0).Name.Value == "\xff not UTF-8");
   CHECK(Back.Backends.at(0).Suspicion == 0.25);
+  CHECK(Back.Backends.at(0).FailShare == 0.05);
   CHECK(Back.Backends.at(0).Times == sampleMessage().Backends[0].Times);
   CHECK(Back.Quarantine.at(0).Crashed.size() == 1);
   CHECK(Back.BucketHashes.at(1) == ~0ULL);
@@ -108,6 +109,7 @@
   Outcome.What = base::Verdict::NotRun;
   Outcome.Why = base::LastReason;
   Outcome.Load.RefusedShare = 0.5;
+  Outcome.Suspicion = 0.75;
   Outcome.Elsewhere = base::NodeName("c");
   checkRoundTrip<v1::AttemptOutcome>(Outcome);
   config::ConfigDelta Delta;
--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -11,6 +11,11 @@
 // which on the service as a whole is slow.
 constexpr double SickLevel = 1;
 constexpr double ServiceLevel = 0.25;
+// Requests that a slow service left hanging weigh on some servers for longer.
+constexpr base::Duration ServiceSlowMemory = base::seconds(10);
+// What came with an answer counts for this long.
+constexpr base::Duration HeardMemory = base::seconds(2);
+constexpr base::Duration RecheckInterval = base::milliseconds(100);
 constexpr std::uint32_t TrialsToReturn = 3;
 constexpr base::Duration TrialPatience = base::seconds(10);
 constexpr base::Duration ShortestSlowStart = base::seconds(2);
@@ -30,6 +35,7 @@
   const config::ServiceSettings &Settings;
   base::Random &Source;
   base::TimePoint Now;
+  bool ServiceSlow = false;
   std::vector<StandingChange> Changes;
 };
 
@@ -40,7 +46,7 @@
 void moveTo(Update &Step, const Member &One, Standing To, StandingWhy Why) {
   ServerStanding &Place = *One.Place;
   StandingChange Change{One.Server->Record.Name, Place.Where, To, Why,
-                        One.Server->Record.Suspicion};
+                        One.Candidate.Suspicion};
   Step.Changes.push_back(Change);
   Place.Where = To;
   Place.Why = Why;
@@ -79,8 +85,17 @@
   return Sorted[Middle < OwnAt ? Middle : Middle + 1];
 }
 
+// Records tell of strong suspicion alone, answers bring the weak one as well.
+double levelOf(const BackendServer &Server, const ServerStanding &Place,
+               base::TimePoint Now) {
+  bool Fresh =
+      Place.HeardAt > base::TimePoint{} && Now - Place.HeardAt < HeardMemory;
+  return std::max(Server.Record.Suspicion, Fresh ? Place.Heard : 0.0);
+}
+
 std::vector<Member> collect(RoutingState &State, RoutingSet &Set,
-                            const base::ServiceName &Service) {
+                            const base::ServiceName &Service,
+                            base::TimePoint Now) {
   std::vector<Member> Members;
   auto Names = State.ByService.find(Service);
   if (Names == State.ByService.end())
@@ -93,10 +108,10 @@
     bool Takes = Server.Record.Phase == BackendPhase::Ready &&
                  !Server.Drained &&
                  !isUnreachable(State.Paths, Server.Record.Owner);
+    ServerStanding &Place = Set.Servers[Name];
+    double Level = levelOf(Server, Place, Now);
     Members.push_back(
-        {&Server,
-         &Set.Servers[Name],
-         {Server.Record.Slots, Takes, false, Server.Record.Suspicion}});
+        {&Server, &Place, {Server.Record.Slots, Takes, false, Level}});
   }
   if (Set.Servers.size() > Members.size())
     std::erase_if(Set.Servers, [&](const auto &Place) {
@@ -108,13 +123,16 @@
   return Members;
 }
 
-void comparePeers(std::vector<Member> &Members) {
+void comparePeers(RoutingSet &Set, std::vector<Member> &Members,
+                  base::TimePoint Now) {
   std::vector<double> Sorted;
   for (const Member &One : Members)
     Sorted.push_back(One.Candidate.Suspicion);
   std::sort(Sorted.begin(), Sorted.end());
   for (Member &One : Members)
     One.Place->PeerSuspicion = medianOfOthers(Sorted, One.Candidate.Suspicion);
+  if (Sorted.size() > 2 && Sorted[(Sorted.size() - 1) / 2] >= ServiceLevel)
+    Set.ServiceSlowUntil = Now + ServiceSlowMemory;
 }
 
 void forgetOldEjections(const Update &Step, ServerStanding &Place) {
@@ -160,7 +178,8 @@
 bool isSick(Update &Step, const Member &One) {
   ServerStanding &Place = *One.Place;
   bool Sick = One.Candidate.Suspicion >= SickLevel;
-  if (Place.PeerSuspicion < ServiceLevel)
+  bool Alone = Place.PeerSuspicion < ServiceLevel;
+  if (Alone && (isOut(Place) || !Step.ServiceSlow))
     return Sick || isOut(Place);
   if (isOut(Place)) {
     if (Place.RecentEjections > 0)
@@ -209,6 +228,9 @@
       Next = std::min(Next, Place.Since + TrialPatience);
     else if (Place.Where != Standing::In && Place.Until > Now)
       Next = std::min(Next, Place.Until);
+    else if (Place.Where == Standing::In &&
+             One.Candidate.Suspicion >= SickLevel)
+      Next = std::min(Next, Now + RecheckInterval);
   }
   return Next;
 }
@@ -283,10 +305,10 @@
 updateRoutingSet(RoutingState &State, const base::ServiceName &Service,
                  const config::ServiceSettings &Settings, base::Random &Source,
                  base::TimePoint Now) {
-  Update Step{Settings, Source, Now, {}};
   RoutingSet &Set = State.Sets[Service];
-  std::vector<Member> Members = collect(State, Set, Service);
-  comparePeers(Members);
+  std::vector<Member> Members = collect(State, Set, Service, Now);
+  comparePeers(Set, Members, Now);
+  Update Step{Settings, Source, Now, Now < Set.ServiceSlowUntil, {}};
   std::vector<EjectionCandidate> Candidates;
   for (Member &One : Members) {
     advance(Step, One);
@@ -339,6 +361,16 @@
   }
 }
 
+void noteHeard(RoutingSet &Set, const base::BackendName &Server, double Level,
+               base::TimePoint Now) {
+  auto Found = Set.Servers.find(Server);
+  if (Found == Set.Servers.end())
+    return;
+  Found->second.Heard = Level;
+  Found->second.HeardAt = Now;
+  Set.Stale = Set.Stale || Level >= SickLevel;
+}
+
 void noteTrial(RoutingSet &Set, const base::BackendName &Server,
                base::AttemptId Attempt, TrialEnd How) {
   auto Found = Set.Servers.find(Server);
--- a/currantgauge/routing/ejection.h
+++ b/currantgauge/routing/ejection.h
@@ -54,6 +54,8 @@
   base::AttemptId Trial; // that runs; Sequence 0: none
   bool TrialFailed = false;
   double PeerSuspicion = 0;
+  double Heard = 0; // suspicion that came with the last answer
+  base::TimePoint HeardAt;
 };
 
 // RoutingSet is an entry's view of one service. It is worked out anew when a
@@ -68,6 +70,7 @@
   std::vector<base::BackendName> Out;   // ejected or on trial
   std::size_t KnownServers = 0;         // of the service, at the last update
   base::TimePoint NextUpdate;
+  base::TimePoint ServiceSlowUntil; // no new ejection before
   bool Stale = true;
 };
 
@@ -111,6 +114,10 @@
 // indexRoutingSet() sorts the set's servers by where choices look for them.
 void indexRoutingSet(const RoutingState &State, RoutingSet &Set);
 
+// noteHeard() takes the suspicion that came with an answer of a server.
+void noteHeard(RoutingSet &Set, const base::BackendName &Server, double Level,
+               base::TimePoint Now);
+
 // TrialEnd is what a trial request says of its server; Open: nothing.
 enum class TrialEnd { Passed, Failed, Open };
 
--- a/currantgauge/routing/evidence.cc
+++ b/currantgauge/routing/evidence.cc
@@ -20,7 +20,7 @@
 constexpr double FailShareWeight = 1.0 / 64; // of the newest exchange
 
 // The share of the alarm threshold that silent pooled connections can fill.
-constexpr double SilentLimit = 0.5;
+constexpr double SilentLimit = 0.6;
 constexpr std::size_t LateBin = 2;
 constexpr std::uint32_t FreshAfterReset = 8; // exchanges
 constexpr base::Duration AlarmHalfLife = base::seconds(2);
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/routing/health.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <string>
 #include <utility>
@@ -8,10 +9,13 @@
 namespace currantgauge::routing {
 namespace {
 
-constexpr double SuspicionSteps = 4; // that are told, of the range 0 to 1
+// Levels that records tell of. Lower ones come and go at healthy servers and
+// would fill the byte budget of a large fleet with rumours.
+constexpr std::array<double, 3> ToldLevels = {1, 0.75, 0.5};
 constexpr double FailShareStep = 0.05;
 constexpr base::Duration LowerAfter = base::seconds(1);
 constexpr base::Duration TimesInterval = base::seconds(5);
+constexpr double TimesTolerance = 0.25;
 constexpr base::Duration BoundsInterval = base::seconds(1);
 constexpr std::size_t ToldKinds = 4;
 constexpr std::size_t PeersToCompare = 2;
@@ -69,6 +73,26 @@
   return Told;
 }
 
+bool hasMoved(base::Duration Old, base::Duration New) {
+  return std::abs(static_cast<double>((New - Old).Micros)) >
+         TimesTolerance * static_cast<double>(Old.Micros);
+}
+
+// Small changes of usual times make no rumour.
+bool haveMoved(const std::vector<KindTime> &Old,
+               const std::vector<KindTime> &New) {
+  for (const KindTime &Time : New) {
+    auto Same = std::find_if(Old.begin(), Old.end(), [&](const KindTime &One) {
+      return One.Kind == Time.Kind;
+    });
+    if (Same == Old.end() || hasMoved(Same->Times.Median, Time.Times.Median) ||
+        hasMoved(Same->Times.Q90, Time.Times.Q90) ||
+        hasMoved(Same->Times.Q99, Time.Times.Q99))
+      return true;
+  }
+  return false;
+}
+
 // The entries that sent work lately hear at once, the others by gossip.
 void tellEntries(const RoutingState &State,
                  const membership::MembershipState &Peers,
@@ -106,7 +130,9 @@
   BackendRecord &Record = Server.Record;
   double Raw = suspicionOf(Evidence, Now).Level;
   Evidence.Alarmed = Evidence.Alarmed || Raw >= 1;
-  double Level = std::floor(Raw * SuspicionSteps) / SuspicionSteps;
+  auto Step = std::find_if(ToldLevels.begin(), ToldLevels.end(),
+                           [&](double One) { return Raw >= One; });
+  double Level = Step == ToldLevels.end() ? 0 : *Step;
   bool Tell = shouldTell(Record, Evidence, Level, Now);
   bool Rises = Level > Record.Suspicion;
   bool Moves = Level != Record.Suspicion;
@@ -120,8 +146,10 @@
   if (Now - Evidence.TimesPublishedAt >= TimesInterval) {
     Evidence.TimesPublishedAt = Now;
     std::vector<KindTime> Times = timesToTell(Evidence);
-    Tell = Tell || Times != Record.Times;
-    Record.Times = std::move(Times);
+    if (haveMoved(Record.Times, Times)) {
+      Record.Times = std::move(Times);
+      Tell = true;
+    }
   }
   if (Tell)
     ++Record.Revision;
@@ -260,19 +288,20 @@
   return Started.Fresh;
 }
 
-void onExchangeEnded(RoutingState &State,
-                     const membership::MembershipState &Peers,
-                     const admission::QueuedAttempt &Attempt,
-                     const core::BackendOutcome &Seen, base::Reason Why,
-                     base::TimePoint Now, core::EffectList &Effects) {
+double onExchangeEnded(RoutingState &State,
+                       const membership::MembershipState &Peers,
+                       const admission::QueuedAttempt &Attempt,
+                       const core::BackendOutcome &Seen, base::Reason Why,
+                       base::TimePoint Now, core::EffectList &Effects) {
   auto Server = State.Servers.find(Attempt.Server);
   auto Evidence = State.Evidence.find(Attempt.Server);
   if (Server == State.Servers.end() || Evidence == State.Evidence.end())
-    return;
+    return 0;
   ExchangeEnd How = classify(Seen, Why, Evidence->second, Now);
   noteEnd(Evidence->second, Attempt.Facts.Attempt, How, Seen.FreshConnection,
           Now);
   publish(State, Peers, Server->second, Evidence->second, Now, Effects);
+  return suspicionOf(Evidence->second, Now).Level;
 }
 
 bool armRound(RoutingState &State) {
@@ -323,6 +352,9 @@
     return;
   // The owner may have run a trial on another server of its own.
   bool RanThere = Outcome.Server.empty() || Outcome.Server == Server;
+  if (auto Set = State.Sets.find(Known->Record.Service);
+      Set != State.Sets.end() && !Outcome.Server.empty())
+    noteHeard(Set->second, Outcome.Server, Outcome.Suspicion, Now);
   endTrial(State, *Known, Attempt,
            RanThere ? trialEnd(Outcome) : TrialEnd::Open);
   if (Outcome.Why == base::Reason::PeerUnavailable ||
--- a/currantgauge/routing/health.h
+++ b/currantgauge/routing/health.h
@@ -28,11 +28,12 @@
                        base::TimePoint Now);
 
 // onExchangeEnded() takes its end as evidence; Why is the outcome's reason.
-void onExchangeEnded(RoutingState &State,
-                     const membership::MembershipState &Peers,
-                     const admission::QueuedAttempt &Attempt,
-                     const core::BackendOutcome &Seen, base::Reason Why,
-                     base::TimePoint Now, core::EffectList &Effects);
+// Returns the suspicion that the answer is to tell its entry.
+double onExchangeEnded(RoutingState &State,
+                       const membership::MembershipState &Peers,
+                       const admission::QueuedAttempt &Attempt,
+                       const core::BackendOutcome &Seen, base::Reason Why,
+                       base::TimePoint Now, core::EffectList &Effects);
 
 // armRound() returns true when the caller is to set a timer for the next round.
 bool armRound(RoutingState &State);
