--- a/bench/health_bench.cc
+++ b/bench/health_bench.cc
@@ -47,7 +47,6 @@
   std::map<std::pair<std::size_t, base::BackendName>, Track> Tracks;
   std::map<std::pair<std::size_t, base::BackendName>, TimePoint> OutSince;
   std::uint64_t Ejections = 0;
-  std::uint64_t Outcomes = 0, Failures = 0;
   double LeastCapacity = 100; // percent of announced slots, in any entry
   std::uint64_t FloorBroken = 0;
 };
@@ -106,8 +105,6 @@
                const core::AttemptOutcome &Outcome) {
   if (Outcome.Server.empty())
     return;
-  ++Now.Outcomes;
-  Now.Failures += isFailure(Outcome) ? 1 : 0;
   if (Now.Which == Policy::Sequential)
     return;
   Track &Seen = Now.Tracks[{Entry, Outcome.Server}];
@@ -180,8 +177,6 @@
 struct Detection {
   std::vector<double> Seconds;
   std::uint64_t Missed = 0;
-  double LeastCapacity = 100;
-  std::uint64_t FloorBroken = 0;
 };
 
 // pickWell() returns a server that every entry sends its full share: the
