Store stand-in: a limit below one write a second refuses every write

The stand-in counts by whole seconds of the clock and asked Count >= Limit, so a limit of 1e-9 let the first write of each second in; the test fell over a second's boundary. Ruled out: the client, which had sent the write once, as it should. Change: refuse when Count + 1 > Limit; the test no longer sets 0.5 for the first write, which that rule refuses.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,177 @@
+#!/usr/bin/env python3
+"""Writes docs/CAPACITY.md from the slopes in bench/results.
+
+    bench/run.sh                 # measures, then calls this
+    python3 bench/capacity.py    # the page again, from the same results
+"""
+import json
+import math
+import pathlib
+import re
+
+HERE = pathlib.Path(__file__).resolve().parent
+RESULTS = HERE / "results"
+
+# The size to come, from the users' letter.
+NODES, TARGETS, SERVICES = 4100, 110_000, 2_900
+REQUESTS = 2_200_000  # a second
+ROUTES, WORKSPACES = 23_000, 240_000
+CHANGES_A_DAY, FAILED_A_DAY, REPLACED_A_DAY = 28_000, 250, 6_200
+DAY = 86_400  # seconds
+LIMIT_P99_MS, LIMIT_CORE, LIMIT_MB, LIMIT_KBS, LIMIT_FORCE = 5.7, 4.3, 256, 19, 16
+
+
+def read(name):
+    return json.loads((RESULTS / name).read_text())
+
+
+def fit(points):
+    """Least squares of y = a + b x; returns a, b."""
+    n = len(points)
+    mx = sum(x for x, _ in points) / n
+    my = sum(y for _, y in points) / n
+    b = sum((x - mx) * (y - my) for x, y in points) / sum((x - mx) ** 2 for x, _ in points)
+    return my - b * mx, b
+
+
+def config_figures():
+    text = (RESULTS / "config.txt").read_text()
+    return {
+        "bytes": float(re.search(r"one small change\s+100%\s+([\d.]+) bytes", text)[1]),
+        "seconds": float(re.search(r"one small change\s+100%\s+([\d.]+) s", text)[1]),
+        "first": float(re.search(r"first version\s+100%\s+([\d.]+) s", text)[1]),
+        "mib": float(re.search(r"memory\s+100%\s+([\d.]+) MiB", text)[1]),
+    }
+
+
+def kind_of(results):
+    return next(iter(results["kinds"].values()))
+
+
+def verdict(value, limit):
+    return "fits" if value <= limit else f"**over by {value / limit:.1f}x**"
+
+
+def main():
+    reduce_runs = read("reduce.json")["reduce"]
+    at_size = max(reduce_runs, key=lambda run: run["servers"])
+    us = at_size["us"]
+    members = read("membership.json")
+    config = config_figures()
+    direct, path = kind_of(read("direct.json")), kind_of(read("two_nodes.json"))
+    cpu, idle = read("cpu.json"), read("idle.json")["idle_percent_of_core"]
+    rss = read("memory.json")["rss_kb_started"] / 1024
+
+    rate = REQUESTS / NODES
+    entry_us = us["request_arrived"] + us["attempt_ended"]
+    owner_us = us["attempt_arrived"] + us["backend_ended"]
+    decide = rate * (entry_us + owner_us) / 1e4  # percent of a core
+    whole = cpu["entry_percent_of_core_at_540"] + cpu["owner_percent_of_core_at_540"]
+
+    # Idle gossip grows with the fleet slowly: fitted over ln(nodes).
+    a, b = fit([(math.log(m["nodes"]), m["idle"]["bytes_per_second"]) for m in members])
+    idle_bytes = a + b * math.log(NODES)
+    a, b = fit([(math.log(m["nodes"]), m["server_change"]["bytes_per_node"]) for m in members])
+    change_bytes = a + b * math.log(NODES)
+    a, b = fit([(math.log(m["nodes"]), m["node_replaced"]["bytes_per_node"]) for m in members])
+    replaced_bytes = a + b * math.log(NODES)
+    a, b = fit([(m["nodes"], m["idle"]["reduce_micros_per_second"]) for m in members])
+    gossip_cpu = max(a + b * NODES, 0) / 1e4
+    per_node = TARGETS / NODES
+    vm_changes = (FAILED_A_DAY + REPLACED_A_DAY) / DAY
+    churn = vm_changes * replaced_bytes + vm_changes * 2 * per_node * change_bytes
+    config_rate = CHANGES_A_DAY / DAY
+    config_bytes = config_rate * config["bytes"]
+    kbs = (idle_bytes + churn + config_bytes) / 1000
+    config_cpu = config_rate * config["seconds"] * 100
+
+    server_bytes = at_size["bytes_per_server_with_its_share_of_a_member"]
+    memory = rss + TARGETS * server_bytes / 2**20 + config["mib"]
+    background = idle + gossip_cpu + config_cpu
+    added = path["p99_ms"] - direct["p99_ms"]
+
+    rows = [
+        ("added latency, p99, two nodes, 540 requests/s", f"{added:.2f} ms", f"{LIMIT_P99_MS} ms", verdict(added, LIMIT_P99_MS)),
+        ("control besides requests: timers, gossip, configuration", f"{background:.2f}% of a core", f"{LIMIT_CORE}%", verdict(background, LIMIT_CORE)),
+        ("the same with the decisions on requests", f"{background + decide:.2f}% of a core", f"{LIMIT_CORE}%", verdict(background + decide, LIMIT_CORE)),
+        ("memory of control", f"{memory:.0f} MiB", f"{LIMIT_MB} MB", verdict(memory * 1.048576, LIMIT_MB)),
+        ("bytes of control a second", f"{kbs:.1f} KB/s", f"{LIMIT_KBS} KB/s", verdict(kbs, LIMIT_KBS)),
+    ]
+    out = [
+        "# Capacity",
+        "",
+        "Made by `bench/capacity.py` from `bench/results`, which `bench/run.sh` measures on one",
+        "machine; do not edit by hand. Size to come: "
+        f"{NODES:,} nodes, {TARGETS:,} targets in {SERVICES:,} services, {REQUESTS:,} requests",
+        f"a second, {ROUTES:,} routes, {WORKSPACES:,} workspaces, 4 regions, 9 failure domains,",
+        f"{CHANGES_A_DAY:,} changes, {FAILED_A_DAY} failed and {REPLACED_A_DAY:,} replaced VMs a day. A node then sees",
+        f"{rate:.0f} requests a second as entry, as many as owner, and owns {per_node:.0f} targets.",
+        "",
+        "| what, for a node | worked out | limit | |",
+        "| --- | --- | --- | --- |",
+    ]
+    out += [f"| {a} | {b} | {c} | {d} |" for a, b, c, d in rows]
+    out += [
+        "",
+        "## By role",
+        "",
+        "| role | state | messages | processor time | memory | mechanism |",
+        "| --- | --- | --- | --- | --- | --- |",
+        f"| entry | requests in flight, pressure and paths by owner, budgets, buckets in use | one gRPC call an attempt | {entry_us:.1f} us a request in `reduce`, {rate * entry_us / 1e4:.2f}% | by requests in flight | routing sets kept per service, reworked on change only; limits without talk between nodes |",
+        f"| owner | queue and slots of {per_node:.0f} targets, evidence, kept answers | pressure and suspicion ride on answers | {owner_us:.1f} us a request, {rate * owner_us / 1e4:.2f}% | by requests in flight, answers at most 4,096 x 256 KiB (outside control) | rank queues on intrusive lists |",
+        f"| gossip member | {NODES:,} members, {TARGETS:,} server records | {idle_bytes:.0f} B/s idle, {churn:.0f} B/s churn | {gossip_cpu:.3f}% | {server_bytes:.0f} B a server, its share of a member included: {TARGETS * server_bytes / 2**20:.0f} MiB | probes and rumours with a byte budget, bucket hashes |",
+        f"| configuration holder | {ROUTES:,} routes, {WORKSPACES:,} workspaces | {config['bytes']:.0f} B a change, {config_bytes:.0f} B/s | {config['seconds'] * 1000:.0f} ms a change (on a traffic thread), {config_cpu:.2f}% | {config['mib']:.0f} MiB | parts by content hash; only changed parts travel |",
+        f"| platform's tables | head, history, claims, node rows | head: {config_rate:.2f} writes/s; claims by key: 2.00 rows an action, grouped | the platform's | objects by hash | several hundred writes/s carry claims of a small fleet only; action ids need no store and carry the size to come |",
+        "| operators' client | the document while it pushes | one push a change | 5.8 s to merge all of it | 162 MiB | `config check` and `merge` need no node (build/config_bench operator 1) |",
+        "",
+        "## Slopes",
+        "",
+        "Microseconds a call of `reduce`, by servers known:",
+        "",
+        "| event | " + " | ".join(f"{run['servers']:,}" for run in reduce_runs) + " |",
+        "| --- | " + " | ".join("---" for _ in reduce_runs) + " |",
+    ]
+    for kind in us:
+        out.append(f"| {kind} | " + " | ".join(f"{run['us'][kind]:.2f}" for run in reduce_runs) + " |")
+    out += [
+        "",
+        "| nodes | idle B/s | a server's change, B a node | a replaced node, B a node |",
+        "| --- | --- | --- | --- |",
+    ]
+    out += [
+        f"| {m['nodes']} | {m['idle']['bytes_per_second']:.0f} | {m['server_change']['bytes_per_node']:.0f} | {m['node_replaced']['bytes_per_node']:.0f} |"
+        for m in members
+    ]
+    out += [
+        "",
+        "| path at 540 requests/s, work of 2 ms | p50 ms | p99 ms | p99.9 ms |",
+        "| --- | --- | --- | --- |",
+        f"| direct | {direct['p50_ms']:.2f} | {direct['p99_ms']:.2f} | {direct['p999_ms']:.2f} |",
+        f"| through two nodes | {path['p50_ms']:.2f} | {path['p99_ms']:.2f} | {path['p999_ms']:.2f} |",
+        "",
+        f"Whole processes at 540 requests a second: entry {cpu['entry_percent_of_core_at_540']}% of a core, owner "
+        f"{cpu['owner_percent_of_core_at_540']}% (together {whole:.1f}%); idle {idle:.3f}%. A node started takes {rss:.0f} MiB.",
+        "",
+        "| offered to one entry, requests/s | p50 ms | p99 ms | answered well |",
+        "| --- | --- | --- | --- |",
+    ]
+    for name in sorted(RESULTS.glob("rate_*.json"), key=lambda p: int(p.stem.split("_")[1])):
+        run = json.loads(name.read_text())
+        kind = kind_of(run)
+        out.append(f"| {run['rate']:.0f} | {kind['p50_ms']:.2f} | {kind['p99_ms']:.2f} | {100 * kind['answers'].get('ok', 0) / run['sent']:.2f}% |")
+    out += [
+        "",
+        "## What these figures leave open",
+        "",
+        "- Gossip is fitted over ln(nodes) from 3 to 48 nodes in virtual time, payload only; HTTP/2",
+        "  and TCP overhead are not in it, nor is a whole failure domain lost at once.",
+        "- One machine holds all processes of the path measured; the network's latency is not in it.",
+        f"- A node's first version takes {config['first']:.1f} s to parse: within {LIMIT_FORCE} s, and worth a faster parser.",
+        "- 16 s to be in force everywhere: measured at 12 nodes (docs/MEASUREMENTS.md), not at 4,100.",
+        "",
+    ]
+    (HERE.parent / "docs" / "CAPACITY.md").write_text("\n".join(out))
+
+
+if __name__ == "__main__":
+    main()
--- a/currantgauge/platform/store_client_test.cc
+++ b/currantgauge/platform/store_client_test.cc
@@ -79,7 +79,6 @@
   CHECK(call(With, insert("k", "v")).Status == base::StoreStatus::Unavailable);
   CHECK(With.Service.Store.Tables["claims"].empty());
   Fixture Limited;
-  Limited.Service.Faults.WritesPerSecond = 0.5;
   call(Limited, insert("a", "v"));
   Limited.Service.Faults.WritesPerSecond = 1e-9;
   double Before = Limited.Client.Writes.PerSecond;
--- a/tests/stand_ins/platform.cc
+++ b/tests/stand_ins/platform.cc
@@ -178,7 +178,7 @@
           .count();
   if (Second != Rate.Second)
     Rate = RateCount{Second, 0};
-  if (Limit > 0 && Rate.Count >= Limit)
+  if (Limit > 0 && Rate.Count + 1 > Limit)
     return true;
   Rate.Count += 1;
   return false;
