--- a/bench/run.sh
+++ b/bench/run.sh
@@ -36,9 +36,11 @@
 cpu_of() { cat /proc/"$1"/task/*/schedstat | awk '{t+=$1; if($1>m)m=$1} END{printf "%d %d", t/1000, m/1000}'; }
 # Resident memory in kB.
 rss_of() { awk '/VmRSS/{print $2}' "/proc/$1/status"; }
-# The control thread is the one that CAF detached; it is the busiest voluntary
-# switcher, so its time is read by thread as the difference of two snapshots.
-snapshot() { for T in /proc/"$1"/task/*; do echo "$(basename "$T") $(awk '{print $1}' "$T/schedstat")"; done | sort; }
+# Processor time of each thread in nanoseconds; CAF names the control thread
+# caf.actor.
+snapshot() {
+  for T in /proc/"$1"/task/*; do echo "$(basename "$T") $(awk '{print $1}' "$T/schedstat")"; done | sort
+}
 
 start_node a 127.0.8.1
 NODE_A=${PIDS[-1]}
@@ -71,6 +73,8 @@
 read -r A1 _ <<<"$(cpu_of "$NODE_A")"
 read -r B1 _ <<<"$(cpu_of "$NODE_B")"
 snapshot "$NODE_A" >"$WORK/after"
+CONTROL=$(join "$WORK/before" "$WORK/after" | while read -r T X Y; do
+  [ "$(cat "/proc/$NODE_A/task/$T/comm")" = caf.actor ] && echo "$X $Y"; done | awk -v s="$SECONDS_EACH" '{print ($2-$1)/1e7/s}')
 awk "BEGIN{printf \"{\\\"entry_percent_of_core_at_540\\\": %.2f, \\\"owner_percent_of_core_at_540\\\": %.2f}\n\", ($A1-$A0)/$SECONDS_EACH/10000, ($B1-$B0)/$SECONDS_EACH/10000}" >"$OUT/cpu.json"
 join "$WORK/before" "$WORK/after" | awk -v s="$SECONDS_EACH" '{d=($3-$2)/1e7/s; if(d>0.3) printf "%s %.2f%%\n",$1,d}' | while read -r T P; do
   echo "entry thread $(cat "/proc/$NODE_A/task/$T/comm") $T: $P of a core"
