Demo: end what does not stop by itself

Cause: a stalled stand-in waits for its requests when it is asked to stop, and the demo waited for it without a limit (60 s until the outer limit ended it).

--- a/demo.sh
+++ b/demo.sh
@@ -11,6 +11,12 @@
 PIDS=()
 cleanup() {
   for PID in "${PIDS[@]}"; do kill "$PID" 2>/dev/null || true; done
+  # A server that stalls would wait for its requests for ever.
+  for _ in $(seq 60); do
+    kill -0 "${PIDS[@]}" 2>/dev/null || break
+    sleep 0.1
+  done
+  for PID in "${PIDS[@]}"; do kill -9 "$PID" 2>/dev/null || true; done
   for PID in "${PIDS[@]}"; do wait "$PID" 2>/dev/null || true; done
   rm -rf "$WORK"
 }
