Judge waiting work by the service time known now

Cause: an attempt's StartBy is worked out once, on arrival. Of a kind whose service time is not known yet it is the deadline itself, so the first burst of a flood is started until nothing of its time is left and runs for nobody.

--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -261,12 +261,25 @@
   remove(Queue, Queue.ByRank.at(Attempt.RankOrder), Attempt);
 }
 
+// StartBy was set by what was known of the kind on arrival. By now its time may
+// be known better, and work that is started too late may run for nobody.
+bool isLate(const AdmissionState &State, const QueuedAttempt &Attempt,
+            base::TimePoint Now) {
+  if (Now > Attempt.StartBy)
+    return true;
+  auto Queue = State.Queues.find(Attempt.Facts.Service);
+  if (Queue == State.Queues.end() || Now == Attempt.Arrived)
+    return false;
+  return Now + expectedTime(Queue->second, Attempt.Facts.Kind) >
+         Attempt.Deadline;
+}
+
 base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Now >= Attempt.Deadline)
     return base::Reason::DeadlinePassed;
-  return Attempt.StartBy < Attempt.Deadline - Attempt.Expected
-             ? base::Reason::ShedByPressure
-             : base::Reason::DeadlineTooShort;
+  bool Pressed = Attempt.StartBy < Attempt.Deadline - Attempt.Expected;
+  return Pressed && Now >= Attempt.StartBy ? base::Reason::ShedByPressure
+                                           : base::Reason::DeadlineTooShort;
 }
 
 } // namespace currantgauge::admission
--- a/currantgauge/admission/queue.h
+++ b/currantgauge/admission/queue.h
@@ -53,7 +53,13 @@
 // dequeue() takes an attempt out of its queue; no effect when it is in none.
 void dequeue(AdmissionState &State, QueuedAttempt &Attempt);
 
-// lateReason() says why an attempt that waited until its StartBy is refused.
+// isLate() says whether a waiting attempt should be refused in place of
+// started: its StartBy has passed, or its kind is now known to take longer than
+// is left.
+bool isLate(const AdmissionState &State, const QueuedAttempt &Attempt,
+            base::TimePoint Now);
+
+// lateReason() says why an attempt that waited too long is refused.
 base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now);
 
 } // namespace currantgauge::admission
--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -185,4 +185,34 @@
             .Why == base::Reason::None);
 }
 
+TEST_CASE("what waits is judged by the time of its kind as known now") {
+  Fleet Case = makeFleet(1000);
+  // Nothing is known of the kind when both arrive.
+  put(Case, newAttempt(Case, "normal", "read", "a", base::milliseconds(200)));
+  QueuedAttempt &Waiting =
+      newAttempt(Case, "normal", "read", "a", base::milliseconds(100));
+  put(Case, Waiting);
+  base::TimePoint Arrived = Case.Now;
+  CHECK_FALSE(isLate(Case.State, Waiting, Arrived + base::milliseconds(95)));
+  QueuedAttempt &Other = newAttempt(Case, "normal", "read", "b");
+  put(Case, Other);
+  takeToRun(Case.State, Case.Config, Other, Case.Now);
+  Other.Started = Case.Now;
+  core::AttemptOutcome Outcome;
+  Outcome.What = base::Verdict::Ran;
+  finishRun(Case.State, Other, Outcome, Case.Now + ServiceTime);
+  CHECK_FALSE(isLate(Case.State, Waiting, Arrived + base::milliseconds(60)));
+  CHECK(isLate(Case.State, Waiting, Arrived + base::milliseconds(95)));
+}
+
+TEST_CASE("a slot that is free at once is given whatever time is left") {
+  Fleet Case = makeFleet(1000);
+  put(Case, newAttempt(Case, "normal", "read", "a"));
+  serve(Case);
+  QueuedAttempt &Short =
+      newAttempt(Case, "normal", "read", "a", base::milliseconds(5));
+  CHECK(put(Case, Short).Why == base::Reason::None);
+  CHECK_FALSE(isLate(Case.State, Short, Case.Now));
+}
+
 } // namespace currantgauge::admission
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -144,7 +144,7 @@
   while (admission::QueuedAttempt *Next = admission::nextToRun(
              Node.Admission, Service, Slots.Open, Node.Now)) {
     admission::QueuedAttemptPtr Attempt(Next);
-    if (Node.Now > Attempt->StartBy) {
+    if (admission::isLate(Node.Admission, *Attempt, Node.Now)) {
       endAttempt(
           Node, Attempt->Facts.Attempt,
           refusal(admission::lateReason(*Attempt, Node.Now), base::seconds(1)),
