Say not_run at a deadline when this node knows that nothing left its queue

Cause: at a request's deadline the entry called every attempt may_have_run, also one that waits in the queue of the same node, or whose refusal was on its way back through the traffic threads. With the control thread 5 ms late the owner's and the entry's timer are due in one turn, and the proof was dropped.

Trace of the flood test on a busy machine (12 runs): 504 deadline_passed with may_have_run from the node that owns the only server, requests the server never saw. Two tests of the reducer fail without the change (verdict may_have_run for not_run).

--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -5,6 +5,7 @@
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/retry.h"
+#include "currantgauge/core/owner.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
@@ -147,6 +148,7 @@
 base::AttemptId newAttempt(State &Node, EntryRequest &Request) {
   Request.Current =
       base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
+  Request.CurrentRefused = false;
   Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
   return Request.Current;
 }
@@ -311,6 +313,21 @@
   forget(Node, Request.Facts.Request);
 }
 
+// Where this node owns the attempt as well it can tell that the attempt never
+// left the queue, or that its refusal is still on its way through the threads.
+void giveUpAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
+  withdrawWaiting(Node, Request.Current, Effects);
+  Effects.push_back(CancelAttempt{Request.Current});
+  if (Request.CurrentRefused) {
+    if (Request.Permitted)
+      actions::noteNotRun(Node, Request.Facts);
+    return;
+  }
+  routing::onAttemptSilent(Node.Routing, Request.CurrentServer, Request.Current,
+                           Node.Now);
+  Request.MayHaveRun = true;
+}
+
 base::Duration deadlineOf(const RequestFacts &Facts,
                           const config::KindSettings &Kind) {
   base::Duration Limit =
@@ -414,16 +431,17 @@
   EntryRequest *Request = findRequest(Node, Due.Request);
   if (!Request || Request->Committed)
     return;
-  if (Request->Current.Sequence != 0) {
-    Effects.push_back(CancelAttempt{Request->Current});
-    routing::onAttemptSilent(Node.Routing, Request->CurrentServer,
-                             Request->Current, Node.Now);
-    Request->MayHaveRun = true;
-  }
+  if (Request->Current.Sequence != 0)
+    giveUpAttempt(Node, *Request, Effects);
   refuse(Node, *Request, base::Reason::DeadlinePassed, base::Duration{},
          Effects);
 }
 
+void noteRefusedHere(State &Node, base::AttemptId Attempt) {
+  if (EntryRequest *Request = findByAttempt(Node, Attempt))
+    Request->CurrentRefused = true;
+}
+
 void onRetryDue(State &Node, const RetryDue &Due, EffectList &Effects) {
   EntryRequest *Request = findRequest(Node, Due.Request);
   if (Request && Request->Current.Sequence == 0)
--- a/currantgauge/core/entry.h
+++ b/currantgauge/core/entry.h
@@ -4,6 +4,7 @@
 #ifndef CURRANTGAUGE_CORE_ENTRY_H
 #define CURRANTGAUGE_CORE_ENTRY_H
 
+#include "currantgauge/base/ids.h"
 #include "currantgauge/core/effect.h"
 #include "currantgauge/core/event.h"
 #include "currantgauge/core/state.h"
@@ -23,6 +24,10 @@
                        EffectList &Effects);
 void onRetryDue(State &Node, const RetryDue &Due, EffectList &Effects);
 
+// noteRefusedHere() tells the entry's side that this node, as the owner, ended
+// the attempt as not run, before AttemptEnded brings the whole outcome.
+void noteRefusedHere(State &Node, base::AttemptId Attempt);
+
 } // namespace currantgauge::core
 
 #endif // CURRANTGAUGE_CORE_ENTRY_H
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -5,6 +5,7 @@
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/queue.h"
+#include "currantgauge/core/entry.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/slots.h"
@@ -211,9 +212,19 @@
       pauseAfterShed(Node, *Attempt, Outcome.RetryAfter);
     actions::afterRun(Node, *Attempt, Outcome, Effects);
   }
+  if (Outcome.What == base::Verdict::NotRun)
+    noteRefusedHere(Node, Id);
   Effects.push_back(EndAttempt{Id, Outcome});
 }
 
+void withdrawWaiting(State &Node, base::AttemptId Id, EffectList &Effects) {
+  auto Found = Node.Owner.Attempts.find(Id);
+  if (Found != Node.Owner.Attempts.end() && Found->second->Server.empty())
+    endAttempt(Node, Id,
+               refusal(base::Reason::DeadlinePassed, base::Duration{}),
+               Effects);
+}
+
 void onAttemptCancelled(State &Node, const AttemptCancelled &Cancelled,
                         EffectList &Effects) {
   auto Found = Node.Owner.Attempts.find(Cancelled.Attempt);
--- a/currantgauge/core/owner.h
+++ b/currantgauge/core/owner.h
@@ -20,6 +20,10 @@
 void onAttemptDeadline(State &Node, const AttemptDeadline &Due,
                        EffectList &Effects);
 
+// withdrawWaiting() ends an attempt that still waits in this node's queue; no
+// effect on one that holds a slot or is not here.
+void withdrawWaiting(State &Node, base::AttemptId Attempt, EffectList &Effects);
+
 // runQueued() starts waiting attempts of a service while slots are free.
 void runQueued(State &Node, const base::ServiceName &Service,
                EffectList &Effects);
--- a/currantgauge/core/reduce_test.cc
+++ b/currantgauge/core/reduce_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <variant>
 
 namespace currantgauge::core {
@@ -54,6 +55,18 @@
   return Arrival;
 }
 
+// place() lets a request arrive at this node as its entry and as its owner.
+base::AttemptId place(State &Node, std::uint64_t Sequence, std::int64_t Micros,
+                      EffectList &Effects) {
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{Micros}, {}, arrival(Sequence)}, Effects);
+  const StartAttempt *Start = find<StartAttempt>(Effects);
+  REQUIRE(Start);
+  AttemptArrived AtOwner{Start->Facts};
+  reduce(Node, Event{base::TimePoint{Micros}, {}, AtOwner}, Effects);
+  return AtOwner.Facts.Attempt;
+}
+
 } // namespace
 
 TEST_CASE("a request goes to its owner, into a slot and back to its caller") {
@@ -125,4 +138,46 @@
   CHECK(Counted->LabelB == "may_have_run");
 }
 
+TEST_CASE("at its deadline a request is not_run only if it never left here") {
+  State Node = nodeWithServer();
+  EffectList Effects;
+  place(Node, 1, 2000, Effects);
+  REQUIRE(find<SendToBackend>(Effects));
+  base::AttemptId Waiting = place(Node, 2, 2000, Effects);
+  REQUIRE_FALSE(find<SendToBackend>(Effects));
+  Effects.clear();
+  // The control thread is late: the deadlines of attempts and requests are due
+  // in one turn, and no AttemptEnded came between.
+  reduce(Node, Event{base::TimePoint{900000}, {}, TimerFired{}}, Effects);
+  std::map<base::RequestId, RefuseRequest> Refusals;
+  for (const Effect &Item : Effects)
+    if (const auto *One = std::get_if<RefuseRequest>(&Item))
+      Refusals[One->Request] = *One;
+  REQUIRE(Refusals.size() == 2);
+  CHECK(Refusals[base::RequestId{1, 1}].What == base::Verdict::MayHaveRun);
+  CHECK(Refusals[base::RequestId{1, 2}].What == base::Verdict::NotRun);
+  REQUIRE(find<EndAttempt>(Effects));
+  CHECK(find<EndAttempt>(Effects)->Attempt == Waiting);
+  CHECK_FALSE(Node.Owner.Attempts.contains(Waiting));
+}
+
+TEST_CASE("a request that is given up leaves the queue of its own node") {
+  State Node = nodeWithServer();
+  EffectList Effects;
+  place(Node, 1, 2000, Effects);
+  RequestArrived Short = arrival(2);
+  Short.Facts.TimeLeft = base::milliseconds(50);
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{2000}, {}, Short}, Effects);
+  AttemptArrived AtOwner{find<StartAttempt>(Effects)->Facts};
+  // An owner whose own deadline for the attempt is later.
+  AtOwner.Facts.TimeLeft = base::milliseconds(80);
+  reduce(Node, Event{base::TimePoint{2000}, {}, AtOwner}, Effects);
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{52000}, {}, TimerFired{}}, Effects);
+  REQUIRE(find<RefuseRequest>(Effects));
+  CHECK(find<RefuseRequest>(Effects)->What == base::Verdict::NotRun);
+  CHECK_FALSE(Node.Owner.Attempts.contains(AtOwner.Facts.Attempt));
+}
+
 } // namespace currantgauge::core
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -52,6 +52,7 @@
   std::uint32_t Referrals = 0; // to nodes that know more of its action
   bool Committed = false;      // bytes of an answer went to the caller
   bool MayHaveRun = false;     // some attempt may have run
+  bool CurrentRefused = false; // by this node as its owner: it did not run
   base::Reason LastWhy = base::Reason::None;
   std::vector<AttemptTrace> Trace; // for explain
 };
