Capacity page: figures of the client and of claims read from their benches

Cause: four figures of config_bench and actions_bench stood in capacity.py as text. run.sh now writes both benches' output to bench/results and capacity.py reads it.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -44,6 +44,25 @@
     }
 
 
+def operator_figures():
+    text = (RESULTS / "config_operator.txt").read_text()
+    merge = re.search(r"^merge\s+100%\s+([\d.]+) s", text, re.M)
+    check = re.search(r"^check\s+100%\s+([\d.]+) s.*?([\d.]+) MiB peak", text, re.M)
+    return {"merge": float(merge[1]), "check": float(check[1]), "mib": float(check[2])}
+
+
+def action_figures():
+    """Claims by key at 500 actions a second with no limit on writes."""
+    text = (RESULTS / "actions.txt").read_text()
+    row = re.search(r"^by key\s+500\s+0 \|(.*)$", text, re.M)[1].split("|")
+    return {
+        "transactions": float(row[0].split()[1]),
+        "rows": float(row[1].split()[0]),
+        "bytes": float(row[1].split()[1]),
+        "added_p50": float(row[2].split()[0]),
+    }
+
+
 def kind_of(results):
     return next(iter(results["kinds"].values()))
 
@@ -57,7 +76,7 @@
     at_size = max(reduce_runs, key=lambda run: run["servers"])
     us = at_size["us"]
     members = read("membership.json")
-    config = config_figures()
+    config, operator, actions = config_figures(), operator_figures(), action_figures()
     direct, path = kind_of(read("direct.json")), kind_of(read("two_nodes.json"))
     cpu, idle = read("cpu.json"), read("idle.json")["idle_percent_of_core"]
     rss = read("memory.json")["rss_kb_started"] / 1024
@@ -123,8 +142,8 @@
         f"| owner | queue and slots of {per_node:.0f} targets, evidence, kept answers | pressure and suspicion ride on answers | {owner_us:.1f} us a request, {rate * owner_us / 1e4:.2f}% | by requests in flight, answers at most 4,096 x 256 KiB (outside control) | rank queues on intrusive lists |",
         f"| gossip member | {NODES:,} members, {TARGETS:,} server records | {idle_bytes:.0f} B/s idle, {churn:.0f} B/s churn | {gossip_cpu:.3f}% | {server_bytes:.0f} B a server, its share of a member included: {TARGETS * server_bytes / 2**20:.0f} MiB | probes and rumours with a byte budget, bucket hashes |",
         f"| configuration holder | {ROUTES:,} routes, {WORKSPACES:,} workspaces | {config['bytes']:.0f} B a change, {config_bytes:.0f} B/s | {config['seconds'] * 1000:.0f} ms a change (on a traffic thread), {config_cpu:.2f}% | {config['mib']:.0f} MiB | parts by content hash; only changed parts travel |",
-        f"| platform's tables | head, history, claims, node rows | head: {config_rate:.2f} writes/s; claims by key: 2.00 rows an action, grouped | the platform's | objects by hash | several hundred writes/s carry claims of a small fleet only; action ids need no store and carry the size to come |",
-        "| operators' client | the document while it pushes | one push a change | 5.8 s to merge all of it | 162 MiB | `config check` and `merge` need no node (build/config_bench operator 1) |",
+        f"| platform's tables | head, history, claims, node rows | head: {config_rate:.2f} writes/s; claims by key: {actions['rows']:.2f} rows and {actions['bytes']:.0f} bytes an action, {actions['transactions']:.1f} transactions/s a node | the platform's | objects by hash | several hundred writes/s carry claims of a small fleet only; action ids need no store and carry the size to come |",
+        f"| operators' client | the document while it pushes | one push a change | {operator['merge']:.1f} s to merge, {operator['check']:.1f} s to check all of it | {operator['mib']:.0f} MiB | `config check` and `merge` need no node |",
         "",
         "## Slopes",
         "",
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -87,4 +87,6 @@
 "$BUILD_DIR/reduce_bench" >"$OUT/reduce.json"
 "$BUILD_DIR/membership_bench" 3 12 24 48 >"$OUT/membership.json"
 "$BUILD_DIR/config_bench" node 1 >"$OUT/config.txt"
+"$BUILD_DIR/config_bench" operator 1 >"$OUT/config_operator.txt"
+"$BUILD_DIR/actions_bench" >"$OUT/actions.txt"
 python3 bench/capacity.py
