Runtime: drop handles of attempts that nothing reads

Cause: Node::EntryRequests and EntryHandle::Pipes were written on the control thread for each attempt and read by nobody. Both are gone. Ruled out: a use for a cancel by request; CancelAttempt names the attempt.

--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -65,9 +65,7 @@
     return;
   EntryHandle &Entry = Found->second;
   AnswerPipePtr Pipe(new AnswerPipe);
-  Entry.Pipes.push_back(Pipe);
   Self.EntryPipes[What.Facts.Attempt] = Pipe;
-  Self.EntryRequests[What.Facts.Attempt] = What.Facts.Request;
   Entry.Caller->Attach(What.Facts.Attempt, Pipe);
   if (What.Owner == Self.State.Self.Name) {
     startLocal(Self, What, Entry, Pipe);
@@ -84,7 +82,6 @@
     return;
   AnswerPipePtr Pipe = Found->second;
   Self.EntryPipes.erase(Found);
-  Self.EntryRequests.erase(What.Attempt);
   onTraffic(Self, [Pipe] { cancelPipe(*Pipe); });
 }
 
--- a/currantgauge/runtime/node.cc
+++ b/currantgauge/runtime/node.cc
@@ -14,9 +14,9 @@
 void fileHandles(Node &Self, ControlInput &Input) {
   if (auto *Arrival = std::get_if<core::RequestArrived>(&Input.Body))
     Self.Entries[Arrival->Facts.Request] =
-        EntryHandle{Input.Caller, Input.Message, {}};
+        EntryHandle{Input.Caller, Input.Message};
   if (auto *Asked = std::get_if<core::ActionIdAsked>(&Input.Body))
-    Self.Entries[Asked->Request] = EntryHandle{Input.Caller, {}, {}};
+    Self.Entries[Asked->Request] = EntryHandle{Input.Caller, {}};
   if (auto *Arrival = std::get_if<core::AttemptArrived>(&Input.Body)) {
     Input.Pipe->Record =
         !Arrival->Facts.Key.empty() || !Arrival->Facts.Action.empty();
@@ -32,10 +32,8 @@
 void dropHandles(Node &Self, const ControlInput &Input) {
   if (const auto *Gone = std::get_if<core::CallerGone>(&Input.Body))
     forgetEntry(Self, Gone->Request);
-  if (const auto *Ended = std::get_if<core::AttemptEnded>(&Input.Body)) {
+  if (const auto *Ended = std::get_if<core::AttemptEnded>(&Input.Body))
     Self.EntryPipes.erase(Ended->Attempt);
-    Self.EntryRequests.erase(Ended->Attempt);
-  }
 }
 
 void reduceOne(Node &Self, ControlInput &Input) {
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -39,7 +39,6 @@
 struct EntryHandle {
   CallerExchangePtr Caller;
   RequestMessagePtr Message;
-  std::vector<AnswerPipePtr> Pipes; // of its attempts
 };
 
 // KeptAnswer is an answer kept for later asks.
@@ -73,7 +72,6 @@
   std::deque<ControlInput> Follow; // inputs that effects of this turn made
   std::unordered_map<base::RequestId, EntryHandle> Entries;
   std::unordered_map<base::AttemptId, AnswerPipePtr> EntryPipes;
-  std::unordered_map<base::AttemptId, base::RequestId> EntryRequests;
   std::unordered_map<base::AttemptId, OwnerHandle> Owned;
   std::map<base::AttemptId, KeptAnswer> Kept;
   std::map<base::CallId, std::function<void(const core::OperatorReply &)>>
