HTTP: one into() for awaiting by error code

Cause: the same three lines stood in service.cc, backend_client.cc and caller_session.cc, and waitFor() spelt them out. One, in http/wake.h.

--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -42,10 +42,6 @@
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimit = 64 * 1024; // bytes
 
-auto into(ErrorCode &Error) {
-  return asio::redirect_error(asio::use_awaitable, Error);
-}
-
 // Exchange is the coroutine's own side.
 struct Exchange {
   BackendPool &Pool;
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -34,10 +34,6 @@
 using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-auto into(ErrorCode &Error) {
-  return asio::redirect_error(asio::use_awaitable, Error);
-}
-
 std::chrono::microseconds chronoOf(base::Duration Span) {
   return std::chrono::microseconds(Span.Micros);
 }
--- a/currantgauge/http/service.cc
+++ b/currantgauge/http/service.cc
@@ -28,10 +28,6 @@
 constexpr std::chrono::seconds ReadLimit{30};
 constexpr std::uint64_t ServiceBodyLimit = 64ULL * 1024 * 1024; // bytes
 
-auto into(ErrorCode &Error) {
-  return asio::redirect_error(asio::use_awaitable, Error);
-}
-
 struct Pending {
   Wake Signal;
   std::optional<ServiceAnswer> Answer;
--- a/currantgauge/http/wake.h
+++ b/currantgauge/http/wake.h
@@ -1,6 +1,7 @@
-// A coroutine's wait for another thread's word, without polling: a timer that
-// never fires and is cancelled by the word.
+// Awaiting in coroutines: operations by their error code, and another thread's
+// word, without polling: a timer that never fires and is cancelled by the word.
 //
+//   co_await Socket.async_connect(Endpoint, into(Error));
 //   waiter: co_await waitFor(*Signal);
 //   other thread: boost::asio::post(Signal->Timer.get_executor(),
 //                                   [Signal] { raise(*Signal); });
@@ -17,6 +18,11 @@
 
 namespace currantgauge::http {
 
+// into() awaits an operation whose error is kept instead of thrown.
+inline auto into(boost::system::error_code &Error) {
+  return boost::asio::redirect_error(boost::asio::use_awaitable, Error);
+}
+
 // Wake belongs to one io_context thread.
 struct Wake {
   boost::asio::steady_timer Timer;
@@ -37,8 +43,7 @@
 inline boost::asio::awaitable<void> waitFor(Wake &Signal) {
   boost::system::error_code Ignored;
   while (!Signal.Raised)
-    co_await Signal.Timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
+    co_await Signal.Timer.async_wait(into(Ignored));
   Signal.Raised = false;
 }
 
