HTTP: status codes by their names, tests of refusals

Cause: statusOf() and the services' answers held numbers. They are boost::beast::http::status now, in ServiceAnswer too; cli's test that built one from 200 names it.

--- a/currantgauge/cli/operator_client_test.cc
+++ b/currantgauge/cli/operator_client_test.cc
@@ -76,7 +76,8 @@
           Answer.Fields = {
               {"token",
                std::string(Request[boost::beast::http::field::authorization])}};
-          Reply({200, "application/json", http::encodeReply(Answer)});
+          Reply({boost::beast::http::status::ok, "application/json",
+                 http::encodeReply(Answer)});
         },
         Error, std::move(Tls));
     REQUIRE(Port != 0);
--- a/currantgauge/http/caller_answer.cc
+++ b/currantgauge/http/caller_answer.cc
@@ -14,6 +14,7 @@
 namespace {
 
 namespace beast = boost::beast;
+using Status = beast::http::status;
 
 beast::string_view view(std::string_view Text) {
   return beast::string_view(Text.data(), Text.size());
@@ -38,11 +39,11 @@
   return "";
 }
 
-TextResponse errorMessage(std::uint32_t Status, base::Verdict What,
-                          base::Reason Why, const std::string &Detail) {
+TextResponse errorMessage(Status Code, base::Verdict What, base::Reason Why,
+                          const std::string &Detail) {
   TextResponse Answer;
   Answer.version(11);
-  Answer.result(Status);
+  Answer.result(Code);
   Answer.set(beast::http::field::content_type, "application/json");
   Answer.set(view(VerdictField), view(base::verdictName(What)));
   Answer.set(view(ReasonField), view(base::reasonName(Why)));
@@ -57,41 +58,42 @@
 
 } // namespace
 
-std::uint32_t statusOf(base::Reason Why, base::Verdict What) {
+beast::http::status statusOf(base::Reason Why, base::Verdict What) {
   switch (Why) {
   case base::Reason::BadRequest:
-    return 400;
+    return Status::bad_request;
   case base::Reason::BodyTooLarge:
-    return 413;
+    return Status::payload_too_large;
   case base::Reason::HeaderTooLarge:
-    return 431;
+    return Status::request_header_fields_too_large;
   case base::Reason::CallerTimeout:
-    return 408;
+    return Status::request_timeout;
   case base::Reason::NoRoute:
-    return 404;
+    return Status::not_found;
   case base::Reason::UnknownWorkspace:
-    return 403;
+    return Status::forbidden;
   case base::Reason::WorkspaceLimit:
   case base::Reason::KindLimit:
-    return 429;
+    return Status::too_many_requests;
   case base::Reason::ActionRunning:
   case base::Reason::ActionMismatch:
-    return 409;
+    return Status::conflict;
   case base::Reason::ActionExpired:
   case base::Reason::ActionForged:
-    return 403;
+    return Status::forbidden;
   case base::Reason::DeadlinePassed:
   case base::Reason::BackendTimeout:
   case base::Reason::BackendSilent:
-    return 504;
+    return Status::gateway_timeout;
   case base::Reason::BackendReset:
   case base::Reason::AnswerCutShort:
   case base::Reason::PeerLost:
   case base::Reason::ActionForeign:
   case base::Reason::ActionLost:
-    return 502;
+    return Status::bad_gateway;
   default:
-    return What == base::Verdict::NotRun ? 503 : 502;
+    return What == base::Verdict::NotRun ? Status::service_unavailable
+                                         : Status::bad_gateway;
   }
 }
 
@@ -115,7 +117,6 @@
 
 TextResponse actionIdMessage(const core::AnswerActionId &Issued,
                              bool KeepAlive) {
-  constexpr std::uint32_t Created = 201;
   if (Issued.Action.empty())
     return refusalMessage(core::RefuseRequest{Issued.Request,
                                               base::Verdict::NotRun, Issued.Why,
@@ -123,7 +124,7 @@
                           KeepAlive);
   TextResponse Answer;
   Answer.version(11);
-  Answer.result(Created);
+  Answer.result(Status::created);
   Answer.set(beast::http::field::content_type, "application/json");
   nlohmann::ordered_json Body = {{"action", Issued.Action.Value},
                                  {"valid_ms", base::toMillis(Issued.ValidFor)}};
--- a/currantgauge/http/caller_answer.h
+++ b/currantgauge/http/caller_answer.h
@@ -12,9 +12,9 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <cstdint>
 #include <string>
 
 namespace currantgauge::http {
@@ -25,7 +25,7 @@
     boost::beast::http::response<boost::beast::http::buffer_body>;
 
 // statusOf() returns the HTTP status of a refusal.
-std::uint32_t statusOf(base::Reason Why, base::Verdict What);
+boost::beast::http::status statusOf(base::Reason Why, base::Verdict What);
 
 // refusalMessage() returns the answer to a refused request.
 TextResponse refusalMessage(const core::RefuseRequest &Refusal, bool KeepAlive);
--- /dev/null
+++ b/currantgauge/http/caller_answer_test.cc
@@ -0,0 +1,51 @@
+#include "currantgauge/http/caller_answer.h"
+
+#include <doctest/doctest.h>
+
+namespace currantgauge::http {
+namespace {
+
+using base::Reason;
+using base::Verdict;
+using Status = boost::beast::http::status;
+
+} // namespace
+
+TEST_CASE("a refusal's status tells a caller's fault from the fleet's") {
+  CHECK(statusOf(Reason::BadRequest, Verdict::NotRun) == Status::bad_request);
+  CHECK(statusOf(Reason::WorkspaceLimit, Verdict::NotRun) ==
+        Status::too_many_requests);
+  CHECK(statusOf(Reason::ActionRunning, Verdict::MayHaveRun) ==
+        Status::conflict);
+  CHECK(statusOf(Reason::DeadlinePassed, Verdict::MayHaveRun) ==
+        Status::gateway_timeout);
+}
+
+TEST_CASE("503 says that nothing ran, 502 that it may have") {
+  CHECK(statusOf(Reason::QueueFull, Verdict::NotRun) ==
+        Status::service_unavailable);
+  CHECK(statusOf(Reason::PeerUnavailable, Verdict::MayHaveRun) ==
+        Status::bad_gateway);
+  CHECK(statusOf(Reason::PeerLost, Verdict::MayHaveRun) == Status::bad_gateway);
+}
+
+TEST_CASE("a refusal carries verdict, reason and whole seconds to wait") {
+  core::RefuseRequest Refusal;
+  Refusal.Request = base::RequestId{1, 2};
+  Refusal.Why = Reason::QueueFull;
+  Refusal.RetryAfter = base::milliseconds(1001);
+  TextResponse Answer = refusalMessage(Refusal, true);
+  CHECK(Answer.result() == Status::service_unavailable);
+  CHECK(Answer["Currantgauge-Verdict"] == "not_run");
+  CHECK(Answer["Currantgauge-Reason"] == "queue_full");
+  CHECK(Answer[boost::beast::http::field::retry_after] == "2");
+  CHECK(Answer.keep_alive());
+}
+
+TEST_CASE("an answer to HEAD keeps the length of the body that is not sent") {
+  runtime::AnswerHead Head{200, {{"Content-Length", "120"}}};
+  TextResponse Answer = wholeMessage(Head, "", AnswerMark{}, true);
+  CHECK(Answer[boost::beast::http::field::content_length] == "120");
+}
+
+} // namespace currantgauge::http
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -175,9 +175,10 @@
 }
 
 bool hasNoBody(const TextRequest &Request, std::uint32_t Status) {
-  constexpr std::uint32_t NoContent = 204, NotModified = 304;
-  return Request.method() == beast::http::verb::head || Status == NoContent ||
-         Status == NotModified;
+  auto Code = beast::http::int_to_status(Status);
+  return Request.method() == beast::http::verb::head ||
+         Code == beast::http::status::no_content ||
+         Code == beast::http::status::not_modified;
 }
 
 // An answer that ends before its end closes the connection in the middle of
--- a/currantgauge/http/service.h
+++ b/currantgauge/http/service.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
@@ -26,7 +27,7 @@
 
 // ServiceAnswer is what a handler answers.
 struct ServiceAnswer {
-  std::uint32_t Status = 200;
+  boost::beast::http::status Status = boost::beast::http::status::ok;
   std::string Type = "application/json";
   std::string Body;
 };
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -19,11 +19,12 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using Status = boost::beast::http::status;
 
 constexpr std::string_view ServersPath = "/v1/servers/";
 
-http::ServiceAnswer errorAnswer(std::uint32_t Status, const std::string &Text) {
-  return {Status, "application/json",
+http::ServiceAnswer errorAnswer(Status Code, const std::string &Text) {
+  return {Code, "application/json",
           nlohmann::json{{"error", Text}}.dump(
               -1, ' ', false, nlohmann::json::error_handler_t::replace) +
               "\n"};
@@ -34,10 +35,10 @@
   std::string Error;
   auto Word = http::parseAnnouncement(Name, Body, Error);
   if (!Word)
-    return errorAnswer(400, Error);
+    return errorAnswer(Status::bad_request, Error);
   post(Self, ControlInput{core::BackendAnnounced{*Word}, {}, {}, {}, {}});
   nlohmann::json Answer = {{"lease_ms", base::toMillis(routing::LeaseTime)}};
-  return {200, "application/json", Answer.dump() + "\n"};
+  return {Status::ok, "application/json", Answer.dump() + "\n"};
 }
 
 http::ServiceAnswer localService(Node &Self,
@@ -46,14 +47,15 @@
   if (Target.starts_with(ServersPath) && Request.method_string() == "PUT")
     return announce(Self, Target.substr(ServersPath.size()), Request.body());
   if (Target == "/metrics")
-    return {200, "text/plain; version=0.0.4",
+    return {Status::ok, "text/plain; version=0.0.4",
             telemetry::metricsText(Self.Metrics)};
   if (Target == "/healthz")
-    return {200, "text/plain", "ok\n"};
+    return {Status::ok, "text/plain", "ok\n"};
   if (Target == "/readyz")
-    return Self.Ready ? http::ServiceAnswer{200, "text/plain", "ready\n"}
-                      : http::ServiceAnswer{503, "text/plain", "not ready\n"};
-  return errorAnswer(404, "no such path");
+    return Self.Ready ? http::ServiceAnswer{Status::ok, "text/plain", "ready\n"}
+                      : http::ServiceAnswer{Status::service_unavailable,
+                                            "text/plain", "not ready\n"};
+  return errorAnswer(Status::not_found, "no such path");
 }
 
 // The comparison takes the same time wherever the texts differ.
@@ -70,19 +72,19 @@
 void operatorService(Node &Self, const http::ServiceRequest &Request,
                      http::ServiceReply Reply) {
   if (!isAuthorized(Self, Request))
-    return Reply(errorAnswer(401, "a bearer token is needed"));
+    return Reply(errorAnswer(Status::unauthorized, "a bearer token is needed"));
   if (Request.target() != "/v1/query" || Request.method_string() != "POST")
-    return Reply(errorAnswer(404, "no such path"));
+    return Reply(errorAnswer(Status::not_found, "no such path"));
   std::string Error;
   auto Query = http::parseQuery(Request.body(), Error);
   if (!Query)
-    return Reply(errorAnswer(400, Error));
+    return Reply(errorAnswer(Status::bad_request, Error));
   ControlInput Input;
   Input.Body = core::OperatorAsked{base::CallId(), std::move(*Query)};
   // Encoding a large document takes long: it is kept off the control thread.
   Input.Reply = [&Self, Reply](const core::OperatorReply &Answer) {
     asio::post(Self.Traffic.Threads.back()->Io, [Reply, Answer] {
-      Reply({200, "application/json", http::encodeReply(Answer) + "\n"});
+      Reply({Status::ok, "application/json", http::encodeReply(Answer) + "\n"});
     });
   };
   post(Self, std::move(Input));
