Control thread: no event for deadlines of ended requests

They are dropped now when they come first. Ruled out: taking the timer out when a request ends, which needs a handle in each request and attempt; the lookup here is the one that the firing did.

New tests: deadlines of ended requests wake nobody; that of one in flight still does.

--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -68,6 +68,32 @@
   }
 };
 
+// What a timer waits for may end long before it is due.
+struct IsOver {
+  const State &Node;
+
+  bool operator()(const RequestDeadline &Due) const {
+    return !this->Node.Entry.Requests.contains(Due.Request);
+  }
+  bool operator()(const RetryDue &Due) const {
+    return !this->Node.Entry.Requests.contains(Due.Request);
+  }
+  bool operator()(const AttemptDeadline &Due) const {
+    return !this->Node.Owner.Attempts.contains(Due.Attempt);
+  }
+  template <typename Other> bool operator()(const Other &) const {
+    return false;
+  }
+};
+
+// Deadlines of ended requests go when they come first in the queue, so that
+// no event is spent on them.
+void dropOver(State &Node) {
+  auto &Due = Node.Timers.Due;
+  while (!Due.empty() && std::visit(IsOver{Node}, Due.begin()->second))
+    Due.erase(Due.begin());
+}
+
 void announceWakeUp(TimerQueue &Timers, EffectList &Effects) {
   base::TimePoint Next =
       Timers.Due.empty() ? base::Never : Timers.Due.begin()->first;
@@ -103,6 +129,7 @@
     Node.Timers.Announced = base::Never;
   std::visit(Dispatch{Node, Effects}, Happened.Body);
   membership::flushRumours(Node, Effects);
+  dropOver(Node);
   announceWakeUp(Node.Timers, Effects);
   stopWhenIdle(Node, Effects);
 }
--- a/currantgauge/core/reduce_test.cc
+++ b/currantgauge/core/reduce_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
 #include <variant>
 
 namespace currantgauge::core {
@@ -84,6 +85,44 @@
   CHECK(Node.Owner.Attempts.empty());
 }
 
+TEST_CASE("deadlines of ended requests wake nobody") {
+  State Node = nodeWithServer();
+  EffectList Effects;
+  std::set<base::TimePoint> Deadlines;
+  for (std::uint64_t I = 1; I <= 100; ++I) {
+    base::TimePoint Now{static_cast<std::int64_t>(2000 + 1000 * I)};
+    reduce(Node, Event{Now, {}, arrival(I)}, Effects);
+    reduce(Node, Event{Now, {}, CallerGone{base::RequestId{1, I}}}, Effects);
+    Deadlines.insert(Now + base::milliseconds(500));
+  }
+  CHECK(Node.Entry.Requests.empty());
+  base::TimePoint Due = Node.Timers.Announced;
+  for (; Due < base::TimePoint{2000000}; Due = Node.Timers.Announced) {
+    CHECK_FALSE(Deadlines.contains(Due));
+    reduce(Node, Event{Due, {}, TimerFired{}}, Effects);
+  }
+}
+
+TEST_CASE("the deadline of a request in flight wakes the node in time") {
+  State Node = nodeWithServer();
+  EffectList Effects;
+  reduce(Node, Event{base::TimePoint{2000}, {}, arrival(1)}, Effects);
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{3000}, {}, arrival(2)}, Effects);
+  reduce(Node,
+         Event{base::TimePoint{4000}, {}, CallerGone{base::RequestId{1, 1}}},
+         Effects);
+  Effects.clear();
+  while (!find<RefuseRequest>(Effects)) {
+    base::TimePoint Due = Node.Timers.Announced;
+    REQUIRE(Due <= base::TimePoint{503000});
+    Effects.clear();
+    reduce(Node, Event{Due, {}, TimerFired{}}, Effects);
+  }
+  CHECK(Node.Now == base::TimePoint{503000});
+  CHECK(find<RefuseRequest>(Effects)->Request == base::RequestId{1, 2});
+}
+
 TEST_CASE("a request that no server can take is refused as not run") {
   State Node = nodeWithServer();
   Node.Routing.Servers.begin()->second.Drained = true;
