Control thread: keep the memory of the effects from event to event

Cause: callgrind gives 8.6% of the control thread's instructions to growing the vector of effects, which was made anew for each event: an effect is a variant of several hundred bytes, and each growth moves those before it. The list belongs to the node now and keeps its memory; one event is reduced at a time, so it is never in use twice.

--- a/currantgauge/runtime/node.cc
+++ b/currantgauge/runtime/node.cc
@@ -39,10 +39,10 @@
 void reduceOne(Node &Self, ControlInput &Input) {
   fileHandles(Self, Input);
   core::Event Happened{steadyNow(), wallNow(), std::move(Input.Body)};
-  core::EffectList Effects;
-  core::reduce(Self.State, Happened, Effects);
-  writeEvent(Self.Log, Happened, Effects);
-  for (core::Effect &Each : Effects)
+  Self.Effects.clear();
+  core::reduce(Self.State, Happened, Self.Effects);
+  writeEvent(Self.Log, Happened, Self.Effects);
+  for (core::Effect &Each : Self.Effects)
     carryOut(Self, Each);
   Input.Body = std::move(Happened.Body);
   dropHandles(Self, Input);
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -70,6 +70,7 @@
 
   // Of the control thread alone.
   std::deque<ControlInput> Follow; // inputs that effects of this turn made
+  core::EffectList Effects;        // of the event at hand; keeps its memory
   std::unordered_map<base::RequestId, EntryHandle> Entries;
   std::unordered_map<base::AttemptId, AnswerPipePtr> EntryPipes;
   std::unordered_map<base::AttemptId, OwnerHandle> Owned;
