--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -3,6 +3,7 @@
 #include "currantgauge/peer/answer_codec.h"
 #include "currantgauge/peer/codec.h"
 #include "currantgauge/peer/generated/peer.grpc.pb.h"
+#include "currantgauge/runtime/handover.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -13,6 +14,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <utility>
 
@@ -59,9 +61,14 @@
   std::mutex Lock;
   bool Waiting = false; // for room in the pipe, under a hold
 
+  void startRead() {
+    runtime::publish(this);
+    this->StartRead(&this->Wire);
+  }
+
   void readNext() {
     if (runtime::hasRoom(*this->Pipe)) {
-      this->StartRead(&this->Wire);
+      this->startRead();
       return;
     }
     {
@@ -80,11 +87,12 @@
       if (!std::exchange(this->Waiting, false))
         return;
     }
-    this->StartRead(&this->Wire);
+    this->startRead();
     this->RemoveHold();
   }
 
   void OnReadDone(bool Good) override {
+    runtime::observe(this);
     if (!Good)
       return;
     runtime::AnswerPart Part;
@@ -98,6 +106,7 @@
 
   // An end that the owner said came first; this one is then dropped.
   void OnDone(const grpc::Status &) override {
+    runtime::observe(this);
     runtime::setWriter(*this->Pipe, nullptr);
     runtime::setOnCancel(*this->Pipe, nullptr);
     runtime::pushPart(*this->Pipe, endWith(base::Verdict::MayHaveRun,
@@ -165,51 +174,75 @@
   Call->Context.set_deadline(after(Facts.TimeLeft + ForwardAllowance));
   runtime::setWriter(*Pipe, [Call] { Call->resume(); });
   To.Stub->async()->Forward(&Call->Context, &Call->Request, Call.get());
-  Call->StartRead(&Call->Wire);
+  Call->startRead();
   runtime::setOnCancel(*Pipe, [Call] { Call->Context.TryCancel(); });
+  runtime::publish(Call.get());
   Call->StartCall();
 }
 
+namespace {
+
+// DeliverCall and FetchCall own themselves until OnDone().
+struct DeliverCall : grpc::ClientUnaryReactor {
+  grpc::ClientContext Context;
+  v1::PeerMessage Request;
+  v1::DeliverReply Reply;
+  std::function<void(bool)> Done;
+
+  void OnDone(const grpc::Status &Status) override {
+    runtime::observe(this);
+    std::unique_ptr<DeliverCall> Last(this);
+    this->Done(Status.ok());
+  }
+};
+
+struct FetchCall : grpc::ClientUnaryReactor {
+  grpc::ClientContext Context;
+  v1::FetchConfigRequest Request;
+  v1::FetchConfigReply Reply;
+  std::function<void(std::optional<config::ConfigDelta>)> Done;
+
+  void OnDone(const grpc::Status &Status) override {
+    runtime::observe(this);
+    std::unique_ptr<FetchCall> Last(this);
+    config::ConfigDelta Delta;
+    bool Good = Status.ok() && this->Reply.found() &&
+                fromWire(this->Reply.delta(), Delta);
+    this->Done(Good ? std::optional(std::move(Delta)) : std::nullopt);
+  }
+};
+
+template <typename Call> void startUnary(Call *Started) {
+  runtime::publish(Started);
+  Started->StartCall();
+}
+
+} // namespace
+
 void deliver(PeerClient &Client, const base::NetAddress &Address,
              const membership::PeerMessage &Message,
              std::function<void(bool)> Done) {
-  struct Call {
-    grpc::ClientContext Context;
-    v1::PeerMessage Request;
-    v1::DeliverReply Reply;
-  };
-  auto Open = std::make_shared<Call>();
-  toWire(Message, Open->Request);
-  Open->Context.set_deadline(after(DeliverLimit));
+  auto *Call = new DeliverCall;
+  toWire(Message, Call->Request);
+  Call->Done = std::move(Done);
+  Call->Context.set_deadline(after(DeliverLimit));
   channelTo(Client, Address)
       .Stub->async()
-      ->Deliver(&Open->Context, &Open->Request, &Open->Reply,
-                [Open, Done = std::move(Done)](const grpc::Status &Status) {
-                  Done(Status.ok());
-                });
+      ->Deliver(&Call->Context, &Call->Request, &Call->Reply, Call);
+  startUnary(Call);
 }
 
 void fetchConfig(PeerClient &Client, const base::NetAddress &Address,
                  base::ConfigVersion Have,
                  std::function<void(std::optional<config::ConfigDelta>)> Done) {
-  struct Call {
-    grpc::ClientContext Context;
-    v1::FetchConfigRequest Request;
-    v1::FetchConfigReply Reply;
-  };
-  auto Open = std::make_shared<Call>();
-  Open->Request.set_have(Have.Value);
-  Open->Context.set_deadline(after(FetchLimit));
+  auto *Call = new FetchCall;
+  Call->Request.set_have(Have.Value);
+  Call->Done = std::move(Done);
+  Call->Context.set_deadline(after(FetchLimit));
   channelTo(Client, Address)
       .Stub->async()
-      ->FetchConfig(&Open->Context, &Open->Request, &Open->Reply,
-                    [Open, Done = std::move(Done)](const grpc::Status &Status) {
-                      config::ConfigDelta Delta;
-                      bool Good = Status.ok() && Open->Reply.found() &&
-                                  fromWire(Open->Reply.delta(), Delta);
-                      Done(Good ? std::optional(std::move(Delta))
-                                : std::nullopt);
-                    });
+      ->FetchConfig(&Call->Context, &Call->Request, &Call->Reply, Call);
+  startUnary(Call);
 }
 
 } // namespace currantgauge::peer
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -3,6 +3,7 @@
 #include "currantgauge/peer/answer_codec.h"
 #include "currantgauge/peer/codec.h"
 #include "currantgauge/peer/generated/peer.grpc.pb.h"
+#include "currantgauge/runtime/handover.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -43,6 +44,7 @@
     bool Last = std::holds_alternative<runtime::AnswerEnd>(*Part);
     this->Wire.Clear();
     toWire(std::move(*Part), this->Wire);
+    runtime::publish(this);
     if (!Last) {
       this->StartWrite(&this->Wire);
       return;
@@ -60,6 +62,7 @@
   }
 
   void OnWriteDone(bool Good) override {
+    runtime::observe(this);
     {
       std::lock_guard<std::mutex> Guard(this->Lock);
       this->Writing = false;
@@ -71,11 +74,13 @@
   }
 
   void OnCancel() override {
+    runtime::observe(this);
     runtime::cancelPipe(*this->Pipe);
     this->finishEarly(grpc::Status::CANCELLED);
   }
 
   void OnDone() override {
+    runtime::observe(this);
     {
       std::lock_guard<std::mutex> Guard(this->Lock);
       this->Finished = true;
@@ -119,6 +124,7 @@
     runtime::AnswerPipePtr Pipe = Reactor->Pipe;
     runtime::setReader(*Pipe, [Reactor] { Reactor->writeNext(); });
     this->Handlers.Forward(std::move(Facts), std::move(Message), Pipe);
+    runtime::publish(Reactor.get());
     return Reactor.get();
   }
 
--- a/currantgauge/runtime/control.cc
+++ b/currantgauge/runtime/control.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/runtime/control.h"
 
+#include "currantgauge/runtime/handover.h"
+
 #include <caf/all.hpp>
 
 #include <memory>
@@ -42,13 +44,17 @@
   Control.Actor = std::make_unique<detail::ControlActor>();
   Control.Actor->Actor = Control.Actor->System.spawn<caf::detached>(
       [Handle = std::move(Handle)](caf::event_based_actor *) -> caf::behavior {
-        return {[Handle](const SharedInput &Input) { Handle(*Input); }};
+        return {[Handle](const SharedInput &Input) {
+          observe(Input.get());
+          Handle(*Input);
+        }};
       });
 }
 
 void postInput(ControlThread &Control, ControlInput Input) {
-  caf::anon_send(Control.Actor->Actor,
-                 std::make_shared<ControlInput>(std::move(Input)));
+  auto Shared = std::make_shared<ControlInput>(std::move(Input));
+  publish(Shared.get());
+  caf::anon_send(Control.Actor->Actor, std::move(Shared));
 }
 
 void stopControl(ControlThread &Control) {
