Answer pipe: a cancel wakes a writer that waits for room

When the caller goes away then, nobody takes a part any more, WakeWriter never runs, the hold is never removed, OnDone() never comes: the call and its full pipe (256 KiB) stay for good, one for each caller that leaves in the middle of a long answer. A cancel wakes the writer now, and a cancelled pipe has room always and drops what is pushed, but for the end and what an action's record keeps. Ruled out: resuming from the pipe's OnCancel, which loses the race with a read that ends at the same time; hasRoom() is looked at again after the hold is taken. Not shown by a run with real nodes.

--- a/currantgauge/runtime/answer_pipe.cc
+++ b/currantgauge/runtime/answer_pipe.cc
@@ -23,6 +23,11 @@
   Pipe.Recorded.push_back(Part);
 }
 
+// A cancelled pipe never makes its writer wait: nobody will take a part.
+bool isRoomy(const AnswerPipe &Pipe) {
+  return Pipe.Cancelled || Pipe.Bytes < PipeLimit;
+}
+
 void runIf(const std::function<void()> &Call) {
   if (Call)
     Call();
@@ -42,9 +47,11 @@
     Pipe.Ended = std::holds_alternative<AnswerEnd>(Part);
     if (!Pipe.Ended)
       record(Pipe, Part);
-    Pipe.Bytes += sizeOf(Part);
-    Pipe.Parts.push_back(std::move(Part));
-    Room = Pipe.Bytes < PipeLimit;
+    if (!Pipe.Cancelled || Pipe.Ended) {
+      Pipe.Bytes += sizeOf(Part);
+      Pipe.Parts.push_back(std::move(Part));
+    }
+    Room = isRoomy(Pipe);
     Wake = Pipe.WakeReader;
   }
   runIf(Wake);
@@ -71,7 +78,7 @@
 
 bool hasRoom(AnswerPipe &Pipe) {
   std::lock_guard<std::mutex> Guard(Pipe.Lock);
-  return Pipe.Bytes < PipeLimit;
+  return isRoomy(Pipe);
 }
 
 void setReader(AnswerPipe &Pipe, std::function<void()> Wake) {
@@ -102,16 +109,18 @@
 }
 
 void cancelPipe(AnswerPipe &Pipe) {
-  std::function<void()> Call;
+  std::function<void()> Call, Wake;
   {
     std::lock_guard<std::mutex> Guard(Pipe.Lock);
     if (Pipe.Cancelled)
       return;
     Pipe.Cancelled = true;
     Call = Pipe.OnCancel;
+    Wake = Pipe.WakeWriter;
     Pipe.WakeReader = nullptr;
   }
   runIf(Call);
+  runIf(Wake);
 }
 
 } // namespace currantgauge::runtime
--- a/currantgauge/runtime/answer_pipe.h
+++ b/currantgauge/runtime/answer_pipe.h
@@ -84,7 +84,8 @@
 // already called.
 void setOnCancel(AnswerPipe &Pipe, std::function<void()> Call);
 
-// cancelPipe() says that the reader no longer wants the answer.
+// cancelPipe() says that the reader no longer wants the answer: a writer that
+// waits is woken, and what it pushes is dropped, but for the end.
 void cancelPipe(AnswerPipe &Pipe);
 
 } // namespace currantgauge::runtime
--- a/currantgauge/runtime/answer_pipe_test.cc
+++ b/currantgauge/runtime/answer_pipe_test.cc
@@ -35,6 +35,30 @@
   CHECK(Pipe->Recorded.empty());
 }
 
+TEST_CASE("a cancel wakes the writer of a full pipe, which then never waits") {
+  AnswerPipePtr Pipe(new AnswerPipe);
+  int Woken = 0;
+  setWriter(*Pipe, [&] { ++Woken; });
+  CHECK_FALSE(pushPart(*Pipe, AnswerChunk{std::string(PipeLimit, 'x')}));
+  cancelPipe(*Pipe);
+  CHECK(Woken == 1);
+  CHECK(hasRoom(*Pipe));
+  CHECK(pushPart(*Pipe, AnswerChunk{std::string(PipeLimit, 'y')}));
+  CHECK(Pipe->Bytes == PipeLimit);
+  pushPart(*Pipe, AnswerEnd{});
+  CHECK(Pipe->Ended);
+}
+
+TEST_CASE("a cancelled pipe still records an answer that is kept") {
+  AnswerPipePtr Pipe(new AnswerPipe);
+  Pipe->Record = true;
+  cancelPipe(*Pipe);
+  pushPart(*Pipe, AnswerHead{200, {}});
+  pushPart(*Pipe, AnswerChunk{"done"});
+  CHECK(Pipe->Recorded.size() == 2);
+  CHECK(Pipe->Parts.empty());
+}
+
 TEST_CASE("a cancel that came first reaches a later writer") {
   AnswerPipePtr Pipe(new AnswerPipe);
   cancelPipe(*Pipe);
