--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -39,7 +39,6 @@
 struct EntryHandle {
   CallerExchangePtr Caller;
   RequestMessagePtr Message;
-  std::vector<AnswerPipePtr> Pipes; // of its attempts
 };
 
 // KeptAnswer is an answer kept for later asks.
@@ -71,9 +70,9 @@
 
   // Of the control thread alone.
   std::deque<ControlInput> Follow; // inputs that effects of this turn made
+  core::EffectList Effects;        // of the event at hand; keeps its memory
   std::unordered_map<base::RequestId, EntryHandle> Entries;
   std::unordered_map<base::AttemptId, AnswerPipePtr> EntryPipes;
-  std::unordered_map<base::AttemptId, base::RequestId> EntryRequests;
   std::unordered_map<base::AttemptId, OwnerHandle> Owned;
   std::map<base::AttemptId, KeptAnswer> Kept;
   std::map<base::CallId, std::function<void(const core::OperatorReply &)>>
