Remove expired versions and their objects from the store

Objects were named by content hash alone, so a removal whose answer is lost and that takes effect late can hit an object that a push has relied on since; a grace time only makes that rarer, and a lock row does not cover an object store. Now each object bears the name of the one push that writes it, a push registers itself before its first object, and its row is written again with the head row. An object that the oldest kept version does not need is then needed by none after it, and removals need no lock.

Changed: 'only the parts that changed travel' expects 4 writes where it was 3, since a push now registers its objects first; the fuzzed manifest is the stored form. A push costs one more row write and, without a cached manifest, one read.

--- a/currantgauge/base/memory_store.cc
+++ b/currantgauge/base/memory_store.cc
@@ -86,6 +86,11 @@
   return StoreResult{StoreStatus::Done, {}, {}};
 }
 
+StoreResult apply(MemoryStore &Store, const DeleteObject &Delete) {
+  Store.Objects.erase(Delete.Name);
+  return StoreResult{StoreStatus::Done, {}, {}};
+}
+
 } // namespace
 
 StoreResult applyOperation(MemoryStore &Store,
--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -56,8 +56,13 @@
   std::string Bytes;
 };
 
-using StoreOperation =
-    std::variant<ReadRow, ScanRows, WriteRows, GetObject, PutObject>;
+// DeleteObject removes an object; Done also when there is none.
+struct DeleteObject {
+  std::string Name;
+};
+
+using StoreOperation = std::variant<ReadRow, ScanRows, WriteRows, GetObject,
+                                    PutObject, DeleteObject>;
 
 // StoreStatus is what is known after an operation.
 enum class StoreStatus {
--- /dev/null
+++ b/currantgauge/config/collect_test.cc
@@ -0,0 +1,212 @@
+#include "currantgauge/config/collect.h"
+#include "currantgauge/config/stored_manifest.h"
+#include "currantgauge/config/test_fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace currantgauge::config {
+namespace {
+
+// Small limits, so that a test of a minute or two passes them often.
+constexpr Retention FewVersions{4, 8, base::seconds(20), base::seconds(1)};
+
+std::vector<HeadRow> rowsUnder(const TestFleet &Fleet,
+                               const std::string &Prefix) {
+  std::vector<HeadRow> Rows;
+  auto Table = Fleet.Store.Memory.Tables.find(ConfigTable);
+  if (Table == Fleet.Store.Memory.Tables.end())
+    return Rows;
+  for (const auto &[Key, Row] : Table->second)
+    if (Key.starts_with(Prefix))
+      Rows.push_back(parseHeadRow({Key, Row.Value, ""}).value());
+  return Rows;
+}
+
+// checkWhole() fails when the head or a history row refers to an object that
+// is not there. Returns the objects that they refer to.
+std::set<std::string> checkWhole(const TestFleet &Fleet) {
+  const auto &Objects = Fleet.Store.Memory.Objects;
+  std::set<std::string> Needed;
+  std::vector<HeadRow> Rows = rowsUnder(Fleet, HistoryPrefix);
+  for (const HeadRow &Head : rowsUnder(Fleet, HeadKey))
+    Rows.push_back(Head);
+  for (const HeadRow &Row : Rows) {
+    CAPTURE(Row.Version.Value);
+    auto Bytes = Objects.find(manifestObject(Row));
+    REQUIRE(Bytes != Objects.end());
+    std::optional<StoredManifest> Stored = readStored(Row, Bytes->second);
+    REQUIRE(Stored);
+    for (const std::string &Name : objectsOf(Row, *Stored)) {
+      CAPTURE(Name);
+      REQUIRE(Objects.contains(Name));
+      Needed.insert(Name);
+    }
+  }
+  return Needed;
+}
+
+// registeredObjects() returns the objects of all pushes that have a row.
+std::set<std::string> registeredObjects(const TestFleet &Fleet) {
+  std::set<std::string> Names;
+  for (const HeadRow &Row : rowsUnder(Fleet, ObjectsPrefix)) {
+    auto Bytes = Fleet.Store.Memory.Objects.find(manifestObject(Row));
+    if (Bytes != Fleet.Store.Memory.Objects.end())
+      Names.merge(objectsOf(Row, readStored(Row, Bytes->second).value()));
+  }
+  return Names;
+}
+
+void setRetention(TestFleet &Fleet, const Retention &Limits) {
+  Fleet.Retention = Limits;
+  for (std::size_t Index = 0; Index < Fleet.Nodes.size(); ++Index)
+    startNode(Fleet, Index);
+}
+
+// Nodes collect from now on, not only minutes after their start.
+void collectNow(TestFleet &Fleet) {
+  for (TestNode &Node : Fleet.Nodes)
+    Node.State.Config.NextCollection =
+        std::min(Node.State.Config.NextCollection, Fleet.Now);
+}
+
+void runChecked(TestFleet &Fleet, std::int64_t Millis) {
+  for (; Millis > 0; Millis -= 50) {
+    collectNow(Fleet);
+    runFor(Fleet, base::milliseconds(50));
+    checkWhole(Fleet);
+  }
+}
+
+// Marks come again, so that hashes that were removed are needed anew.
+void pushSome(TestFleet &Fleet, std::uint64_t Step) {
+  std::size_t Node = base::uniformBelow(Fleet.Source, Fleet.Nodes.size());
+  std::string Mark = "m" + std::to_string(base::uniformBelow(Fleet.Source, 3));
+  push(Fleet, Node, sampleDocument(Mark, Step % 5),
+       Fleet.Nodes[Node].State.Config.Document.Version.Value,
+       "p" + std::to_string(Step));
+}
+
+} // namespace
+
+TEST_CASE("the store keeps a bounded number of versions and nothing else") {
+  TestFleet Fleet(3, 1);
+  setRetention(Fleet, FewVersions);
+  for (std::uint64_t Step = 0; Step < 40; ++Step) {
+    pushSome(Fleet, Step);
+    runChecked(Fleet, 1500);
+  }
+  CHECK(highestAccepted(Fleet).Value >= 35);
+  runChecked(Fleet, 40000);
+  CHECK(rowsUnder(Fleet, HistoryPrefix).size() == FewVersions.MinVersions);
+  std::set<std::string> Needed = checkWhole(Fleet);
+  CHECK(Fleet.Store.Memory.Objects.size() == Needed.size());
+}
+
+TEST_CASE("property: no kept version loses an object, and nothing is left over "
+          "but what a late write brought back") {
+  for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+    CAPTURE(Seed);
+    TestFleet Fleet(4, Seed);
+    setRetention(Fleet, FewVersions);
+    Fleet.Store.LostAnswers = 0.1 * static_cast<double>(Seed % 4);
+    Fleet.Store.LostObjects = Fleet.Store.LostAnswers;
+    Fleet.Store.LateWrites = 0.05 * static_cast<double>(Seed % 3);
+    for (std::uint64_t Step = 0; Step < 60; ++Step) {
+      Fleet.Store.Down = base::uniformBelow(Fleet.Source, 8) == 0;
+      if (base::uniformBelow(Fleet.Source, 6) == 0)
+        startNode(Fleet, base::uniformBelow(Fleet.Source, 4));
+      pushSome(Fleet, 2 * Step);
+      if (Step % 2 == 0)
+        pushSome(Fleet, 2 * Step + 1);
+      runChecked(Fleet, static_cast<std::int64_t>(
+                            200 + base::uniformBelow(Fleet.Source, 3000)));
+    }
+    bool HadLate = Fleet.Store.LateWrites > 0;
+    Fleet.Store.Down = false;
+    Fleet.Store.LostAnswers = 0;
+    Fleet.Store.LostObjects = 0;
+    Fleet.Store.LateWrites = 0;
+    CHECK(highestAccepted(Fleet).Value >= 10);
+    runChecked(Fleet, 80000);
+    std::vector<HeadRow> History = rowsUnder(Fleet, HistoryPrefix);
+    REQUIRE(History.size() == FewVersions.MinVersions);
+    for (const HeadRow &Row : rowsUnder(Fleet, ObjectsPrefix))
+      CHECK(Row.Version >= History.back().Version);
+    std::set<std::string> Registered = registeredObjects(Fleet);
+    for (const auto &[Name, Bytes] : Fleet.Store.Memory.Objects)
+      CHECK((HadLate || Registered.contains(Name)));
+  }
+}
+
+TEST_CASE("a removal that arrives late takes nothing that came back") {
+  TestFleet Fleet(2, 5);
+  setRetention(Fleet, FewVersions);
+  std::string Same = sampleDocument("same");
+  push(Fleet, 0, Same, 0, "p0");
+  runFor(Fleet, base::seconds(3));
+  std::map<std::string, std::string> First = Fleet.Store.Memory.Objects;
+  for (std::uint64_t Step = 1; Step < 8; ++Step) {
+    push(Fleet, 0, sampleDocument("m" + std::to_string(Step)), Step,
+         "p" + std::to_string(Step));
+    runFor(Fleet, base::seconds(3));
+  }
+  push(Fleet, 1, Same, 8, "p8"); // the first content once more
+  runFor(Fleet, base::seconds(3));
+  REQUIRE(highestAccepted(Fleet).Value == 9);
+  for (const auto &[Name, Bytes] : First)
+    if (Name.find("/1-") != std::string::npos &&
+        !checkWhole(Fleet).contains(Name))
+      Fleet.Store.Memory.Objects.erase(Name);
+  runChecked(Fleet, 40000);
+  startNode(Fleet, 1);
+  runFor(Fleet, base::seconds(5));
+  CHECK(isEverywhere(Fleet, base::ConfigVersion(9)));
+}
+
+TEST_CASE("collecting stays within its writes a second") {
+  TestFleet Fleet(1, 6);
+  setRetention(Fleet, Retention{1, 1, base::seconds(1), base::seconds(1)});
+  push(Fleet, 0, sampleDocument("a", 2000), 0, "p0");
+  runFor(Fleet, base::seconds(8));
+  std::string Other = "ranks:\n  normal: {deadline: 2s, order: 0}\n";
+  push(Fleet, 0, Other, 1, "p1");
+  runFor(Fleet, base::seconds(3));
+  push(Fleet, 0, Other + "  low: {deadline: 2s, order: 1}\n", 2, "p2");
+  runFor(Fleet, base::seconds(3));
+  REQUIRE(highestAccepted(Fleet).Value == 3);
+  std::size_t Objects = Fleet.Store.Memory.Objects.size();
+  REQUIRE(Objects > 900);
+  collectNow(Fleet);
+  for (int Second = 0; Second < 90; ++Second) {
+    std::uint64_t Writes = Fleet.Store.Writes;
+    runFor(Fleet, base::seconds(1));
+    CHECK(Fleet.Store.Writes - Writes <= 40); // of the rounds that it meets
+  }
+  CHECK(Fleet.Store.Memory.Objects.size() < 20);
+}
+
+TEST_CASE("a push whose version left the history is not called refused") {
+  TestFleet Fleet(2, 7);
+  setRetention(Fleet, FewVersions);
+  for (std::uint64_t Step = 0; Step < 14; ++Step) {
+    push(Fleet, 0, sampleDocument("m" + std::to_string(Step)), Step,
+         "p" + std::to_string(Step));
+    runChecked(Fleet, 3000);
+  }
+  runChecked(Fleet, 30000);
+  base::CallId Again = push(Fleet, 1, sampleDocument("m0"), 0, "p0");
+  runFor(Fleet, base::seconds(3));
+  REQUIRE(answerOf(Fleet, Again));
+  CHECK(answerOf(Fleet, Again)->Error.starts_with("unknown"));
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/config/fuzz_test.cc
+++ b/currantgauge/config/fuzz_test.cc
@@ -3,10 +3,12 @@
 #include "currantgauge/config/document.h"
 #include "currantgauge/config/head_row.h"
 #include "currantgauge/config/node_settings.h"
+#include "currantgauge/config/stored_manifest.h"
 
 #include <doctest/doctest.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -131,16 +133,22 @@
               "ana",
               {5},
               base::ContentHash("00"),
-              ""};
+              "",
+              base::ContentHash("11")};
   PartSetPtr Parts = splitDocument(ValidDocument);
   REQUIRE(Parts);
-  std::string Manifest = formatManifest(manifestOf(*Parts));
+  StoredManifest Stored =
+      storeAfter({}, *Parts, originOf(Row.Version, Row.Push));
+  std::string Manifest = formatStored(Stored);
   for (int Round = 0; Round < Rounds; ++Round) {
     parseHeadRow({"head", mutate(formatHeadRow(Row), Source), ""});
-    parseManifest(mutate(Manifest, Source));
+    parseStored(mutate(Manifest, Source));
   }
   CHECK(parseHeadRow({"head", formatHeadRow(Row), ""})->Push == Row.Push);
-  CHECK(parseManifest(Manifest) == manifestOf(*Parts));
+  std::optional<StoredManifest> Read = parseStored(Manifest);
+  REQUIRE(Read);
+  CHECK(formatStored(*Read) == Manifest);
+  CHECK(Read->size() == Parts->Parts.size());
 }
 
 TEST_CASE("deep nesting is refused before it can exhaust the stack") {
--- a/currantgauge/config/head_row.cc
+++ b/currantgauge/config/head_row.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/config/head_row.h"
 
+#include "currantgauge/config/parts.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
@@ -10,27 +12,44 @@
 
 constexpr std::size_t KeyDigits = 20; // of the largest 64-bit number
 
+constexpr std::size_t OriginDigits = 16; // of the push id's hash
+
+std::string padded(std::uint64_t Number) {
+  std::string Text = std::to_string(Number);
+  return std::string(KeyDigits - Text.size(), '0') + Text;
+}
+
 } // namespace
 
 std::string historyKey(base::ConfigVersion Version) {
-  std::string Number = std::to_string(UINT64_MAX - Version.Value);
-  return HistoryPrefix + std::string(KeyDigits - Number.size(), '0') + Number;
+  return HistoryPrefix + padded(UINT64_MAX - Version.Value);
+}
+
+std::string originOf(base::ConfigVersion Version, const base::PushId &Push) {
+  return std::to_string(Version.Value) + "-" +
+         hashContent(Push.Value).Value.substr(0, OriginDigits);
+}
+
+std::string objectsKey(const HeadRow &Row) {
+  return ObjectsPrefix + padded(Row.Version.Value) + "/" +
+         originOf(Row.Version, Row.Push) + "/" + Row.Stored.Value;
 }
 
-std::string partObject(const base::ContentHash &Hash) {
-  return "config/part/" + Hash.Value;
+std::string partObject(const std::string &Origin,
+                       const base::ContentHash &Hash) {
+  return "config/part/" + Origin + "/" + Hash.Value;
 }
 
-std::string manifestObject(const base::ContentHash &Hash) {
-  return "config/manifest/" + Hash.Value;
+std::string manifestObject(const HeadRow &Row) {
+  return "config/manifest/" + originOf(Row.Version, Row.Push) + "/" +
+         Row.Stored.Value;
 }
 
 std::string formatHeadRow(const HeadRow &Row) {
-  nlohmann::ordered_json Value = {{"version", Row.Version.Value},
-                                  {"push", Row.Push.Value},
-                                  {"author", Row.Author},
-                                  {"when", Row.When.Millis},
-                                  {"manifest", Row.Manifest.Value}};
+  nlohmann::ordered_json Value = {
+      {"version", Row.Version.Value},   {"push", Row.Push.Value},
+      {"author", Row.Author},           {"when", Row.When.Millis},
+      {"manifest", Row.Manifest.Value}, {"stored", Row.Stored.Value}};
   return Value.dump(-1, ' ', false,
                     nlohmann::ordered_json::error_handler_t::replace);
 }
@@ -45,6 +64,7 @@
     Head.Author = Value.at("author").get<std::string>();
     Head.When = base::UnixTime{Value.at("when").get<std::int64_t>()};
     Head.Manifest = base::ContentHash(Value.at("manifest").get<std::string>());
+    Head.Stored = base::ContentHash(Value.at("stored").get<std::string>());
     Head.ETag = Row.ETag;
     return Head;
   } catch (const nlohmann::json::exception &) {
--- a/currantgauge/config/head_row.h
+++ b/currantgauge/config/head_row.h
@@ -17,6 +17,9 @@
 constexpr const char *ConfigTable = "config";
 constexpr const char *HeadKey = "head";
 constexpr const char *HistoryPrefix = "history/";
+// A row under ObjectsPrefix is written before a push's objects and removed
+// after them.
+constexpr const char *ObjectsPrefix = "objects/";
 
 // HeadRow is an accepted version as the store keeps it.
 struct HeadRow {
@@ -25,15 +28,25 @@
   std::string Author;
   base::UnixTime When;
   base::ContentHash Manifest;
-  std::string ETag; // as read; empty when there is no row
+  std::string ETag;         // as read; empty when there is no row
+  base::ContentHash Stored; // of the manifest object, see StoredManifest
 };
 
 // historyKey() returns a version's key; later versions sort first.
 std::string historyKey(base::ConfigVersion Version);
 
+// originOf() names one push of one version: objects that it writes bear this
+// name, and no other push ever writes them.
+std::string originOf(base::ConfigVersion Version, const base::PushId &Push);
+
+// objectsKey() returns the key of a push's row under ObjectsPrefix; later
+// versions sort last.
+std::string objectsKey(const HeadRow &Row);
+
 // partObject() and manifestObject() return the names of objects.
-std::string partObject(const base::ContentHash &Hash);
-std::string manifestObject(const base::ContentHash &Hash);
+std::string partObject(const std::string &Origin,
+                       const base::ContentHash &Hash);
+std::string manifestObject(const HeadRow &Row);
 
 // formatHeadRow() returns the row's value.
 std::string formatHeadRow(const HeadRow &Row);
--- a/currantgauge/config/load.cc
+++ b/currantgauge/config/load.cc
@@ -14,11 +14,14 @@
 
 constexpr std::size_t ReadsAtOnce = 16;
 
+// The manifest is the part without a name.
 void readObject(core::State &Node, base::CallId Load, const std::string &Part,
-                const base::ContentHash &Hash, core::EffectList &Effects) {
-  std::string Name = Part.empty() ? manifestObject(Hash) : partObject(Hash);
+                const StoredPart &Stored, core::EffectList &Effects) {
+  std::string Name = Part.empty()
+                         ? manifestObject(Node.Config.Loads.at(Load).Row)
+                         : partObject(Stored.Origin, Stored.Hash);
   base::CallId Call = callStore(Node, base::GetObject{Name}, Effects);
-  Node.Config.Loads.at(Load).Asked[Call] = {Part, Hash};
+  Node.Config.Loads.at(Load).Asked[Call] = {Part, Stored};
   Node.Config.LoadCalls[Call] = Load;
 }
 
@@ -47,26 +50,26 @@
 // Parts that the version in force here shares are not read again.
 bool takeManifest(core::State &Node, VersionLoad &Load,
                   const std::string &Bytes) {
-  std::optional<Manifest> Hashes = parseManifest(Bytes);
-  if (!Hashes)
+  std::optional<StoredManifest> Stored = readStored(Load.Row, Bytes);
+  if (!Stored)
     return false;
   const PartSetPtr &Held = Node.Config.Document.Parts;
-  for (const auto &[Name, Hash] : *Hashes) {
+  for (const auto &[Name, Part] : *Stored) {
     auto Own = Held ? Held->Parts.find(Name) : decltype(Held->Parts.end())();
-    if (Held && Own != Held->Parts.end() && Own->second->Hash == Hash)
+    if (Held && Own != Held->Parts.end() && Own->second->Hash == Part.Hash)
       Load.Got[Name] = Own->second;
     else
-      Load.Wanted.emplace_back(Name, Hash);
+      Load.Wanted.emplace_back(Name, Part);
   }
   return true;
 }
 
 bool takeObject(core::State &Node, VersionLoad &Load, const std::string &Part,
                 const base::ContentHash &Hash, const std::string &Bytes) {
-  if (hashContent(Bytes) != Hash)
-    return false;
   if (Part.empty())
     return takeManifest(Node, Load, Bytes);
+  if (hashContent(Bytes) != Hash)
+    return false;
   Load.Got[Part] = makePart(Part, Bytes);
   return true;
 }
@@ -74,9 +77,9 @@
 void readNext(core::State &Node, base::CallId Id, core::EffectList &Effects) {
   VersionLoad &Load = Node.Config.Loads.at(Id);
   while (Load.Asked.size() < ReadsAtOnce && !Load.Wanted.empty()) {
-    auto [Part, Hash] = std::move(Load.Wanted.front());
+    auto [Part, Stored] = std::move(Load.Wanted.front());
     Load.Wanted.pop_front();
-    readObject(Node, Id, Part, Hash, Effects);
+    readObject(Node, Id, Part, Stored, Effects);
   }
   if (Load.Asked.empty())
     finishLoad(Node, Id, true, Effects);
@@ -91,7 +94,7 @@
   VersionLoad &Load = Node.Config.Loads[Id];
   Load.Row = Row;
   Load.Operator = Operator;
-  readObject(Node, Id, "", Row.Manifest, Effects);
+  readObject(Node, Id, "", StoredPart(), Effects);
   return Id;
 }
 
@@ -103,10 +106,10 @@
   base::CallId Id = Found->second;
   Node.Config.LoadCalls.erase(Found);
   VersionLoad &Load = Node.Config.Loads.at(Id);
-  auto [Part, Hash] = std::move(Load.Asked.at(Answer.Call));
+  auto [Part, Stored] = std::move(Load.Asked.at(Answer.Call));
   Load.Asked.erase(Answer.Call);
   if (Answer.Result.Status != base::StoreStatus::Done ||
-      !takeObject(Node, Load, Part, Hash, Answer.Result.Bytes))
+      !takeObject(Node, Load, Part, Stored.Hash, Answer.Result.Bytes))
     finishLoad(Node, Id, false, Effects);
   else
     readNext(Node, Id, Effects);
--- a/currantgauge/config/parts.cc
+++ b/currantgauge/config/parts.cc
@@ -181,21 +181,6 @@
   return Text;
 }
 
-std::optional<Manifest> parseManifest(const std::string &Text) {
-  Manifest Hashes;
-  std::string_view Rest = Text;
-  while (!Rest.empty()) {
-    std::string_view Line = takeLine(Rest);
-    std::size_t Space = Line.find(' ');
-    if (Space == 0 || Space == std::string_view::npos ||
-        Line.size() - Space - 1 != HashBytes * 2)
-      return std::nullopt;
-    Hashes.emplace(std::string(Line.substr(0, Space)),
-                   base::ContentHash(std::string(Line.substr(Space + 1))));
-  }
-  return Hashes;
-}
-
 base::ContentHash hashManifest(const PartSet &Whole) {
   return hashContent(formatManifest(manifestOf(Whole)));
 }
--- a/currantgauge/config/parts.h
+++ b/currantgauge/config/parts.h
@@ -14,7 +14,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,9 +75,6 @@
 // formatManifest() returns a line for each part: its name and its hash.
 std::string formatManifest(const Manifest &Hashes);
 
-// parseManifest() is the inverse of formatManifest(), none when malformed.
-std::optional<Manifest> parseManifest(const std::string &Text);
-
 // hashContent() returns the first 128 bits of SHA-256 in hexadecimal.
 base::ContentHash hashContent(std::string_view Text);
 
--- a/currantgauge/config/push.cc
+++ b/currantgauge/config/push.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/config/push.h"
 
 #include "currantgauge/config/push_reply.h"
+#include "currantgauge/config/push_store.h"
 #include "currantgauge/config/spread.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 namespace {
 
 constexpr base::Duration PushLimit = base::seconds(10);
-constexpr std::size_t WritesAtOnce = 8;
 constexpr std::size_t WaitingPushes = 16;
 constexpr std::size_t RememberedVersions = 100; // embedded
 
@@ -54,6 +54,10 @@
 // The push is finished first: putting the version in force may answer it.
 void acceptPush(core::State &Node, core::EffectList &Effects) {
   PendingPush Push = *Node.Config.Push;
+  if (!Push.Stored.empty()) {
+    Node.Config.StoredRow = Push.Next;
+    Node.Config.Stored = std::move(Push.Stored);
+  }
   finishPush(Node, acceptedReply(Push.Next), Effects);
   installVersion(Node, documentOf(Push.Next, Push.Parts), Push.Config, Effects);
 }
@@ -63,6 +67,8 @@
 void acceptEarlier(core::State &Node, const HeadRow &Row,
                    core::EffectList &Effects) {
   PendingPush &Push = *Node.Config.Push;
+  if (Row.Stored != Push.Next.Stored)
+    Push.Stored.clear();
   Push.Next = Row;
   if (Row.Manifest == hashManifest(*Push.Parts))
     return acceptPush(Node, Effects);
@@ -98,13 +104,6 @@
     catchUpFromStore(Node, Push.Head, Effects);
 }
 
-void askStore(core::State &Node, PushPhase Phase,
-              base::StoreOperation Operation, core::EffectList &Effects) {
-  Node.Config.Push->Phase = Phase;
-  Node.Config.Push->RetryDue = false;
-  Node.Config.Push->Call = callStore(Node, std::move(Operation), Effects);
-}
-
 void readHead(core::State &Node, core::EffectList &Effects) {
   askStore(Node, PushPhase::ReadingHead, base::ReadRow{ConfigTable, HeadKey},
            Effects);
@@ -119,63 +118,6 @@
            base::ReadRow{ConfigTable, historyKey(Version)}, Effects);
 }
 
-// The same compare-and-set may be sent again: its tag matches at most once.
-void moveHead(core::State &Node, core::EffectList &Effects) {
-  const PendingPush &Push = *Node.Config.Push;
-  bool IsFirst = Push.Head.ETag.empty();
-  std::string Value = formatHeadRow(Push.Next);
-  base::WriteRows Write;
-  Write.Rows.push_back(base::RowWrite{ConfigTable, HeadKey, Value,
-                                      IsFirst ? base::WriteCondition::IfAbsent
-                                              : base::WriteCondition::IfMatch,
-                                      Push.Head.ETag});
-  Write.Rows.push_back(base::RowWrite{ConfigTable,
-                                      historyKey(Push.Next.Version), Value,
-                                      base::WriteCondition::IfAbsent, ""});
-  askStore(Node, PushPhase::Moving, std::move(Write), Effects);
-}
-
-void storeNext(core::State &Node, core::EffectList &Effects) {
-  PendingPush &Push = *Node.Config.Push;
-  Push.RetryDue = false;
-  while (Push.Storing.size() < WritesAtOnce && !Push.ToStore.empty()) {
-    base::PutObject Write = std::move(Push.ToStore.front());
-    Push.ToStore.pop_front();
-    base::CallId Call = callStore(Node, Write, Effects);
-    Push.Storing.emplace(Call, std::move(Write));
-  }
-  if (Push.Storing.empty())
-    moveHead(Node, Effects);
-}
-
-// Parts of the version in force are in the store already, as long as the head
-// row names that very version.
-void startStoring(core::State &Node, core::EffectList &Effects) {
-  PendingPush &Push = *Node.Config.Push;
-  const ConfigDocument &Present = Node.Config.Document;
-  PartSet Nothing;
-  bool IsStored = Present.Parts && Push.Head.Version == Present.Version &&
-                  Push.Head.Manifest == hashManifest(*Present.Parts);
-  for (const std::string &Name :
-       changedParts(IsStored ? *Present.Parts : Nothing, *Push.Parts)) {
-    auto Part = Push.Parts->Parts.find(Name);
-    if (Part != Push.Parts->Parts.end())
-      Push.ToStore.push_back(
-          base::PutObject{partObject(Part->second->Hash), Part->second->Text});
-  }
-  Push.ToStore.push_back(
-      base::PutObject{manifestObject(Push.Next.Manifest),
-                      formatManifest(manifestOf(*Push.Parts))});
-  Push.Phase = PushPhase::Storing;
-  storeNext(Node, Effects);
-}
-
-HeadRow nextRow(const core::State &Node, base::ConfigVersion Version) {
-  const PendingPush &Push = *Node.Config.Push;
-  return HeadRow{Version,   Push.Asked.Push,           Push.Asked.Author,
-                 Node.Wall, hashManifest(*Push.Parts), ""};
-}
-
 // The version after the highest one known of anywhere: a store that lost its
 // newest rows does not make versions fall.
 void onHead(core::State &Node, const HeadRow &Head, core::EffectList &Effects) {
@@ -185,10 +127,8 @@
     return acceptEarlier(Node, Head, Effects);
   base::ConfigVersion Top =
       std::max({Head.Version, Node.Config.Heard, Node.Config.Document.Version});
-  if (Push.Asked.Base == Top && Push.Next.Version.Value == 0) {
-    Push.Next = nextRow(Node, base::ConfigVersion(Top.Value + 1));
-    return startStoring(Node, Effects);
-  }
+  if (Push.Asked.Base == Top && Push.Next.Version.Value == 0)
+    return readManifest(Node, Effects);
   if (Push.Asked.Base < Head.Version && Push.Next.Version.Value == 0)
     return readHistory(Node, Effects);
   refuseOrCatchUp(Node, Effects);
@@ -208,6 +148,14 @@
   finishPush(Node, failure("the store's head row is malformed"), Effects);
 }
 
+// isHistoryGone() says whether the version that the push would have become may
+// have been one, long ago.
+bool isHistoryGone(const core::State &Node) {
+  const PendingPush &Push = *Node.Config.Push;
+  return Push.Asked.Base.Value + 1 + Node.Config.Retention.MinVersions <=
+         Push.Head.Version.Value;
+}
+
 void onHistoryAnswered(core::State &Node, const base::StoreResult &Result,
                        core::EffectList &Effects) {
   PendingPush &Push = *Node.Config.Push;
@@ -220,6 +168,12 @@
   }
   if (Row && Row->Push == Push.Asked.Push)
     return acceptEarlier(Node, *Row, Effects);
+  if (!Row && isHistoryGone(Node))
+    return finishPush(Node,
+                      failure("unknown: the history no longer goes back to "
+                              "version " +
+                              std::to_string(Push.Asked.Base.Value + 1)),
+                      Effects);
   if (Push.Next.Version.Value == 0)
     return refuseOrCatchUp(Node, Effects);
   // No row yet and nobody else's: the write is still out, or never arrived.
@@ -252,19 +206,6 @@
   }
 }
 
-void onStored(core::State &Node, const core::StoreAnswered &Answer,
-              core::EffectList &Effects) {
-  PendingPush &Push = *Node.Config.Push;
-  auto Found = Push.Storing.find(Answer.Call);
-  if (Answer.Result.Status != base::StoreStatus::Done) {
-    Push.ToStore.push_back(std::move(Found->second));
-    Push.RetryDue = true;
-  }
-  Push.Storing.erase(Found);
-  if (!Push.RetryDue)
-    storeNext(Node, Effects);
-}
-
 void acceptInMemory(core::State &Node, core::EffectList &Effects) {
   PendingPush &Push = *Node.Config.Push;
   const ConfigDocument &Present = Node.Config.Document;
@@ -272,7 +213,7 @@
     Push.Head.Version = Present.Version;
     return refuseStale(Node, Effects);
   }
-  Push.Next = nextRow(Node, base::ConfigVersion(Present.Version.Value + 1));
+  Push.Next = nextRow(Node);
   Node.Config.Memory.push_front(documentOf(Push.Next, Push.Parts));
   if (Node.Config.Memory.size() > RememberedVersions)
     Node.Config.Memory.pop_back();
@@ -334,6 +275,10 @@
     return false;
   if (Push->Phase == PushPhase::ReadingHead)
     onHeadAnswered(Node, Answer.Result, Effects);
+  else if (Push->Phase == PushPhase::ReadingManifest)
+    onManifestAnswered(Node, Answer.Result, Effects);
+  else if (Push->Phase == PushPhase::Registering)
+    onRegistered(Node, Answer.Result, Effects);
   else if (Push->Phase == PushPhase::ReadingHistory)
     onHistoryAnswered(Node, Answer.Result, Effects);
   else if (Push->Phase == PushPhase::Moving)
@@ -368,12 +313,13 @@
   switch (Push.Phase) {
   case PushPhase::ReadingHead:
     return readHead(Node, Effects);
-  case PushPhase::ReadingHistory:
-    return readHistory(Node, Effects);
+  case PushPhase::ReadingManifest:
+  case PushPhase::Registering:
   case PushPhase::Storing:
-    return storeNext(Node, Effects);
   case PushPhase::Moving:
-    return moveHead(Node, Effects);
+    return resumeStoring(Node, Effects);
+  case PushPhase::ReadingHistory:
+    return readHistory(Node, Effects);
   case PushPhase::Parsing:
   case PushPhase::CatchingUp:
     return;
--- a/currantgauge/config/queries.cc
+++ b/currantgauge/config/queries.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/config/queries.h"
 
+#include "currantgauge/config/collect.h"
 #include "currantgauge/config/load.h"
 #include "currantgauge/config/push.h"
 #include "currantgauge/config/spread.h"
@@ -133,6 +134,7 @@
                      core::EffectList &Effects) {
   return onPushAnswered(Node, Answer, Effects) ||
          onLoadAnswered(Node, Answer, Effects) ||
+         onCollectAnswered(Node, Answer, Effects) ||
          onCatchUpHead(Node, Answer, Effects) ||
          onViewAnswered(Node, Answer, Effects);
 }
--- a/currantgauge/config/spread.cc
+++ b/currantgauge/config/spread.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/config/spread.h"
 
+#include "currantgauge/config/collect.h"
 #include "currantgauge/config/load.h"
 #include "currantgauge/config/push.h"
 
@@ -152,6 +153,7 @@
 
 void startRounds(core::State &Node) {
   Node.Config.NextPoll = Node.Now + StartGrace;
+  scheduleFirstCollection(Node);
   core::setTimer(Node.Timers, Node.Now + RoundInterval, core::ConfigRound{});
 }
 
@@ -277,6 +279,7 @@
     endCatchUp(Node, true);
   lookForVersion(Node, Effects);
   resumePush(Node, Effects);
+  onCollectRound(Node, Effects);
   becomeReady(Node, Effects);
   core::setTimer(Node.Timers, Node.Now + RoundInterval, core::ConfigRound{});
 }
--- a/currantgauge/config/spread_test.cc
+++ b/currantgauge/config/spread_test.cc
@@ -153,7 +153,7 @@
   push(Fleet, 0, sampleDocument("b", 3000), 1, "p2");
   runFor(Fleet, base::seconds(10));
   CHECK(isEverywhere(Fleet, base::ConfigVersion(2)));
-  CHECK(Fleet.Store.Writes == Writes + 3); // part, manifest, rows
+  CHECK(Fleet.Store.Writes == Writes + 4); // row, manifest, part, rows
   CHECK(Fleet.FetchedBytes <= 4 * 100);
 }
 
--- a/currantgauge/config/state.h
+++ b/currantgauge/config/state.h
@@ -12,6 +12,7 @@
 #include "currantgauge/config/head_row.h"
 #include "currantgauge/config/model.h"
 #include "currantgauge/config/parts.h"
+#include "currantgauge/config/stored_manifest.h"
 
 #include <cstdint>
 #include <deque>
@@ -36,10 +37,12 @@
 enum class PushPhase {
   Parsing,
   ReadingHead,
-  Storing,        // of parts and manifest
-  Moving,         // of the head row, by compare-and-set
-  ReadingHistory, // whether an earlier try was accepted
-  CatchingUp,     // to say what another operator changed
+  ReadingManifest, // of the version that it changes
+  Registering,     // the row that says which objects are about to be written
+  Storing,         // of parts and manifest
+  Moving,          // of the head row, by compare-and-set
+  ReadingHistory,  // whether an earlier try was accepted
+  CatchingUp,      // to say what another operator changed
 };
 
 // PendingPush is a push under way; a node runs one at a time.
@@ -55,6 +58,8 @@
   ConfigurationPtr Config;
   HeadRow Head; // as read
   HeadRow Next; // as this push would make it
+  StoredManifest Stored;
+  bool ManifestStored = false; // the first of ToStore
   std::deque<base::PutObject> ToStore;
   std::map<base::CallId, base::PutObject> Storing;
 };
@@ -64,8 +69,8 @@
   HeadRow Row;
   std::optional<base::CallId> Operator; // who asked to see it; none: catch-up
   std::map<std::string, ConfigPartPtr> Got;
-  std::deque<std::pair<std::string, base::ContentHash>> Wanted;
-  std::map<base::CallId, std::pair<std::string, base::ContentHash>> Asked;
+  std::deque<std::pair<std::string, StoredPart>> Wanted;
+  std::map<base::CallId, std::pair<std::string, StoredPart>> Asked;
 };
 
 // CatchUpPhase is what a node that lags waits for.
@@ -79,6 +84,42 @@
   ConfigDocument Target; // of Parsing
 };
 
+// Retention bounds what the store keeps of earlier versions: those among the
+// newest MinVersions, and younger ones up to MaxVersions.
+struct Retention {
+  std::uint64_t MinVersions = 100;
+  std::uint64_t MaxVersions = 2000;
+  base::Duration MaxAge = base::minutes(30 * 24 * 60);
+  base::Duration Interval = base::seconds(10); // of the fleet's collections
+};
+
+// CollectPhase is the step that a collection waits for.
+enum class CollectPhase {
+  Idle,
+  ReadingHead,
+  Scanning,            // the rows of the oldest pushes
+  ReadingKept,         // the history row of the oldest version that stays
+  ReadingKeptManifest, // and its manifest
+  RemovingHistory,     // rows of the expired versions
+  ReadingManifest,     // then for each expired push
+  RemovingObject,
+  RemovingRow,
+};
+
+// Collection removes pushes that expired from the store, oldest first.
+struct Collection {
+  CollectPhase Phase = CollectPhase::Idle;
+  base::CallId Call;
+  base::TimePoint Since;
+  std::uint32_t Writes = 0; // in this round
+  bool Paused = false;      // until the next round
+  base::ConfigVersion Head;
+  std::deque<HeadRow> Expired;
+  std::deque<HeadRow> Candidates; // for the oldest that stays
+  std::set<std::string> Kept;     // objects
+  std::deque<std::string> ToRemove;
+};
+
 // View is an operator's question that a row of the store answers.
 struct View {
   base::CallId Operator;
@@ -95,6 +136,11 @@
   std::uint32_t FailedFetches = 0; // in a row, of peers
   base::TimePoint NextPoll;        // of the store's head row
   base::TimePoint ReadyBy = base::Never;
+  config::Retention Retention;
+  Collection Collecting;
+  base::TimePoint NextCollection;
+  HeadRow StoredRow; // the version that Stored is of
+  StoredManifest Stored;
   std::optional<PendingPush> Push;
   std::deque<PushRequest> Waiting;
   std::map<base::CallId, VersionLoad> Loads;      // by their own id
--- a/currantgauge/config/test_fleet.h
+++ b/currantgauge/config/test_fleet.h
@@ -31,7 +31,9 @@
 struct TestStore {
   base::MemoryStore Memory;
   bool Down = false;
-  double LostAnswers = 0;   // share of writes that apply and answer Unknown
+  double LostAnswers = 0;   // share of row writes that apply, answer Unknown
+  double LostObjects = 0;   // the same of objects
+  double LateWrites = 0;    // share that answer Unknown and apply later
   std::uint64_t Writes = 0; // rows and objects
 };
 
@@ -62,9 +64,11 @@
   base::Random Source;
   base::TimePoint Now{1000000};
   std::multimap<base::TimePoint, Arrival> Arrivals;
+  std::multimap<base::TimePoint, base::StoreOperation> LateWrites;
   std::vector<Answer> Answers;
   double Loss = 0; // share of messages between nodes
   bool Embedded = false;
+  config::Retention Retention;
   std::uint64_t LastOperator = 1u << 20;
   std::uint64_t FetchedBytes = 0;
 
@@ -92,6 +96,39 @@
   return base::uniformUnit(Fleet.Source) < Share;
 }
 
+inline bool isWrite(const base::StoreOperation &Operation) {
+  return std::holds_alternative<base::WriteRows>(Operation) ||
+         std::holds_alternative<base::PutObject>(Operation) ||
+         std::holds_alternative<base::DeleteObject>(Operation);
+}
+
+inline base::StoreResult callTestStore(TestFleet &Fleet,
+                                       const base::StoreOperation &Operation) {
+  TestStore &Store = Fleet.Store;
+  if (!isWrite(Operation))
+    return base::applyOperation(Store.Memory, Operation);
+  ++Store.Writes;
+  if (happens(Fleet, Store.LateWrites)) {
+    auto Delay = base::Duration{
+        static_cast<std::int64_t>(base::uniformBelow(Fleet.Source, 20000000))};
+    Fleet.LateWrites.emplace(Fleet.Now + Delay, Operation);
+    return base::StoreResult{base::StoreStatus::Unknown, {}, {}};
+  }
+  base::StoreResult Result = base::applyOperation(Store.Memory, Operation);
+  bool IsRow = std::holds_alternative<base::WriteRows>(Operation);
+  if (happens(Fleet, IsRow ? Store.LostAnswers : Store.LostObjects))
+    Result.Status = base::StoreStatus::Unknown;
+  return Result;
+}
+
+inline void applyLateWrites(TestFleet &Fleet) {
+  while (!Fleet.LateWrites.empty() &&
+         Fleet.LateWrites.begin()->first <= Fleet.Now) {
+    base::applyOperation(Fleet.Store.Memory, Fleet.LateWrites.begin()->second);
+    Fleet.LateWrites.erase(Fleet.LateWrites.begin());
+  }
+}
+
 struct TestEffects {
   TestFleet &Fleet;
   std::size_t From;
@@ -110,16 +147,9 @@
            base::milliseconds(20));
   }
   void operator()(const core::CallStore &Asked) const {
-    TestStore &Store = this->Fleet.Store;
     core::StoreAnswered Answered{Asked.Call, {}};
-    if (!Store.Down) {
-      Answered.Result = base::applyOperation(Store.Memory, Asked.Operation);
-      bool IsRow = std::holds_alternative<base::WriteRows>(Asked.Operation);
-      if (IsRow || std::holds_alternative<base::PutObject>(Asked.Operation))
-        ++Store.Writes;
-      if (IsRow && happens(this->Fleet, Store.LostAnswers))
-        Answered.Result.Status = base::StoreStatus::Unknown;
-    }
+    if (!this->Fleet.Store.Down)
+      Answered.Result = callTestStore(this->Fleet, Asked.Operation);
     send(this->Fleet, this->From, Answered, base::milliseconds(30));
   }
   void operator()(const core::ParseConfig &Asked) const {
@@ -173,6 +203,7 @@
   Self.Embedded = Fleet.Embedded;
   Self.Seeds = {addressOf(0)};
   Node = TestNode{core::makeState(Self, Fleet.Source()), {}, true, Life, {}};
+  Node.State.Config.Retention = Fleet.Retention;
   deliver(Fleet, Index, core::Started{});
 }
 
@@ -189,6 +220,7 @@
     TestFleet::Arrival Next = std::move(Fleet.Arrivals.begin()->second);
     Fleet.Now = std::max(Fleet.Now, Fleet.Arrivals.begin()->first);
     Fleet.Arrivals.erase(Fleet.Arrivals.begin());
+    applyLateWrites(Fleet);
     if (Fleet.Nodes[Next.Node].Up && Fleet.Nodes[Next.Node].Life == Next.Life)
       deliver(Fleet, Next.Node, std::move(Next.Body));
   }
@@ -230,7 +262,8 @@
 // highestAccepted() returns the version of the store's head row.
 inline base::ConfigVersion highestAccepted(const TestFleet &Fleet) {
   auto Rows = Fleet.Store.Memory.Tables.find(ConfigTable);
-  if (Rows == Fleet.Store.Memory.Tables.end())
+  if (Rows == Fleet.Store.Memory.Tables.end() ||
+      !Rows->second.contains(HeadKey))
     return base::ConfigVersion();
   const std::string &Value = Rows->second.at(HeadKey).Value;
   return parseHeadRow({HeadKey, Value, ""})->Version;
--- a/currantgauge/platform/store_client_test.cc
+++ b/currantgauge/platform/store_client_test.cc
@@ -63,6 +63,11 @@
   CHECK(call(With, base::PutObject{"head", std::string("\0\xff", 2)}).Status ==
         base::StoreStatus::Done);
   CHECK(call(With, base::GetObject{"head"}).Bytes == std::string("\0\xff", 2));
+  for (int Try = 0; Try < 2; ++Try)
+    CHECK(call(With, base::DeleteObject{"head"}).Status ==
+          base::StoreStatus::Done);
+  CHECK(call(With, base::GetObject{"head"}).Status ==
+        base::StoreStatus::NotFound);
 }
 
 TEST_CASE("a write whose answer is lost is unknown and is not sent again") {
--- a/currantgauge/platform/store_codec.cc
+++ b/currantgauge/platform/store_codec.cc
@@ -101,6 +101,11 @@
   return Request;
 }
 
+StoreRequest encode(const base::DeleteObject &Delete) {
+  return makeRequest(http::verb::delete_,
+                     "/objects/" + encodePercent(Delete.Name));
+}
+
 // A service that is overloaded or out says so before it applies anything; any
 // other failure of the server leaves a write in doubt.
 base::StoreStatus statusOf(const base::StoreOperation &Operation,
@@ -108,6 +113,8 @@
   unsigned Code = Response.result_int();
   if (Code >= 200 && Code < 300)
     return base::StoreStatus::Done;
+  if (Code == 404 && std::holds_alternative<base::DeleteObject>(Operation))
+    return base::StoreStatus::Done;
   if (Code == 404 && !isWrite(Operation))
     return base::StoreStatus::NotFound;
   if (Code == 412)
@@ -130,7 +137,8 @@
 
 bool isWrite(const base::StoreOperation &Operation) {
   return std::holds_alternative<base::WriteRows>(Operation) ||
-         std::holds_alternative<base::PutObject>(Operation);
+         std::holds_alternative<base::PutObject>(Operation) ||
+         std::holds_alternative<base::DeleteObject>(Operation);
 }
 
 std::optional<StoreRequest>
@@ -148,7 +156,8 @@
   Result.Status = statusOf(Operation, Response);
   bool HasBody = Result.Status == base::StoreStatus::Done ||
                  Result.Status == base::StoreStatus::ConditionFailed;
-  if (!HasBody || std::holds_alternative<base::PutObject>(Operation))
+  if (!HasBody || std::holds_alternative<base::PutObject>(Operation) ||
+      std::holds_alternative<base::DeleteObject>(Operation))
     return Result;
   if (std::holds_alternative<base::GetObject>(Operation)) {
     Result.Bytes = Response.body();
--- a/tests/stand_ins/platform.cc
+++ b/tests/stand_ins/platform.cc
@@ -116,6 +116,9 @@
     return transactionOf(Request);
   if (Parts.size() == 2 && Parts[0] == "objects" && IsGet)
     return base::GetObject{Parts[1]};
+  if (Parts.size() == 2 && Parts[0] == "objects" &&
+      Request.method() == http::verb::delete_)
+    return base::DeleteObject{Parts[1]};
   if (Parts.size() == 2 && Parts[0] == "objects")
     return base::PutObject{Parts[1], Request.body()};
   if (Parts.size() < 3 || Parts[0] != "tables" || Parts[2] != "rows")
@@ -168,7 +171,8 @@
 
 bool isWrite(const base::StoreOperation &Operation) {
   return std::holds_alternative<base::WriteRows>(Operation) ||
-         std::holds_alternative<base::PutObject>(Operation);
+         std::holds_alternative<base::PutObject>(Operation) ||
+         std::holds_alternative<base::DeleteObject>(Operation);
 }
 
 bool overRate(RateCount &Rate, double Limit,
