--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -3,10 +3,13 @@
 //
 //   build/config_bench operator 0.1    what config check does
 //   build/config_bench node 1          what a node does with a version
+//   build/config_bench node 1 --json FILE   the figures as JSON too, - for
+//                                           the standard output
 #include "currantgauge/config/assemble.h"
 #include "currantgauge/config/delta.h"
 #include "currantgauge/config/document.h"
 
+#include <nlohmann/json.hpp>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -16,6 +19,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -100,22 +104,32 @@
   return Files;
 }
 
-void report(const char *Step, double Share, double Seconds) {
+// Results prints each figure as it comes and keeps it for the JSON.
+struct Results {
+  double Share = 1;
+  nlohmann::ordered_json Figures = nlohmann::ordered_json::object();
+};
+
+void report(Results &Found, const char *Step, const char *Key, double Seconds) {
+  double Now = residentMiB();
+  double Peak = peakMiB();
   std::printf("%-26s %4.0f%%  %8.3f s  %7.1f MiB now  %7.1f MiB peak\n", Step,
-              Share * 100, Seconds, residentMiB(), peakMiB());
+              Found.Share * 100, Seconds, Now, Peak);
+  Found.Figures[Key] = {
+      {"seconds", Seconds}, {"resident_mib", Now}, {"peak_mib", Peak}};
 }
 
 // What `config check` does in the operators' client.
-void mergeAndCheck(double Share, const Size &Wanted) {
+void mergeAndCheck(Results &Found, const Size &Wanted) {
   std::vector<config::ConfigFile> Files = makeFolder(Wanted);
   config::SettingsErrors Errors;
   auto Start = Clock::now();
   config::Document Merged = config::mergeDocument(std::move(Files), Errors);
-  report("merge", Share, secondsSince(Start));
+  report(Found, "merge", "merge", secondsSince(Start));
   Start = Clock::now();
   if (!config::checkDocument(Merged, Errors))
     std::printf("errors: %zu\n", Errors.size());
-  report("check", Share, secondsSince(Start));
+  report(Found, "check", "check", secondsSince(Start));
 }
 
 std::string makeDocument(const Size &Wanted) {
@@ -132,13 +146,15 @@
 }
 
 // What a node does with its first version and with small changes after it.
-void assemble(double Share, std::string Text) {
+void assemble(Results &Found, std::string Text) {
   double Before = residentMiB();
   auto Start = Clock::now();
   config::AssembledConfig First = config::assembleConfig({Text, {}, {}, {}});
-  report("node: first version", Share, secondsSince(Start));
+  report(Found, "node: first version", "first_version", secondsSince(Start));
+  double Held = residentMiB() - Before;
   std::printf("%-26s %4.0f%%  %8.1f MiB more held\n", "node: memory",
-              Share * 100, residentMiB() - Before);
+              Found.Share * 100, Held);
+  Found.Figures["first_version"]["held_mib"] = Held;
   config::ConfigServer Server;
   config::serveDocument(Server,
                         {base::ConfigVersion(1), {}, {}, {}, First.Parts});
@@ -158,9 +174,23 @@
     Last = config::assembleConfig({"", Next, Last.Parts, Last.Config});
     Apply += secondsSince(Start);
   }
-  report("node: one small change", Share, Apply / SmallChanges);
+  report(Found, "node: one small change", "one_change", Apply / SmallChanges);
   std::printf("%-26s %4.0f%%  %8zu bytes of parts\n", "node: one small change",
-              Share * 100, Bytes / SmallChanges);
+              Found.Share * 100, Bytes / SmallChanges);
+  Found.Figures["one_change"]["part_bytes"] = Bytes / SmallChanges;
+}
+
+// Returns false when the file can't be written.
+bool writeJson(const Results &Found, const std::string &Path) {
+  nlohmann::ordered_json Whole = {{"share", Found.Share}};
+  Whole.update(Found.Figures);
+  if (Path == "-") {
+    std::cout << Whole.dump(2) << std::endl;
+    return true;
+  }
+  std::ofstream File(Path);
+  File << Whole.dump(2) << "\n";
+  return static_cast<bool>(File.flush());
 }
 
 } // namespace
@@ -168,18 +198,25 @@
 
 int main(int Count, char **Arguments) {
   using namespace currantgauge;
-  if (Count != 3) {
-    std::fprintf(stderr, "usage: config_bench operator|node SHARE\n");
+  bool WantsJson = Count == 5 && std::string(Arguments[3]) == "--json";
+  if (Count != 3 && !WantsJson) {
+    std::fprintf(stderr,
+                 "usage: config_bench operator|node SHARE [--json FILE]\n");
     return 2;
   }
-  double Share = std::strtod(Arguments[2], nullptr);
+  Results Found;
+  Found.Share = std::strtod(Arguments[2], nullptr);
   auto Part = [&](std::size_t Whole) {
-    return static_cast<std::size_t>(Share * static_cast<double>(Whole));
+    return static_cast<std::size_t>(Found.Share * static_cast<double>(Whole));
   };
   Size Wanted{Part(Routes), Part(Workspaces), Part(Services)};
   if (std::string(Arguments[1]) == "operator")
-    mergeAndCheck(Share, Wanted);
+    mergeAndCheck(Found, Wanted);
   else
-    assemble(Share, makeDocument(Wanted));
-  return EXIT_SUCCESS;
+    assemble(Found, makeDocument(Wanted));
+  std::fflush(stdout);
+  if (!WantsJson || writeJson(Found, Arguments[4]))
+    return EXIT_SUCCESS;
+  std::fprintf(stderr, "can't write %s\n", Arguments[4]);
+  return EXIT_FAILURE;
 }
