--- a/currantgauge/config/merge.cc
+++ b/currantgauge/config/merge.cc
@@ -1,11 +1,8 @@
 #include "currantgauge/config/merge.h"
 
-#include "currantgauge/config/plain_yaml.h"
-
 #include <cstddef>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace currantgauge::config {
 namespace {
@@ -103,36 +100,10 @@
   return (Where.File ? *Where.File : "") + ":" + std::to_string(Where.Line);
 }
 
-// A fleet entry stands where its first field does.
-void mergeLine(Document &Merged, const std::string *File,
-               const PlainLine &Line) {
-  auto Section = Merged.Sections.find(Line.Section);
-  if (Section == Merged.Sections.end())
-    Section =
-        Merged.Sections.emplace(std::string(Line.Section), DocumentSection())
-            .first;
-  DocumentEntry &Entry = Section->second[std::string(Line.Name)];
-  if (!Entry.Where.File)
-    Entry.Where = Place{File, Line.Line, Line.Column};
-  for (const PlainField &Each : Line.Fields)
-    Entry.Fields[std::string(Each.Key)] =
-        Field{std::string(Each.Value), Place{File, Line.Line, Each.Column}};
-}
-
 } // namespace
 
 void mergeInto(Document &Merged, const std::string &FileName,
                const std::string &Text, SettingsErrors &Errors) {
-  std::vector<PlainLine> Lines;
-  if (!readPlainYaml(Text, Lines))
-    return mergeYaml(Merged, FileName, Text, Errors);
-  const std::string &File = Merged.FileNames.emplace_back(FileName);
-  for (const PlainLine &Line : Lines)
-    mergeLine(Merged, &File, Line);
-}
-
-void mergeYaml(Document &Merged, const std::string &FileName,
-               const std::string &Text, SettingsErrors &Errors) {
   const std::string &File = Merged.FileNames.emplace_back(FileName);
   YamlSource Source{&File, &Errors};
   std::optional<YAML::Node> Loaded = loadYaml(Source, Text);
--- a/currantgauge/config/merge.h
+++ b/currantgauge/config/merge.h
@@ -41,10 +41,6 @@
 void mergeInto(Document &Merged, const std::string &FileName,
                const std::string &Text, SettingsErrors &Errors);
 
-// mergeYaml() is mergeInto() through the YAML library alone, whatever the text.
-void mergeYaml(Document &Merged, const std::string &FileName,
-               const std::string &Text, SettingsErrors &Errors);
-
 // formatEntry() returns an entry as one line: "  name: {key: value}\n".
 std::string formatEntry(const std::string &Name, const DocumentEntry &Entry);
 
