Settings: an advertised peer address, when it differs from the listening one

Cause: nodes told each other the address that they listen on. A node that listens on all addresses, or that others reach through a translation, could not be reached, and no fault proxy could stand between two nodes in a test. advertise.peers gives the address that goes to peers and into the table of nodes; by default it is listen.peers. 0.0.0.0 and [::] can't be advertised: before, such a node started and nobody could call it.

Ruled out: an address for each region or peer, which needs a field more in each record; one address is enough for what is known today.

Tests: config_test, 2 new cases, and the case with every key.

--- a/currantgauge/config/node_settings.cc
+++ b/currantgauge/config/node_settings.cc
@@ -39,6 +39,24 @@
   closeMap(Listen);
 }
 
+bool isAnyAddress(const base::NetAddress &Address) {
+  return Address.Value.starts_with("0.0.0.0:") ||
+         Address.Value.starts_with("[::]:");
+}
+
+// Other nodes call the address that this one tells them: where it listens on
+// all addresses, or behind a translation, it must be told which that is.
+void readAdvertised(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Advertise = openSection(Root, "advertise");
+  Settings.AdvertisedPeerAddress = Settings.PeerAddress;
+  readValue(Advertise, "peers", Settings.AdvertisedPeerAddress);
+  if (isAnyAddress(Settings.AdvertisedPeerAddress))
+    noteField(Advertise, "peers",
+              " must be an address that other nodes reach, not " +
+                  Settings.AdvertisedPeerAddress.Value);
+  closeMap(Advertise);
+}
+
 void readSeeds(FieldMap &Root, NodeSettings &Settings) {
   const YAML::Node *Seeds = findNested(Root, "seeds");
   if (!Seeds)
@@ -144,6 +162,7 @@
   FieldMap Root = openMap(Source, *Loaded, "");
   readIdentity(Root, Settings);
   readListeners(Root, Settings);
+  readAdvertised(Root, Settings);
   readSeeds(Root, Settings);
   readPlatform(Root, Settings);
   readOperators(Root, Settings);
--- a/currantgauge/config/node_settings.h
+++ b/currantgauge/config/node_settings.h
@@ -38,6 +38,8 @@
   base::NetAddress OperatorAddress{"127.0.0.1:8082"}; // HTTP, operators
   // Backend servers announce themselves here; metrics and health as well.
   base::NetAddress AnnounceAddress{"127.0.0.1:8083"};
+  // Where other nodes reach this one; PeerAddress unless set.
+  base::NetAddress AdvertisedPeerAddress{"127.0.0.1:8081"};
   std::vector<base::NetAddress> Seeds;
   bool Embedded = true;            // platform: embedded
   base::NetAddress Platform;       // platform: IP:port of the service
--- a/currantgauge/config/node_settings_test.cc
+++ b/currantgauge/config/node_settings_test.cc
@@ -27,6 +27,7 @@
                                    "  peers: 10.0.0.7:81\n"
                                    "  operators: 10.0.0.7:82\n"
                                    "  announcements: '[::1]:83'\n"
+                                   "advertise: {peers: 192.0.2.7:81}\n"
                                    "seeds: [10.0.0.8:81]\n"
                                    "platform: 10.0.0.9:90\n"
                                    "operators: {token: t, certificate: c.pem, "
@@ -41,6 +42,8 @@
   for (const SettingsError &Error : Errors)
     MESSAGE(formatError(Error));
   CHECK(Errors.empty());
+  CHECK(Settings.PeerAddress.Value == "10.0.0.7:81");
+  CHECK(Settings.AdvertisedPeerAddress.Value == "192.0.2.7:81");
   CHECK(Settings.Seeds.size() == 1);
   CHECK_FALSE(Settings.Embedded);
   CHECK(Settings.HeaderLimit.Bytes == 8192);
@@ -70,6 +73,36 @@
   CHECK(Errors.size() == 7);
 }
 
+TEST_CASE("a node advertises the address that it listens on, or another") {
+  SettingsErrors Errors;
+  NodeSettings Same = parseNodeSettings(
+      Identity + "listen: {peers: 10.0.0.7:81}\n", "n.yaml", Errors);
+  CHECK(Same.AdvertisedPeerAddress.Value == "10.0.0.7:81");
+  NodeSettings Any = parseNodeSettings(
+      Identity + "listen: {peers: 0.0.0.0:81}\nadvertise: {peers: "
+                 "10.0.0.7:81}\n",
+      "n.yaml", Errors);
+  CHECK(Any.PeerAddress.Value == "0.0.0.0:81");
+  CHECK(Any.AdvertisedPeerAddress.Value == "10.0.0.7:81");
+  CHECK(Errors.empty());
+}
+
+TEST_CASE("an address that means all addresses can't be advertised") {
+  for (const char *Listen :
+       {"listen: {peers: 0.0.0.0:81}\n", "listen: {peers: '[::]:81'}\n",
+        "advertise: {peers: 0.0.0.0:81}\n"}) {
+    CAPTURE(Listen);
+    SettingsErrors Errors;
+    parseNodeSettings(Identity + Listen, "n.yaml", Errors);
+    CHECK(mentions(Errors, "advertise.peers must be an address"));
+  }
+  SettingsErrors Errors;
+  parseNodeSettings(Identity + "advertise: {peers: here:81}\n", "n.yaml",
+                    Errors);
+  CHECK(mentions(Errors, "advertise.peers: \"here:81\""));
+  CHECK(Errors.size() == 1);
+}
+
 TEST_CASE("an operators' listener that other VMs reach needs a token") {
   SettingsErrors Errors;
   parseNodeSettings(Identity + "listen: {operators: 0.0.0.0:82}\n", "n.yaml",
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -34,7 +34,7 @@
   Self.Name = Settings.Name;
   Self.Region = Settings.Region;
   Self.Domain = Settings.Domain;
-  Self.PeerAddress = Settings.PeerAddress;
+  Self.PeerAddress = Settings.AdvertisedPeerAddress;
   Self.Life = base::Incarnation(static_cast<std::uint64_t>(wallNow().Millis));
   Self.Seeds = Settings.Seeds;
   Self.Embedded = Settings.Embedded;
