--- /dev/null
+++ b/tests/integration/callers.cc
@@ -0,0 +1,150 @@
+#include "tests/integration/callers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <stdexcept>
+
+namespace currantgauge::integration {
+namespace {
+
+constexpr std::chrono::milliseconds ReadInterval{30};
+
+// Callers of actions do not wait for the kind's whole deadline.
+const std::string Timeout = "1500";
+
+std::string verdictsOf(const std::vector<std::optional<Answer>> &Asks) {
+  std::string Text;
+  for (const std::optional<Answer> &Got : Asks)
+    Text += " " + (Got ? verdictOf(Got) + "/" + reasonOf(Got)
+                       : std::string("no answer"));
+  return Text;
+}
+
+// A lost answer leaves the action in doubt, as may_have_run does.
+bool isDenied(const std::vector<std::optional<Answer>> &Asks,
+              std::uint64_t Runs) {
+  auto Says = [&](const char *Verdict) {
+    return [Verdict](const std::optional<Answer> &Got) {
+      return verdictOf(Got) == Verdict;
+    };
+  };
+  if (Runs > 1)
+    return true;
+  if (Runs == 0)
+    return std::any_of(Asks.begin(), Asks.end(), Says("ran"));
+  return std::all_of(Asks.begin(), Asks.end(), Says("not_run"));
+}
+
+} // namespace
+
+const std::string DemoConfig =
+    std::string(CURRANTGAUGE_SOURCE_DIR) + "/examples/demo/config";
+
+Load::Load(const Fleet &Some, std::size_t Threads) {
+  for (std::size_t I = 0; I < Threads; ++I)
+    this->Threads.emplace_back([this, &Some, I] {
+      const NodeProcess &Node = Some.Nodes[I % Some.Nodes.size()];
+      while (!this->Stop) {
+        auto Got = ask(Node.Callers, "GET", "/lists/7");
+        ++(Got && Got->Status == 200 ? this->Good : this->Bad);
+        std::this_thread::sleep_for(ReadInterval);
+      }
+    });
+}
+
+Load::~Load() {
+  this->Stop = true;
+  for (std::thread &Each : this->Threads)
+    Each.join();
+}
+
+std::string fieldOf(const std::optional<Answer> &Got, const char *Name) {
+  return Got && Got->Fields.contains(Name) ? Got->Fields.at(Name) : "";
+}
+
+std::string verdictOf(const std::optional<Answer> &Got) {
+  return fieldOf(Got, "currantgauge-verdict");
+}
+
+std::string reasonOf(const std::optional<Answer> &Got) {
+  return fieldOf(Got, "currantgauge-reason");
+}
+
+std::optional<Answer> commit(const NodeProcess &Node, const std::string &Key) {
+  return ask(Node.Callers, "POST", "/commits/9", "order " + Key,
+             {{"Idempotency-Key", Key}, {"Currantgauge-Timeout-Ms", Timeout}});
+}
+
+// An id goes before a key; the key tells the server which action this is.
+std::optional<Answer> commitById(const NodeProcess &Node,
+                                 const std::string &Key,
+                                 const std::string &Id) {
+  return ask(Node.Callers, "POST", "/commits/9", "order " + Key,
+             {{"Idempotency-Key", Key},
+              {"Currantgauge-Action-Id", Id},
+              {"Currantgauge-Timeout-Ms", Timeout}});
+}
+
+std::string takeId(const NodeProcess &Node) {
+  auto Issued = ask(Node.Callers, "POST", "/.currantgauge/actions");
+  if (!Issued || Issued->Status != 201)
+    throw std::runtime_error("no action id at " + Node.Name);
+  return nlohmann::json::parse(Issued->Body)["action"];
+}
+
+std::map<std::string, std::uint64_t> runsByKey(const Fleet &Some) {
+  std::map<std::string, std::uint64_t> Runs;
+  for (const ServerProcess &Server : Some.Servers) {
+    auto Stats = ask(Server.Address, "GET", "/.stats");
+    if (!Stats)
+      throw std::runtime_error("no record of " + Server.Name);
+    auto ByKey = nlohmann::json::parse(Stats->Body)["by_key"]
+                     .get<std::map<std::string, std::uint64_t>>();
+    for (const auto &[Key, Count] : ByKey)
+      Runs[Key] += Count;
+  }
+  return Runs;
+}
+
+std::vector<std::string> contradictions(const Fleet &Some,
+                                        const ActionRecords &Records) {
+  std::map<std::string, std::uint64_t> Runs = runsByKey(Some);
+  std::vector<std::string> Found;
+  for (const auto &[Key, Asks] : Records.Actions)
+    if (isDenied(Asks, Runs[Key]))
+      Found.push_back(Key + " ran " + std::to_string(Runs[Key]) +
+                      " times, callers were told:" + verdictsOf(Asks));
+  return Found;
+}
+
+std::string memberAt(const NodeProcess &Node, const std::string &Of) {
+  auto Reply = nlohmann::json::parse(query(Node, R"({"query":"status"})"),
+                                     nullptr, false);
+  if (!Reply.is_object())
+    return "";
+  for (const auto &Table : Reply["tables"])
+    if (Table["title"] == "nodes")
+      for (const auto &Row : Table["rows"])
+        if (Row[0] == Of)
+          return Row[3].get<std::string>() + " " + Row[4].get<std::string>();
+  return "";
+}
+
+bool waitForMember(const NodeProcess &Node, const std::string &Of,
+                   const std::string &What) {
+  return waitUntil([&] { return memberAt(Node, Of) == What; });
+}
+
+bool wasEjected(const Fleet &Some, const std::string &Server) {
+  for (const NodeProcess &Node : Some.Nodes) {
+    auto Page = ask(Node.Announcements, "GET", "/metrics");
+    if (Page && Page->Body.find("currantgauge_ejections_total{server=\"" +
+                                Server + "\"") != std::string::npos)
+      return true;
+  }
+  return false;
+}
+
+} // namespace currantgauge::integration
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -89,12 +89,14 @@
 }
 
 std::string settingsOf(const Fleet &Some, const NodeProcess &Node,
+                       const std::string &PeerListener,
                        const std::string &Region, const std::string &Domain) {
   std::string Text =
       "name: " + Node.Name + "\nregion: " + Region +
       "\nfailure_domain: " + Domain + "\nlisten:\n  callers: " + Node.Callers +
-      "\n  peers: " + Node.Peers + "\n  operators: " + Node.Operators +
-      "\n  announcements: " + Node.Announcements + "\nseeds: [";
+      "\n  peers: " + PeerListener + "\n  operators: " + Node.Operators +
+      "\n  announcements: " + Node.Announcements +
+      "\nadvertise: {peers: " + Node.Peers + "}\nseeds: [";
   for (std::size_t I = 0; I < std::min<std::size_t>(Some.Nodes.size(), 2); ++I)
     Text += (I ? ", " : "") + Some.Nodes[I].Peers;
   Text += "]\nplatform: " +
@@ -103,6 +105,32 @@
   return Text;
 }
 
+enum class PeerPath { Direct, Proxied };
+
+NodeProcess &addNode(Fleet &Some, const std::string &Name,
+                     const std::string &Region, const std::string &Domain,
+                     PeerPath Path, const std::string &More,
+                     const std::vector<std::string> &Flags) {
+  NodeProcess Node;
+  Node.Name = Name;
+  std::string Host = Some.Host + std::to_string(Some.Nodes.size() + 1);
+  std::string PeerListener = Host + ":18081";
+  Node.Callers = Host + ":18080";
+  Node.Peers = PeerListener;
+  Node.Operators = Host + ":18082";
+  Node.Announcements = Host + ":18083";
+  Node.SettingsPath = Some.Folder + "/" + Name + ".yaml";
+  if (Path == PeerPath::Proxied) {
+    Node.Between = startProxy(PeerListener);
+    Node.Peers = Node.Between.Address;
+  }
+  std::ofstream(Node.SettingsPath)
+      << settingsOf(Some, Node, PeerListener, Region, Domain) << More;
+  launchNode(Some, Node, Flags);
+  Some.Nodes.push_back(std::move(Node));
+  return Some.Nodes.back();
+}
+
 } // namespace
 
 // Every fleet has loopback addresses of its own, so that tests and whatever
@@ -196,19 +224,14 @@
                        const std::string &Region, const std::string &Domain,
                        const std::string &More,
                        const std::vector<std::string> &Flags) {
-  NodeProcess Node;
-  Node.Name = Name;
-  std::string Host = Some.Host + std::to_string(Some.Nodes.size() + 1);
-  Node.Callers = Host + ":18080";
-  Node.Peers = Host + ":18081";
-  Node.Operators = Host + ":18082";
-  Node.Announcements = Host + ":18083";
-  Node.SettingsPath = Some.Folder + "/" + Name + ".yaml";
-  std::ofstream(Node.SettingsPath)
-      << settingsOf(Some, Node, Region, Domain) << More;
-  launchNode(Some, Node, Flags);
-  Some.Nodes.push_back(std::move(Node));
-  return Some.Nodes.back();
+  return addNode(Some, Name, Region, Domain, PeerPath::Direct, More, Flags);
+}
+
+NodeProcess &startProxiedNode(Fleet &Some, const std::string &Name,
+                              const std::string &Region,
+                              const std::string &Domain,
+                              const std::string &More) {
+  return addNode(Some, Name, Region, Domain, PeerPath::Proxied, More, {});
 }
 
 void restartNode(Fleet &Some, NodeProcess &Node) {
@@ -231,6 +254,14 @@
   return Some.Servers.back();
 }
 
+std::string writeConfig(const Fleet &Some, const std::string &Name,
+                        const std::string &Text) {
+  std::string Folder = Some.Folder + "/" + Name;
+  std::filesystem::create_directories(Folder);
+  std::ofstream(Folder + "/10-all.yaml") << Text;
+  return Folder;
+}
+
 // A node that has just started may take a version from a peer between the
 // command's look at the version in force and its push; the push is then
 // refused, as it must be, and asked again.
@@ -301,7 +332,7 @@
 int runCommand(const std::vector<std::string> &Arguments, std::string &Output) {
   bp::ipstream Out;
   bp::child Command(BinaryFolder + "/currantgauge", bp::args(Arguments),
-                    bp::std_out > Out, bp::std_err > bp::null);
+                    (bp::std_out & bp::std_err) > Out);
   for (std::string Line; std::getline(Out, Line);)
     Output += Line + "\n";
   Command.wait();
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -8,6 +8,8 @@
 #ifndef CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
 #define CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
 
+#include "tests/integration/proxy.h"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -25,7 +27,8 @@
 
 using ChildPtr = std::shared_ptr<detail::Child>;
 
-// NodeProcess is a running node and its addresses, IP:port.
+// NodeProcess is a running node and its addresses, IP:port. Peers is the one
+// that it advertises: of the fault proxy Between, where it has one.
 struct NodeProcess {
   std::string Name;
   std::string Callers;
@@ -33,6 +36,7 @@
   std::string Operators;
   std::string Announcements;
   std::string SettingsPath;
+  Proxy Between;
   ChildPtr Process;
 };
 
@@ -89,6 +93,13 @@
                        const std::string &More = "",
                        const std::vector<std::string> &Flags = {});
 
+// startProxiedNode() starts a node that other nodes reach through a fault
+// proxy.
+NodeProcess &startProxiedNode(Fleet &Some, const std::string &Name,
+                              const std::string &Region,
+                              const std::string &Domain,
+                              const std::string &More = "");
+
 // restartNode() starts a node that was ended once more, as it was.
 void restartNode(Fleet &Some, NodeProcess &Node);
 
@@ -97,6 +108,10 @@
                            const std::string &Service, const NodeProcess &Node,
                            const std::vector<std::string> &Flags = {});
 
+// writeConfig() writes a configuration of one file and returns its folder.
+std::string writeConfig(const Fleet &Some, const std::string &Name,
+                        const std::string &Text);
+
 // pushConfig() pushes a folder to the first node and waits until every node is
 // ready. Returns
 // false when the push was refused.
@@ -125,7 +140,8 @@
 // processId() is the process's id.
 int processId(const ChildPtr &Process);
 
-// runCommand() runs the binary with arguments; Output gets standard output.
+// runCommand() runs the binary with arguments; Output gets what it prints on
+// standard output and standard error.
 int runCommand(const std::vector<std::string> &Arguments, std::string &Output);
 
 } // namespace currantgauge::integration
--- a/tests/integration/membership_test.cc
+++ b/tests/integration/membership_test.cc
@@ -1,7 +1,7 @@
+#include "tests/integration/callers.h"
 #include "tests/integration/fleet.h"
 
 #include <doctest/doctest.h>
-#include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <string>
@@ -9,18 +9,10 @@
 namespace currantgauge::integration {
 namespace {
 
-// phaseAt() returns what a node's status says of another; empty: nothing.
+// phaseAt() is the first word of memberAt().
 std::string phaseAt(const NodeProcess &Node, const std::string &Of) {
-  auto Reply = nlohmann::json::parse(query(Node, R"({"query":"status"})"),
-                                     nullptr, false);
-  if (!Reply.is_object())
-    return "";
-  for (const auto &Table : Reply["tables"])
-    if (Table["title"] == "nodes")
-      for (const auto &Row : Table["rows"])
-        if (Row[0] == Of)
-          return Row[3];
-  return "";
+  std::string Said = memberAt(Node, Of);
+  return Said.substr(0, Said.find(' '));
 }
 
 bool waitForPhase(const NodeProcess &Node, const std::string &Of,
--- a/tests/integration/proxy.cc
+++ b/tests/integration/proxy.cc
@@ -22,7 +22,7 @@
 
 Proxy startProxy(const std::string &Target) {
   auto Started = std::make_shared<detail::ProxyChild>();
-  std::string Route = "--route=0:" + Target.substr(Target.rfind(':') + 1);
+  std::string Route = "--route=0:" + Target;
   Started->Process =
       bp::child(std::string(CURRANTGAUGE_BINARY_DIR) + "/fault_proxy", Route,
                 bp::std_in<Started->Input, bp::std_out> Started->Output);
@@ -34,12 +34,23 @@
   return Proxy{Started, "127.0.0.1:" + First["routes"][0].dump()};
 }
 
-void order(const Proxy &Between, const std::string &Json) {
+std::string order(const Proxy &Between, const std::string &Json) {
   Between.Process->Input << Json << std::endl;
   std::string Answer;
   std::getline(Between.Process->Output, Answer);
   if (Answer.find("error") != std::string::npos)
     throw std::runtime_error("the fault proxy refused: " + Answer);
+  return Answer;
+}
+
+int silenceOpen(const Proxy &Between) {
+  return nlohmann::json::parse(
+      order(Between, R"({"route":0,"silence_open":true})"))["open"];
+}
+
+std::size_t openConnections(const Proxy &Between) {
+  return nlohmann::json::parse(
+      order(Between, R"({"route":0,"ask":true})"))["open"];
 }
 
 } // namespace currantgauge::integration
--- a/tests/integration/proxy.h
+++ b/tests/integration/proxy.h
@@ -5,6 +5,7 @@
 #ifndef CURRANTGAUGE_TESTS_INTEGRATION_PROXY_H
 #define CURRANTGAUGE_TESTS_INTEGRATION_PROXY_H
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -20,12 +21,19 @@
   std::string Address; // IP:port
 };
 
-// startProxy() starts a proxy before Target, IP:port on 127.0.0.1.
+// startProxy() starts a proxy before Target, IP:port.
 Proxy startProxy(const std::string &Target);
 
-// order() sends one line of JSON (see stand_ins::controlProxy()) and waits for
+// order() sends one line of JSON (see stand_ins::controlProxy()) and returns
 // its answer.
-void order(const Proxy &Between, const std::string &Json);
+std::string order(const Proxy &Between, const std::string &Json);
+
+// silenceOpen() makes the open connections silent for good; new ones work.
+// Returns how many there were.
+int silenceOpen(const Proxy &Between);
+
+// openConnections() returns how many connections pass the proxy now.
+std::size_t openConnections(const Proxy &Between);
 
 } // namespace currantgauge::integration
 
--- a/tests/stand_ins/fault_proxy.cc
+++ b/tests/stand_ins/fault_proxy.cc
@@ -39,10 +39,13 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
-bool vanishes(const Route &Where, const Link &Open, Way Direction) {
-  return Open.Silent ||
-         (Direction == Way::ToTarget ? Where.Faults.DropToTarget
-                                     : Where.Faults.DropToClient);
+bool vanishes(const Route &Where, Link &Open, Way Direction) {
+  bool &Loses =
+      Direction == Way::ToTarget ? Open.LosesToTarget : Open.LosesToClient;
+  bool Drops = Direction == Way::ToTarget ? Where.Faults.DropToTarget
+                                          : Where.Faults.DropToClient;
+  Loses = Loses || (Drops && !Open.Spared);
+  return Loses;
 }
 
 // takeCut() returns how much of a chunk passes and ends the fault when it has
@@ -67,7 +70,7 @@
     for (;;) {
       std::size_t Size = co_await From.async_read_some(asio::buffer(Chunk),
                                                        asio::use_awaitable);
-      if (Where.Faults.DelayMillis > 0)
+      if (Where.Faults.DelayMillis > 0 && !Open->Spared)
         co_await pause(Where.Faults.DelayMillis);
       if (vanishes(Where, *Open, Direction))
         continue;
@@ -90,9 +93,8 @@
 }
 
 asio::awaitable<void> relay(Route &Where, LinkPtr Open) {
-  tcp::endpoint Target(asio::ip::address_v4::loopback(), Where.TargetPort);
   try {
-    co_await Open->Target.async_connect(Target, asio::use_awaitable);
+    co_await Open->Target.async_connect(Where.Target, asio::use_awaitable);
   } catch (const boost::system::system_error &) {
     reset(Open->Client);
     co_return;
@@ -132,6 +134,14 @@
   asio::co_spawn(Where.Acceptor.get_executor(), accept(Where), asio::detached);
 }
 
+std::vector<LinkPtr> openLinks(const Route &Where) {
+  std::vector<LinkPtr> Open;
+  for (const std::weak_ptr<Link> &Weak : Where.Links)
+    if (LinkPtr Each = Weak.lock(); Each && Each->Client.is_open())
+      Open.push_back(Each);
+  return Open;
+}
+
 RouteFaults faultsOf(const json &Order) {
   RouteFaults Faults;
   Faults.DelayMillis = Order.value("delay_ms", 0U);
@@ -144,17 +154,21 @@
 
 json apply(asio::io_context &Io, FaultProxy &Proxy, const json &Order) {
   if (Order.contains("add")) {
-    Route &Added = addRoute(Io, Proxy, 0, Order.at("add"));
+    Route &Added = addRoute(Io, Proxy, 0, targetOf(Order.at("add")));
     return {{"route", Proxy.Routes.size() - 1}, {"port", Added.Port}};
   }
   Route &Where = *Proxy.Routes.at(Order.at("route").get<std::size_t>());
-  if (Order.value("silence_open", false))
+  json Answer = {{"port", Where.Port}, {"accepted", Where.Accepted}};
+  if (Order.contains("spare_later"))
+    Answer["spared"] = spareLater(Where, Order.at("spare_later"));
+  else if (Order.value("silence_open", false))
     silenceOpen(Where);
   else if (Order.value("reset_open", false))
     resetOpen(Where);
-  else
+  else if (!Order.value("ask", false))
     setFaults(Where, faultsOf(Order));
-  return {{"port", Where.Port}, {"accepted", Where.Accepted}};
+  Answer["open"] = openLinks(Where).size();
+  return Answer;
 }
 
 } // namespace
@@ -162,12 +176,21 @@
 Link::Link(tcp::socket Socket)
     : Client(std::move(Socket)), Target(this->Client.get_executor()) {}
 
+tcp::endpoint targetOf(const std::string &Text) {
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return {asio::ip::address_v4::loopback(),
+            static_cast<unsigned short>(std::stoi(Text))};
+  return {asio::ip::make_address(Text.substr(0, Colon)),
+          static_cast<unsigned short>(std::stoi(Text.substr(Colon + 1)))};
+}
+
 Route &addRoute(asio::io_context &Io, FaultProxy &Proxy, unsigned short Port,
-                unsigned short TargetPort) {
+                const tcp::endpoint &Target) {
   Proxy.Routes.push_back(std::make_unique<Route>(Io));
   Route &Added = *Proxy.Routes.back();
   Added.Port = Port;
-  Added.TargetPort = TargetPort;
+  Added.Target = Target;
   listen(Added);
   return Added;
 }
@@ -180,18 +203,25 @@
   Where.Faults = Faults;
 }
 
+std::size_t spareLater(Route &Where, std::size_t Count) {
+  std::vector<LinkPtr> Open = openLinks(Where);
+  for (std::size_t I = Count; I < Open.size(); ++I)
+    Open[I]->Spared = true;
+  return Open.size() - std::min(Open.size(), Count);
+}
+
 void silenceOpen(Route &Where) {
-  for (const std::weak_ptr<Link> &Weak : Where.Links)
-    if (LinkPtr Open = Weak.lock())
-      Open->Silent = true;
+  for (const LinkPtr &Open : openLinks(Where)) {
+    Open->LosesToTarget = true;
+    Open->LosesToClient = true;
+  }
 }
 
 void resetOpen(Route &Where) {
-  for (const std::weak_ptr<Link> &Weak : Where.Links)
-    if (LinkPtr Open = Weak.lock()) {
-      reset(Open->Client);
-      reset(Open->Target);
-    }
+  for (const LinkPtr &Open : openLinks(Where)) {
+    reset(Open->Client);
+    reset(Open->Target);
+  }
 }
 
 std::string controlProxy(asio::io_context &Io, FaultProxy &Proxy,
--- a/tests/stand_ins/fault_proxy.h
+++ b/tests/stand_ins/fault_proxy.h
@@ -2,7 +2,7 @@
 // JSON by which a test does it.
 //
 //   FaultProxy Proxy;
-//   Route &Added = addRoute(Io, Proxy, 0, TargetPort);
+//   Route &Added = addRoute(Io, Proxy, 0, targetOf("7000"));
 //   Added.Faults.DropToTarget = true;
 #ifndef CURRANTGAUGE_TESTS_STAND_INS_FAULT_PROXY_H
 #define CURRANTGAUGE_TESTS_STAND_INS_FAULT_PROXY_H
@@ -18,7 +18,8 @@
 
 namespace currantgauge::stand_ins {
 
-// RouteFaults applies to every connection of a route, open or new.
+// RouteFaults applies to every connection of a route, open or new, but for
+// those that are spared.
 struct RouteFaults {
   std::uint32_t DelayMillis = 0; // each way
   bool DropToTarget = false;     // what the client sends vanishes
@@ -27,14 +28,17 @@
   std::int64_t CutAfter = -1;    // bytes to clients, then both ends close, once
 };
 
-// Link is one proxied connection. A silent one passes nothing, not even its
-// end, for good.
+// Link is one proxied connection. A direction that has lost bytes passes
+// nothing more, not even its end, for good: what came later would be nonsense
+// to the receiver.
 struct Link {
   explicit Link(boost::asio::ip::tcp::socket Socket);
 
   boost::asio::ip::tcp::socket Client;
   boost::asio::ip::tcp::socket Target;
-  bool Silent = false;
+  bool LosesToTarget = false;
+  bool LosesToClient = false;
+  bool Spared = false; // from the faults of its route
 };
 
 // Route is one listener and where it leads.
@@ -43,7 +47,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   unsigned short Port = 0;
-  unsigned short TargetPort = 0;
+  boost::asio::ip::tcp::endpoint Target;
   RouteFaults Faults;
   std::list<std::weak_ptr<Link>> Links;
   std::uint64_t Accepted = 0;
@@ -54,14 +58,22 @@
   std::vector<std::unique_ptr<Route>> Routes;
 };
 
+// targetOf() reads "PORT", on 127.0.0.1, or "IP:PORT".
+boost::asio::ip::tcp::endpoint targetOf(const std::string &Text);
+
 // addRoute() listens on 127.0.0.1:Port, 0 for any free one. Io must be run by
 // one thread. Throws boost::system::system_error when the port is taken.
 Route &addRoute(boost::asio::io_context &Io, FaultProxy &Proxy,
-                unsigned short Port, unsigned short TargetPort);
+                unsigned short Port,
+                const boost::asio::ip::tcp::endpoint &Target);
 
 // setFaults() replaces a route's faults.
 void setFaults(Route &Where, const RouteFaults &Faults);
 
+// spareLater() spares the open connections but for the first Count accepted.
+// Returns how many it spared.
+std::size_t spareLater(Route &Where, std::size_t Count);
+
 // silenceOpen() makes the route's open connections silent; new ones work.
 void silenceOpen(Route &Where);
 
@@ -69,10 +81,14 @@
 void resetOpen(Route &Where);
 
 // controlProxy() applies one line of JSON and returns the answer:
-//   {"add": TARGETPORT}                      a new route
+//   {"add": "IP:PORT"}                       a new route
 //   {"route": 0, "delay_ms": 5, "drop_to_target": true, "drop_to_client": true,
 //    "refuse": true, "cut_after": 100}       replaces the route's faults
 //   {"route": 0, "silence_open": true}       and "reset_open" act once
+//   {"route": 0, "spare_later": 1}           see spareLater()
+//   {"route": 0, "ask": true}                changes nothing
+// The answer holds "port", "accepted" (connections so far), "open" (now), and
+// "spared" after spare_later.
 std::string controlProxy(boost::asio::io_context &Io, FaultProxy &Proxy,
                          const std::string &Line);
 
--- a/tests/stand_ins/fault_proxy_main.cc
+++ b/tests/stand_ins/fault_proxy_main.cc
@@ -2,7 +2,7 @@
 // each line of JSON on its input (see controlProxy()) with one on its output,
 // and ends with its input.
 //
-//   fault_proxy --route=0:7000,0:7001
+//   fault_proxy --route=0:7000,0:127.0.0.9:7001
 #include "tests/stand_ins/fault_proxy.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,7 +22,7 @@
 #include <sstream>
 #include <string>
 
-DEFINE_string(route, "", "LISTENPORT:TARGETPORT,...; listen port 0: any free");
+DEFINE_string(route, "", "LISTENPORT:[IP:]TARGETPORT,...; port 0: any free");
 
 namespace currantgauge::stand_ins {
 namespace {
@@ -50,7 +50,7 @@
     std::size_t Colon = Item.find(':');
     addRoute(Io, Proxy,
              static_cast<unsigned short>(std::stoi(Item.substr(0, Colon))),
-             static_cast<unsigned short>(std::stoi(Item.substr(Colon + 1))));
+             targetOf(Item.substr(Colon + 1)));
   }
   nlohmann::json Ports = nlohmann::json::array();
   for (const auto &Added : Proxy.Routes)
