--- a/tests/integration/actions_test.cc
+++ b/tests/integration/actions_test.cc
@@ -1,3 +1,4 @@
+#include "tests/integration/callers.h"
 #include "tests/integration/fleet.h"
 #include "tests/integration/proxy.h"
 
@@ -13,8 +14,6 @@
 namespace currantgauge::integration {
 namespace {
 
-const std::string ConfigFolder =
-    std::string(CURRANTGAUGE_SOURCE_DIR) + "/examples/demo/config";
 const std::string Secret = "actions: {secret: integration}\n";
 // Longer than any lease of a backend server or a node.
 constexpr std::chrono::seconds PastAnyLease{7};
@@ -42,7 +41,7 @@
 }
 
 void serve(ActionFleet &With) {
-  REQUIRE(pushConfig(With.Some, ConfigFolder));
+  REQUIRE(pushConfig(With.Some, DemoConfig));
   REQUIRE(waitForServers(With.Some, With.Some.Servers.size()));
 }
 
@@ -60,11 +59,7 @@
 }
 
 std::string takeId(ActionFleet &With, std::size_t Node) {
-  auto Issued =
-      ask(With.Some.Nodes[Node].Callers, "POST", "/.currantgauge/actions");
-  REQUIRE(Issued.has_value());
-  REQUIRE(Issued->Status == 201);
-  return nlohmann::json::parse(Issued->Body)["action"];
+  return takeId(With.Some.Nodes[Node]);
 }
 
 std::uint64_t totalRuns(ActionFleet &With) {
@@ -79,16 +74,23 @@
   return Rows ? nlohmann::json::parse(Rows->Body)["rows"].size() : 0;
 }
 
-std::string fieldOf(const std::optional<Answer> &Got, const char *Name) {
-  return Got && Got->Fields.contains(Name) ? Got->Fields.at(Name) : "";
-}
-
-std::string verdictOf(const std::optional<Answer> &Got) {
-  return fieldOf(Got, "currantgauge-verdict");
+std::size_t aliveServers(const ActionFleet &With) {
+  std::size_t Alive = 0;
+  for (const ServerProcess &Server : With.Some.Servers)
+    Alive += ask(Server.Address, "GET", "/.stats").has_value();
+  return Alive;
 }
 
-std::string reasonOf(const std::optional<Answer> &Got) {
-  return fieldOf(Got, "currantgauge-reason");
+// quarantinedPrint() returns the fingerprint that the operator's command lists.
+std::string quarantinedPrint(const NodeProcess &Node) {
+  std::string Output;
+  CHECK(runCommand(
+            {"quarantine", "list", "--output=json", "--node=" + Node.Operators},
+            Output) == 0);
+  auto Reply = nlohmann::json::parse(Output, nullptr, false);
+  REQUIRE(Reply.is_object());
+  REQUIRE(Reply["tables"][0]["rows"].size() == 1);
+  return Reply["tables"][0]["rows"][0][0];
 }
 
 // askUntilRan() repeats an ask until it is answered by a backend server.
@@ -226,37 +228,53 @@
   CHECK(reasonOf(Forged) == "action_forged");
   sendSignal(With.Some.Nodes[0].Process, SIGKILL);
   restartNode(With.Some, With.Some.Nodes[0]);
-  REQUIRE(pushConfig(With.Some, ConfigFolder));
+  REQUIRE(pushConfig(With.Some, DemoConfig));
   REQUIRE(waitForServers(With.Some, 1));
   for (std::size_t Node : {0, 1, 2})
     CHECK(verdictOf(commitById(With, Node, Open)) == "may_have_run");
   CHECK(totalRuns(With) == 1);
 }
 
-TEST_CASE("a request that kills servers is quarantined after two") {
+TEST_CASE("a request that kills servers is quarantined after two, everywhere") {
   ActionFleet With;
   startNodes(With);
   for (const char *Name : {"cutlist-1", "cutlist-2", "cutlist-3"})
     addServer(With, Name, 1);
   serve(With);
-  auto Kill = [&] {
-    return ask(With.Some.Nodes[0].Callers, "POST", "/commits/9", "CRASH");
+  auto Kill = [&](std::size_t Node) {
+    return ask(With.Some.Nodes[Node].Callers, "POST", "/commits/9", "CRASH");
   };
-  auto Listed = [&](const std::string &Phase) {
-    return query(With.Some.Nodes[1], R"({"query":"quarantine"})")
+  auto Listed = [&](std::size_t Node, const std::string &Phase) {
+    return query(With.Some.Nodes[Node], R"({"query":"quarantine"})")
                .find('"' + Phase + '"') != std::string::npos;
   };
-  CHECK(verdictOf(Kill()) == "may_have_run");
-  REQUIRE(waitUntil([&] { return Listed("suspected"); }));
-  CHECK(verdictOf(Kill()) == "may_have_run");
-  REQUIRE(waitUntil([&] { return Listed("quarantined"); }));
-  for (int Number = 0; Number < 5; ++Number) {
-    auto Refused = Kill();
-    CHECK(verdictOf(Refused) == "not_run");
-    CHECK(reasonOf(Refused) == "quarantined");
+  CHECK(verdictOf(Kill(0)) == "may_have_run");
+  REQUIRE(waitUntil([&] { return Listed(1, "suspected"); }));
+  CHECK(verdictOf(Kill(0)) == "may_have_run");
+  for (std::size_t Node : {0, 1, 2}) {
+    CAPTURE(Node);
+    REQUIRE(waitUntil([&] { return Listed(Node, "quarantined"); }));
+    for (int Number = 0; Number < 3; ++Number) {
+      auto Refused = Kill(Node);
+      CHECK(verdictOf(Refused) == "not_run");
+      CHECK(reasonOf(Refused) == "quarantined");
+    }
+    auto Healthy =
+        ask(With.Some.Nodes[Node].Callers, "POST", "/commits/9", "order");
+    CHECK(verdictOf(Healthy) == "ran");
   }
-  auto Healthy = ask(With.Some.Nodes[0].Callers, "POST", "/commits/9", "order");
-  CHECK(verdictOf(Healthy) == "ran");
+  for (const ServerProcess &Server : With.Some.Servers)
+    CHECK_FALSE(wasEjected(With.Some, Server.Name));
+  CHECK(aliveServers(With) == 1);
+  // Cleared at one node, it runs again from another, and kills the last one.
+  std::string Print = quarantinedPrint(With.Some.Nodes[2]);
+  std::string Output;
+  CHECK(runCommand({"quarantine", "clear", Print,
+                    "--node=" + With.Some.Nodes[2].Operators},
+                   Output) == 0);
+  CHECK(waitUntil([&] { return !Listed(0, "quarantined"); }));
+  CHECK(verdictOf(Kill(0)) == "may_have_run");
+  CHECK(aliveServers(With) == 0);
 }
 
 } // namespace currantgauge::integration
