--- a/tests/integration/callers.cc
+++ b/tests/integration/callers.cc
@@ -1,9 +1,11 @@
 #include "tests/integration/callers.h"
 
+#include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <stdexcept>
 
 namespace currantgauge::integration {
@@ -14,11 +16,20 @@
 // Callers of actions do not wait for the kind's whole deadline.
 const std::string Timeout = "1500";
 
+std::string endingOf(const std::optional<Answer> &Got) {
+  return Got ? verdictOf(Got) + "/" + reasonOf(Got) : "no answer";
+}
+
+std::string explain(const NodeProcess &Node, const std::optional<Answer> &Got) {
+  std::string Id = fieldOf(Got, "currantgauge-request-id");
+  return endingOf(Got) + " " +
+         query(Node, R"({"query":"explain","request":")" + Id + "\"}");
+}
+
 std::string verdictsOf(const std::vector<std::optional<Answer>> &Asks) {
   std::string Text;
   for (const std::optional<Answer> &Got : Asks)
-    Text += " " + (Got ? verdictOf(Got) + "/" + reasonOf(Got)
-                       : std::string("no answer"));
+    Text += " " + endingOf(Got);
   return Text;
 }
 
@@ -48,7 +59,13 @@
       const NodeProcess &Node = Some.Nodes[I % Some.Nodes.size()];
       while (!this->Stop) {
         auto Got = ask(Node.Callers, "GET", "/lists/7");
-        ++(Got && Got->Status == 200 ? this->Good : this->Bad);
+        if (Got && Got->Status == 200) {
+          ++this->Good;
+        } else {
+          std::lock_guard<std::mutex> Guard(this->Lock);
+          ++this->Bad;
+          this->BadOnes.push_back(explain(Node, Got));
+        }
         std::this_thread::sleep_for(ReadInterval);
       }
     });
@@ -119,6 +136,14 @@
   return Found;
 }
 
+std::string badOnes(Load &Asking) {
+  std::lock_guard<std::mutex> Guard(Asking.Lock);
+  std::string Text;
+  for (const std::string &One : Asking.BadOnes)
+    Text += "\n" + One;
+  return Text;
+}
+
 std::string memberAt(const NodeProcess &Node, const std::string &Of) {
   auto Reply = nlohmann::json::parse(query(Node, R"({"query":"status"})"),
                                      nullptr, false);
@@ -138,13 +163,19 @@
 }
 
 bool wasEjected(const Fleet &Some, const std::string &Server) {
+  bool Ejected = false;
   for (const NodeProcess &Node : Some.Nodes) {
     auto Page = ask(Node.Announcements, "GET", "/metrics");
-    if (Page && Page->Body.find("currantgauge_ejections_total{server=\"" +
-                                Server + "\"") != std::string::npos)
-      return true;
+    if (!Page || Page->Body.find("currantgauge_ejections_total{server=\"" +
+                                 Server + "\"") == std::string::npos)
+      continue;
+    Ejected = true;
+    std::ifstream Log(Some.Folder + "/" + Node.Name + ".log");
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find("server_ejected") != std::string::npos)
+        MESSAGE(Line);
   }
-  return false;
+  return Ejected;
 }
 
 } // namespace currantgauge::integration
--- a/tests/integration/callers.h
+++ b/tests/integration/callers.h
@@ -35,6 +35,8 @@
   std::atomic<bool> Stop{false};
   std::atomic<int> Good{0};
   std::atomic<int> Bad{0};
+  std::mutex Lock;
+  std::vector<std::string> BadOnes; // what their nodes explain of them
   std::vector<std::thread> Threads;
 };
 
@@ -64,6 +66,9 @@
 std::vector<std::string> contradictions(const Fleet &Some,
                                         const ActionRecords &Records);
 
+// badOnes() lists what the nodes explain of the bad asks of a load.
+std::string badOnes(Load &Asking);
+
 // memberAt() returns what a node's status says of another, "alive ok"; empty:
 // nothing.
 std::string memberAt(const NodeProcess &Node, const std::string &Of);
@@ -72,7 +77,8 @@
 bool waitForMember(const NodeProcess &Node, const std::string &Of,
                    const std::string &What);
 
-// wasEjected() says whether any node has taken a server out of traffic.
+// wasEjected() says whether any node has taken a server out of traffic, and
+// prints what their logs say of it.
 bool wasEjected(const Fleet &Some, const std::string &Server);
 
 } // namespace currantgauge::integration
