Peers: an owner acknowledges an attempt, a silent channel is replaced

Cause: a channel between two nodes that goes silent was found by its keepalive alone, up to 4 s later. All that an entry sent to that owner meanwhile was lost at its deadline. With one owner for all servers and four callers at the entry, more than four asks failed; the new case of health_test failed for that.

Now the owner's answer head goes out when the attempt arrives, before it queues. An entry that misses it for 500 ms opens a new connection for later calls; idempotent work is given up and tried again there, an action waits for its answer as before. A channel that knows of its trouble reconnects by itself and is not replaced, so that not_run peer_unavailable stays as quick.

Ruled out: a shorter keepalive, which would cut all that is in flight to a node that pauses for half a second.

--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -6,11 +6,13 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <grpcpp/alarm.h>
 #include <grpcpp/channel.h>
 #include <grpcpp/client_context.h>
 #include <grpcpp/create_channel.h>
 #include <grpcpp/security/credentials.h>
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -26,6 +28,9 @@
 constexpr int LongestReconnectMillis = 1000;
 constexpr base::Duration DeliverLimit = base::milliseconds(1000);
 constexpr base::Duration FetchLimit = base::seconds(5);
+// An owner acknowledges an attempt when it arrives. Without that the connection
+// is taken for silent.
+constexpr base::Duration ArrivalLimit = base::milliseconds(500);
 // The owner ends an attempt at its deadline; this is for an owner that is gone.
 constexpr base::Duration ForwardAllowance = base::milliseconds(200);
 
@@ -39,6 +44,8 @@
   std::unique_ptr<v1::Peer::Stub> Stub;
 };
 
+using ChannelPtr = std::shared_ptr<Channel>;
+
 runtime::AnswerEnd endWith(base::Verdict What, base::Reason Why) {
   runtime::AnswerEnd End;
   End.Outcome.What = What;
@@ -56,9 +63,38 @@
   v1::ForwardRequest Request;
   v1::AnswerPart Wire;
   runtime::AnswerPipePtr Pipe;
+  ChannelPtr To;
+  std::function<void(const ChannelPtr &)> OnSilence;
+  grpc::Alarm ArrivalTimer;
+  std::atomic<bool> Arrived{false};
+  bool Idempotent = false;
   std::mutex Lock;
   bool Waiting = false; // for room in the pipe, under a hold
 
+  // The timer keeps its callback until it is destroyed with the call, so the
+  // callback lets go of the call by itself.
+  void awaitArrival() {
+    boost::intrusive_ptr<ForwardCall> Self(this);
+    this->ArrivalTimer.Set(after(ArrivalLimit), [Self](bool Due) mutable {
+      if (Due && !Self->Arrived)
+        Self->giveUpChannel();
+      Self.reset();
+    });
+  }
+
+  // Later calls take a new connection. An action stays, since its answer may
+  // still come; other work is better tried again.
+  void giveUpChannel() {
+    this->OnSilence(this->To);
+    if (this->Idempotent)
+      this->Context.TryCancel();
+  }
+
+  void OnReadInitialMetadataDone(bool Good) override {
+    this->Arrived = this->Arrived || Good;
+    this->ArrivalTimer.Cancel();
+  }
+
   void readNext() {
     if (runtime::hasRoom(*this->Pipe)) {
       this->StartRead(&this->Wire);
@@ -98,6 +134,7 @@
 
   // An end that the owner said came first; this one is then dropped.
   void OnDone(const grpc::Status &) override {
+    this->ArrivalTimer.Cancel();
     runtime::setWriter(*this->Pipe, nullptr);
     runtime::setOnCancel(*this->Pipe, nullptr);
     runtime::pushPart(*this->Pipe, endWith(base::Verdict::MayHaveRun,
@@ -112,7 +149,7 @@
 
 struct Channels {
   std::mutex Lock;
-  std::map<base::NetAddress, Channel> ByAddress;
+  std::map<base::NetAddress, ChannelPtr> ByAddress;
 };
 
 } // namespace detail
@@ -122,12 +159,9 @@
 
 namespace {
 
-// Channels are never removed, so the reference stays good without the lock.
-Channel &channelTo(PeerClient &Client, const base::NetAddress &Address) {
-  std::lock_guard<std::mutex> Guard(Client.Open->Lock);
-  Channel &Result = Client.Open->ByAddress[Address];
-  if (Result.Stub)
-    return Result;
+// A channel has its connection to itself, so that another one to the same
+// address opens a new connection.
+ChannelPtr openChannel(const base::NetAddress &Address) {
   grpc::ChannelArguments Arguments;
   Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMillis);
   Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMillis);
@@ -137,22 +171,44 @@
   Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestReconnectMillis);
   Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   Arguments.SetMaxReceiveMessageSize(MessageLimit);
-  Result.Link = grpc::CreateCustomChannel(
+  auto Opened = std::make_shared<Channel>();
+  Opened->Link = grpc::CreateCustomChannel(
       Address.Value, grpc::InsecureChannelCredentials(), Arguments);
-  Result.Stub = v1::Peer::NewStub(Result.Link);
+  Opened->Stub = v1::Peer::NewStub(Opened->Link);
+  return Opened;
+}
+
+ChannelPtr channelTo(PeerClient &Client, const base::NetAddress &Address) {
+  std::lock_guard<std::mutex> Guard(Client.Open->Lock);
+  ChannelPtr &Result = Client.Open->ByAddress[Address];
+  if (!Result)
+    Result = openChannel(Address);
   return Result;
 }
 
+// replaceChannel() lets later calls use a new connection; calls in flight keep
+// the old one. A channel that knows of its trouble is left to reconnect.
+void replaceChannel(PeerClient &Client, const base::NetAddress &Address,
+                    const ChannelPtr &Silent) {
+  if (Silent->Link->GetState(false) != GRPC_CHANNEL_READY)
+    return;
+  std::lock_guard<std::mutex> Guard(Client.Open->Lock);
+  ChannelPtr &Current = Client.Open->ByAddress[Address];
+  if (Current == Silent)
+    Current = openChannel(Address);
+}
+
 } // namespace
 
 void forward(PeerClient &Client, const base::NetAddress &Address,
              const core::AttemptFacts &Facts,
              const runtime::RequestMessage &Message,
              runtime::AnswerPipePtr Pipe) {
-  Channel &To = channelTo(Client, Address);
+  ChannelPtr To = channelTo(Client, Address);
   // The one state in which it is certain that nothing is sent: no call starts.
-  if (To.Link->GetState(true) == GRPC_CHANNEL_TRANSIENT_FAILURE) {
+  if (To->Link->GetState(true) == GRPC_CHANNEL_TRANSIENT_FAILURE) {
     runtime::pushPart(
         *Pipe, endWith(base::Verdict::NotRun, base::Reason::PeerUnavailable));
     return;
@@ -160,13 +216,19 @@
   boost::intrusive_ptr<ForwardCall> Call(new ForwardCall);
   intrusive_ptr_add_ref(Call.get()); // released in OnDone()
   Call->Pipe = Pipe;
+  Call->To = To;
+  Call->Idempotent = Facts.Idempotent;
+  Call->OnSilence = [&Client, Address](const ChannelPtr &Silent) {
+    replaceChannel(Client, Address, Silent);
+  };
   toWire(Facts, *Call->Request.mutable_facts());
   toWire(Message, Call->Request);
   Call->Context.set_deadline(after(Facts.TimeLeft + ForwardAllowance));
   runtime::setWriter(*Pipe, [Call] { Call->resume(); });
-  To.Stub->async()->Forward(&Call->Context, &Call->Request, Call.get());
+  To->Stub->async()->Forward(&Call->Context, &Call->Request, Call.get());
   Call->StartRead(&Call->Wire);
   runtime::setOnCancel(*Pipe, [Call] { Call->Context.TryCancel(); });
+  Call->awaitArrival();
   Call->StartCall();
 }
 
@@ -182,7 +244,7 @@
   toWire(Message, Open->Request);
   Open->Context.set_deadline(after(DeliverLimit));
   channelTo(Client, Address)
-      .Stub->async()
+      ->Stub->async()
       ->Deliver(&Open->Context, &Open->Request, &Open->Reply,
                 [Open, Done = std::move(Done)](const grpc::Status &Status) {
                   Done(Status.ok());
@@ -201,7 +263,7 @@
   Open->Request.set_have(Have.Value);
   Open->Context.set_deadline(after(FetchLimit));
   channelTo(Client, Address)
-      .Stub->async()
+      ->Stub->async()
       ->FetchConfig(&Open->Context, &Open->Request, &Open->Reply,
                     [Open, Done = std::move(Done)](const grpc::Status &Status) {
                       config::ConfigDelta Delta;
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -117,6 +117,8 @@
     runtime::RequestMessagePtr Message(new runtime::RequestMessage);
     fromWire(*Request, *Message);
     runtime::AnswerPipePtr Pipe = Reactor->Pipe;
+    // Tells the entry that the attempt has arrived, however long it waits here.
+    Reactor->StartSendInitialMetadata();
     runtime::setReader(*Pipe, [Reactor] { Reactor->writeNext(); });
     this->Handlers.Forward(std::move(Facts), std::move(Message), Pipe);
     return Reactor.get();
--- a/tests/integration/health_test.cc
+++ b/tests/integration/health_test.cc
@@ -23,6 +23,17 @@
   return Runs;
 }
 
+// requestsOf() returns how many requests a node has answered with success.
+std::uint64_t requestsOf(const NodeProcess &Node) {
+  const std::string Mark =
+      "currantgauge_requests_total{kind=\"list_read\",verdict=\"ran\"} ";
+  auto Page = ask(Node.Announcements, "GET", "/metrics");
+  std::size_t At = Page ? Page->Body.find(Mark) : std::string::npos;
+  return At == std::string::npos
+             ? 0
+             : std::stoull(Page->Body.substr(At + Mark.size()));
+}
+
 void startFour(Fleet &Some) {
   startNode(Some, "a", "north", "north-a");
   startNode(Some, "b", "north", "north-b");
@@ -132,4 +143,25 @@
   CHECK_FALSE(wasEjected(Some, "cutlist-2"));
 }
 
+TEST_CASE("a silent channel to the only owner costs what was in flight") {
+  Fleet Some;
+  startNode(Some, "a", "north", "north-a");
+  startProxiedNode(Some, "b", "north", "north-a");
+  for (const char *Name : {"cutlist-1", "cutlist-2"})
+    startServer(Some, Name, "cutlist", Some.Nodes[1]);
+  REQUIRE(pushConfig(Some, DemoConfig));
+  REQUIRE(waitForServers(Some, 2));
+  constexpr int CallersEach = 4;
+  Load Asking(Some, 2 * CallersEach);
+  REQUIRE(waitUntil([&] { return Asking.Good > 100; }));
+  REQUIRE(Asking.Bad == 0);
+  REQUIRE(silenceOpen(Some.Nodes[1].Between) == 1);
+  std::uint64_t Runs = requestsOf(Some.Nodes[0]);
+  REQUIRE(waitUntil([&] { return requestsOf(Some.Nodes[0]) > Runs + 200; }));
+  INFO("asks that failed:" << badOnes(Asking));
+  CHECK(Asking.Bad.load() <= CallersEach);
+  CHECK_FALSE(wasEjected(Some, "cutlist-1"));
+  CHECK_FALSE(wasEjected(Some, "cutlist-2"));
+}
+
 } // namespace currantgauge::integration
