--- a/bench/health_bench.cc
+++ b/bench/health_bench.cc
@@ -2,7 +2,8 @@
 // two baselines: five consecutive failures, and a plain error-rate window.
 //
 //   health_bench [trials a kind] [requests a healthy case] [threads] [word...]
-// runs the cases whose case/service/policy has all the words.
+// runs the cases whose case/service/policy has all the words. The word seed=N
+// adds N to every seed.
 #include "health_fleet.h"
 
 #include <nlohmann/json.hpp>
@@ -232,8 +233,8 @@
 }
 
 nlohmann::json detect(const Shape &What, Policy Which, const Gray &Kind,
-                      std::size_t Trials) {
-  auto Now = makeRun(What, Which, 11);
+                      std::size_t Trials, std::uint64_t Seed) {
+  auto Now = makeRun(What, Which, 11 + Seed);
   pass(*Now, WarmUp);
   Detection Found;
   for (std::size_t I = 0; I < Trials; ++I)
@@ -282,8 +283,8 @@
 }
 
 nlohmann::json healthy(const Shape &What, Policy Which, const std::string &Case,
-                       std::uint64_t Requests) {
-  auto Now = makeRun(What, Which, 23);
+                       std::uint64_t Requests, std::uint64_t Seed) {
+  auto Now = makeRun(What, Which, 23 + Seed);
   pass(*Now, WarmUp);
   std::uint64_t Before = Now->World.Requests, Early = Now->Ejections;
   for (std::size_t Minute = 0; Now->World.Requests - Before < Requests;
@@ -299,8 +300,9 @@
 }
 
 // Seven of ten servers stall: the floor must keep half of the slots in.
-nlohmann::json manySick(const Shape &What, Policy Which, std::size_t Trials) {
-  auto Now = makeRun(What, Which, 31);
+nlohmann::json manySick(const Shape &What, Policy Which, std::size_t Trials,
+                        std::uint64_t Seed) {
+  auto Now = makeRun(What, Which, 31 + Seed);
   pass(*Now, WarmUp);
   for (std::size_t I = 0; I < Trials; ++I) {
     std::size_t Sick = 1 + I % Now->World.Fakes.size();
@@ -323,7 +325,8 @@
   nlohmann::json Result;
 };
 
-std::vector<Job> makeJobs(std::size_t Trials, std::uint64_t Requests) {
+std::vector<Job> makeJobs(std::size_t Trials, std::uint64_t Requests,
+                          std::uint64_t Seed) {
   const std::vector<Shape> Shapes = {
       {"cutlist", 11, 4, base::microseconds(500)},
       {"stocktally", 8, 4, base::microseconds(500)},
@@ -334,15 +337,17 @@
     for (Policy Which :
          {Policy::Sequential, Policy::Consecutive, Policy::Window}) {
       for (const Gray &Kind : grayKinds())
-        Jobs.push_back({Kind.Name, What, Which,
-                        [=] { return detect(What, Which, Kind, Trials); }});
+        Jobs.push_back({Kind.Name, What, Which, [=] {
+                          return detect(What, Which, Kind, Trials, Seed);
+                        }});
       for (const char *Case :
            {"healthy_long_tail", "service_slow_by_5", "service_stalls_2s",
             "flood_with_shedding", "cold_start"})
-        Jobs.push_back({Case, What, Which,
-                        [=] { return healthy(What, Which, Case, Requests); }});
+        Jobs.push_back({Case, What, Which, [=] {
+                          return healthy(What, Which, Case, Requests, Seed);
+                        }});
       Jobs.push_back({"many_sick", What, Which,
-                      [=] { return manySick(What, Which, Trials); }});
+                      [=] { return manySick(What, Which, Trials, Seed); }});
     }
   return Jobs;
 }
@@ -385,8 +390,16 @@
   auto Number = [&](int At, std::uint64_t Default) {
     return Count > At ? std::strtoull(Words[At], nullptr, 10) : Default;
   };
-  auto Jobs = currantgauge::bench::makeJobs(Number(1, 100), Number(2, 1000000));
   std::vector<std::string> Only(Words + std::min(Count, 4), Words + Count);
+  std::uint64_t Seed = 0;
+  std::erase_if(Only, [&](const std::string &Word) {
+    bool IsSeed = Word.rfind("seed=", 0) == 0;
+    if (IsSeed)
+      Seed = std::strtoull(Word.c_str() + 5, nullptr, 10);
+    return IsSeed;
+  });
+  auto Jobs =
+      currantgauge::bench::makeJobs(Number(1, 100), Number(2, 1000000), Seed);
   std::erase_if(Jobs, [&](const auto &One) {
     std::string Name = One.Case + "/" + One.What.Service + "/" +
                        currantgauge::bench::PolicyNames[int(One.Which)];
