--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -12,7 +12,10 @@
 // Levels that records tell of. Lower ones come and go at healthy servers and
 // would fill the byte budget of a large fleet with rumours.
 constexpr std::array<double, 3> ToldLevels = {1, 0.75, 0.5};
+// Shares are told in steps, and told anew once they lie nearer to another step
+// by a margin.
 constexpr double FailShareStep = 0.05;
+constexpr double FailShareMargin = 0.75; // of a step
 constexpr base::Duration LowerAfter = base::seconds(1);
 constexpr base::Duration TimesInterval = base::seconds(5);
 constexpr double TimesTolerance = 0.25;
@@ -120,7 +123,8 @@
   if (Level > Record.Suspicion)
     return true;
   bool Lower = Level < Record.Suspicion ||
-               std::abs(Evidence.FailShare - Record.FailShare) > FailShareStep;
+               std::abs(Evidence.FailShare - Record.FailShare) >
+                   FailShareMargin * FailShareStep;
   return Lower && Now - Evidence.PublishedAt >= LowerAfter;
 }
 
