Judge a server's lateness by its peers' of the moment

The peers' usual times then hold slow and fast times mixed, as the histograms reach back minutes; each server's slow test climbs and falls at random about zero drift, and one of many reaches the threshold while the others are low. Ruled out for these: the first seconds, before the peers suspect anything. Change: servers tell the share of their late exchanges (beyond the usual tenth), as they tell the share of failures; the tests take 1.5 times the peers' median as a healthy server's share. What is left, by a trace: 1.7 to 4.2 s into the slow time, before shares spread.

--- a/currantgauge/membership/size.cc
+++ b/currantgauge/membership/size.cc
@@ -92,7 +92,7 @@
       field(Record.Life.Value) + field(Record.Revision) + field(Record.Slots) +
       enumField(Record.Phase) + zigzagField(Record.ColdStart.Micros) +
       doubleField(Record.Suspicion) + doubleField(Record.FailShare) +
-      listSize(Record.Times));
+      doubleField(Record.LateShare) + listSize(Record.Times));
 }
 
 std::size_t encodedSize(const QuarantineRecord &Record) {
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -38,6 +38,7 @@
   Backend.ColdStart = base::milliseconds(1500);
   Backend.Suspicion = 0.25;
   Backend.FailShare = 0.05;
+  Backend.LateShare = 0.15;
   routing::KindTime &Time = Backend.Times.emplace_back();
   Time.Kind = base::KindName("read");
   Time.Times = {base::milliseconds(3), base::milliseconds(9),
@@ -77,6 +78,7 @@
   CHECK(Back.Members.at(0).Name.Value == "\xff not UTF-8");
   CHECK(Back.Backends.at(0).Suspicion == 0.25);
   CHECK(Back.Backends.at(0).FailShare == 0.05);
+  CHECK(Back.Backends.at(0).LateShare == 0.15);
   CHECK(Back.Backends.at(0).Times == sampleMessage().Backends[0].Times);
   CHECK(Back.Quarantine.at(0).Crashed.size() == 1);
   CHECK(Back.BucketHashes.at(1) == ~0ULL);
--- a/currantgauge/routing/backend_server.h
+++ b/currantgauge/routing/backend_server.h
@@ -43,6 +43,7 @@
   base::Duration ColdStart;
   double Suspicion = 0;        // owner's evidence, 0 (well) to 1 (sick)
   double FailShare = 0;        // of recent exchanges, 0 to 1
+  double LateShare = 0;        // of recent exchanges, beyond the usual tenth
   std::vector<KindTime> Times; // usual times, of the busiest kinds alone
 };
 
--- a/currantgauge/routing/evidence.cc
+++ b/currantgauge/routing/evidence.cc
@@ -17,7 +17,13 @@
 constexpr double PeerFailFactor = 1.5;
 constexpr double HighestHealthyFail = 0.6;
 constexpr double SickFailStep = 0.25;
-constexpr double FailShareWeight = 1.0 / 64; // of the newest exchange
+constexpr double ShareWeight = 1.0 / 64; // of the newest exchange
+// While the peers are late, more late exchanges than usual are no sickness:
+// their usual times follow a change of the service's pace slowly.
+constexpr double PeerLateFactor = 1.5;
+constexpr double LateShareStep = 0.05;
+constexpr std::size_t LateSteps = 14;
+constexpr double HighestHealthyLate = 0.65;
 
 // The share of the alarm threshold that silent pooled connections can fill.
 constexpr double SilentLimit = 0.6;
@@ -35,40 +41,60 @@
   Ratios Running{};
 };
 
-double healthyShare(std::size_t Bin) {
-  return Bin + 1 < TailBinCount ? TailShare[Bin] - TailShare[Bin + 1]
-                                : TailShare[Bin];
+// Late is the share of a healthy server's exchanges in bin 1 or later.
+double healthyTail(std::size_t Bin, double Late) {
+  return Bin == 0 ? 1 : TailShare[Bin] * Late / TailShare[1];
 }
 
-double sickShare(SicknessTest Test, std::size_t Bin) {
+double healthyShare(std::size_t Bin, double Late) {
+  double Later = Bin + 1 < TailBinCount ? healthyTail(Bin + 1, Late) : 0;
+  return healthyTail(Bin, Late) - Later;
+}
+
+double sickShare(SicknessTest Test, std::size_t Bin, double Late) {
   if (Test == SicknessTest::Slow)
     return SlowShare[Bin];
   double Stalled = Test == SicknessTest::Stall ? StallShare : PartialStallShare;
-  double Rest = (1 - Stalled) * healthyShare(Bin);
+  double Rest = (1 - Stalled) * healthyShare(Bin, Late);
   return Bin + 1 == TailBinCount ? Stalled + Rest : Rest;
 }
 
-TestRatios makeRatios(SicknessTest Test) {
+TestRatios makeRatios(SicknessTest Test, double Late) {
   TestRatios Made;
   double Tail = 0;
   for (std::size_t Bin = TailBinCount; Bin-- > 0;) {
-    Tail += sickShare(Test, Bin);
-    Made.Ended[Bin] = std::log(sickShare(Test, Bin) / healthyShare(Bin));
-    Made.Running[Bin] = std::max(0.0, std::log(Tail / TailShare[Bin]));
+    double Sick = sickShare(Test, Bin, Late);
+    Tail += Sick;
+    Made.Ended[Bin] = std::log(Sick / healthyShare(Bin, Late));
+    Made.Running[Bin] = std::max(0.0, std::log(Tail / healthyTail(Bin, Late)));
   }
   return Made;
 }
 
-const TestRatios &ratiosOf(SicknessTest Test) {
-  static const std::array<TestRatios, 3> Tables = {
-      makeRatios(SicknessTest::Stall), makeRatios(SicknessTest::PartialStall),
-      makeRatios(SicknessTest::Slow)};
-  return Tables[static_cast<std::size_t>(Test)];
-}
-
 constexpr std::array<SicknessTest, 3> TimeTests = {
     SicknessTest::Stall, SicknessTest::PartialStall, SicknessTest::Slow};
 
+using RatioTable =
+    std::array<std::array<TestRatios, TimeTests.size()>, LateSteps>;
+
+RatioTable makeTable() {
+  RatioTable Made;
+  for (std::size_t Step = 0; Step < LateSteps; ++Step)
+    for (SicknessTest Test : TimeTests)
+      Made[Step][static_cast<std::size_t>(Test)] =
+          makeRatios(Test, std::clamp(PeerLateFactor * LateShareStep *
+                                          static_cast<double>(Step),
+                                      TailShare[1], HighestHealthyLate));
+  return Made;
+}
+
+const TestRatios &ratiosOf(const ServerEvidence &Evidence, SicknessTest Test) {
+  static const RatioTable Table = makeTable();
+  auto Step = static_cast<std::size_t>(
+      std::lround(std::max(0.0, Evidence.PeerLateShare) / LateShareStep));
+  return Table[std::min(Step, LateSteps - 1)][static_cast<std::size_t>(Test)];
+}
+
 // By Lorden's bound a CUSUM of log-likelihood ratios that stops at log(N) runs
 // on healthy samples for N of them in the mean, or longer.
 double threshold() {
@@ -116,8 +142,7 @@
       Evidence.Scores[static_cast<std::size_t>(SicknessTest::Failure)];
   add(Score, Nats, true);
   cap(Score);
-  Evidence.FailShare +=
-      FailShareWeight * ((Failed ? 1 : 0) - Evidence.FailShare);
+  Evidence.FailShare += ShareWeight * ((Failed ? 1 : 0) - Evidence.FailShare);
 }
 
 void noteTime(ServerEvidence &Evidence, const Exchange &Ended, bool Whole,
@@ -126,8 +151,11 @@
   if (Kind == Evidence.Kinds.end() || !Kind->second.Bounds.known())
     return;
   std::size_t Bin = binOf(Evidence, Ended, Now);
+  if (Whole || Bin > 0)
+    Evidence.LateShare +=
+        ShareWeight * ((Bin > 0 ? 1 : 0) - Evidence.LateShare);
   for (SicknessTest Test : TimeTests) {
-    const TestRatios &Ratio = ratiosOf(Test);
+    const TestRatios &Ratio = ratiosOf(Evidence, Test);
     TestScore &Score = Evidence.Scores[static_cast<std::size_t>(Test)];
     // A whole answer, however late, proves that its connection works.
     add(Score, Whole ? Ratio.Ended[Bin] : Ratio.Running[Bin], Whole || Fresh);
@@ -140,7 +168,7 @@
   TestScore Sum;
   if (Test == SicknessTest::Failure)
     return Sum;
-  const TestRatios &Ratio = ratiosOf(Test);
+  const TestRatios &Ratio = ratiosOf(Evidence, Test);
   for (const auto &[Attempt, One] : Evidence.Running)
     add(Sum, Ratio.Running[binOf(Evidence, One, Now)], One.Fresh);
   return Sum;
--- a/currantgauge/routing/evidence.h
+++ b/currantgauge/routing/evidence.h
@@ -78,6 +78,8 @@
   base::Incarnation Life;      // of the process that this is about
   double FailShare = 0;        // of recent exchanges
   double PeerFailShare = 0;    // median of the service's other servers
+  double LateShare = 0;        // of recent exchanges, in bin 1 or later
+  double PeerLateShare = 0;    // median of the service's other servers
   bool HasPeers = false;       // Bounds come from the service's other servers
   bool Alarmed = false;        // since the scores were last near zero
   std::uint32_t FreshLeft = 0; // exchanges to start on new connections
--- a/currantgauge/routing/evidence_test.cc
+++ b/currantgauge/routing/evidence_test.cc
@@ -119,6 +119,26 @@
   CHECK(Needed <= 200);
 }
 
+// The peers' usual times follow a change of the whole service slowly.
+TEST_CASE("lateness that the peers show as well is no sickness") {
+  Bench Made = taught();
+  Made.Evidence.HasPeers = true;
+  Bench Alone = Made;
+  Made.Evidence.PeerLateShare = 0.35;
+  double Highest = 0;
+  bool AloneFound = false;
+  for (int I = 0; I < 20000; ++I) {
+    base::Duration Took = draw(Made.Source) * 4;
+    Made.run(Took, ExchangeEnd::Whole);
+    Highest = std::max(Highest, Made.level());
+    Alone.run(Took, ExchangeEnd::Whole);
+    AloneFound = AloneFound || Alone.level() >= 1;
+  }
+  CHECK(Made.Evidence.LateShare > 0.2);
+  CHECK(Highest < 1);
+  CHECK(AloneFound);
+}
+
 TEST_CASE("cancelled young exchanges and the cold start are no evidence") {
   Bench Made = taught();
   for (int I = 0; I < 1000; ++I)
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -14,8 +14,10 @@
 constexpr std::array<double, 3> ToldLevels = {1, 0.75, 0.5};
 // Shares are told in steps, and told anew once they lie nearer to another step
 // by a margin.
-constexpr double FailShareStep = 0.05;
-constexpr double FailShareMargin = 0.75; // of a step
+constexpr double ShareStep = 0.05;
+constexpr double ShareMargin = 0.75; // of a step
+// Up to here a late share is no news.
+constexpr double UsualLateShare = 0.1;
 constexpr base::Duration LowerAfter = base::seconds(1);
 constexpr base::Duration TimesInterval = base::seconds(5);
 constexpr double TimesTolerance = 0.25;
@@ -34,24 +36,29 @@
          std::min(Server.Record.ColdStart, LongestColdStart);
 }
 
+double medianShare(std::vector<double> &Shares) {
+  std::sort(Shares.begin(), Shares.end());
+  return Shares.empty() ? 0 : Shares[Shares.size() / 2];
+}
+
 // The service's other servers are the measure, so that neither a slow server
 // measures itself by its own past nor a slow service looks like slow servers.
 void refreshBounds(RoutingState &State, const BackendServer &Server,
                    ServerEvidence &Evidence, base::TimePoint Now) {
   Evidence.BoundsAsOf = Now;
   std::map<base::KindName, std::vector<TimeProfile>> Others;
-  std::vector<double> FailShares;
+  std::vector<double> FailShares, LateShares;
   for (const base::BackendName &Name : State.ByService[Server.Record.Service]) {
     const BackendRecord &Other = State.Servers.at(Name).Record;
     if (Name == Server.Record.Name || Other.Phase == BackendPhase::Gone)
       continue;
     FailShares.push_back(Other.FailShare);
+    LateShares.push_back(Other.LateShare);
     for (const KindTime &Told : Other.Times)
       Others[Told.Kind].push_back(Told.Times);
   }
-  std::sort(FailShares.begin(), FailShares.end());
-  Evidence.PeerFailShare =
-      FailShares.empty() ? 0 : FailShares[FailShares.size() / 2];
+  Evidence.PeerFailShare = medianShare(FailShares);
+  Evidence.PeerLateShare = medianShare(LateShares);
   Evidence.HasPeers = false;
   for (auto &[Kind, Own] : Evidence.Kinds) {
     bool Enough = Others[Kind].size() >= PeersToCompare;
@@ -116,16 +123,30 @@
   }
 }
 
+bool hasMoved(double Told, double Share) {
+  return std::abs(Share - Told) > ShareMargin * ShareStep;
+}
+
+double toldShare(double Share) {
+  return std::round(Share / ShareStep) * ShareStep;
+}
+
+// A usual late share wavers and would make rumours: it is told as 0.
+double lateShare(const BackendRecord &Record, const ServerEvidence &Evidence) {
+  double Least = Record.LateShare > 0 ? UsualLateShare / 2 : UsualLateShare;
+  return Evidence.LateShare < Least ? 0 : Evidence.LateShare;
+}
+
 // Rising suspicion is told at once, step by step; falling suspicion waits, so
 // that a wavering score makes no stream of rumours.
 bool shouldTell(const BackendRecord &Record, const ServerEvidence &Evidence,
                 double Level, base::TimePoint Now) {
   if (Level > Record.Suspicion)
     return true;
-  bool Lower = Level < Record.Suspicion ||
-               std::abs(Evidence.FailShare - Record.FailShare) >
-                   FailShareMargin * FailShareStep;
-  return Lower && Now - Evidence.PublishedAt >= LowerAfter;
+  bool Later = Level < Record.Suspicion ||
+               hasMoved(Record.FailShare, Evidence.FailShare) ||
+               hasMoved(Record.LateShare, lateShare(Record, Evidence));
+  return Later && Now - Evidence.PublishedAt >= LowerAfter;
 }
 
 void publish(RoutingState &State, const membership::MembershipState &Peers,
@@ -143,8 +164,8 @@
   if (Tell) {
     markStale(State, Record.Service);
     Record.Suspicion = Level;
-    Record.FailShare =
-        std::round(Evidence.FailShare / FailShareStep) * FailShareStep;
+    Record.FailShare = toldShare(Evidence.FailShare);
+    Record.LateShare = toldShare(lateShare(Record, Evidence));
     Evidence.PublishedAt = Now;
   }
   if (Now - Evidence.TimesPublishedAt >= TimesInterval) {
