Eject on fresh word of the peers alone

Cause, by a trace: 10 of 10 false ejections of a service that stalls for 2 s came 0.42 to 0.44 s into it. The first server was sick by four hung exchanges; its peers stood at 0.4 to 0.7, but records tell from 0.5 on and no answers came that could tell the rest, so its entries saw a median of 0. What is left of the slow service is alike: 1.7 to 4.2 s into it, with word of the peers up to 2 s old. Change: a server that is in goes only when a quarter of its peers (two at least) have answered in the last 250 ms and most of these are below 0.1; with fewer answers it waits 300 ms for records. Tests: two for the cause. Three old cases of ejection_test ejected without any word of the peers; they now let the peers answer first (hearAll), and their checks are the same.

--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -15,6 +15,15 @@
 constexpr base::Duration ServiceSlowMemory = base::seconds(10);
 // What came with an answer counts for this long.
 constexpr base::Duration HeardMemory = base::seconds(2);
+// A new ejection needs fresh word of the peers: one in PeerShare of them, and
+// two at least, have answered within PeerMemory, and most of these are well.
+// When all servers stop or slow down at once, the first to look sick is only a
+// little ahead of its peers. Without word it waits for their records.
+constexpr double WellLevel = 0.1;
+constexpr base::Duration PeerMemory = base::milliseconds(250);
+constexpr base::Duration PeerPatience = base::milliseconds(300);
+constexpr std::size_t PeerShare = 4;
+constexpr std::size_t LeastPeers = 2;
 constexpr base::Duration RecheckInterval = base::milliseconds(100);
 constexpr std::uint32_t TrialsToReturn = 3;
 constexpr base::Duration TrialPatience = base::seconds(10);
@@ -31,11 +40,19 @@
   EjectionCandidate Candidate;
 };
 
+// PeerWord counts the servers that are not sick and have answered lately.
+struct PeerWord {
+  std::size_t Peers = 0; // of any server
+  std::size_t Heard = 0;
+  std::size_t Well = 0;
+};
+
 struct Update {
   const config::ServiceSettings &Settings;
   base::Random &Source;
   base::TimePoint Now;
   bool ServiceSlow = false;
+  PeerWord Word;
   std::vector<StandingChange> Changes;
 };
 
@@ -135,6 +152,29 @@
     Set.ServiceSlowUntil = Now + ServiceSlowMemory;
 }
 
+PeerWord collectWord(const std::vector<Member> &Members, base::TimePoint Now) {
+  PeerWord Word;
+  Word.Peers = std::max<std::size_t>(Members.size(), 1) - 1;
+  for (const Member &One : Members) {
+    const ServerStanding &Place = *One.Place;
+    if (One.Candidate.Suspicion >= SickLevel ||
+        Place.HeardAt == base::TimePoint{} || Now - Place.HeardAt >= PeerMemory)
+      continue;
+    ++Word.Heard;
+    Word.Well += One.Candidate.Suspicion < WellLevel ? 1 : 0;
+  }
+  return Word;
+}
+
+bool arePeersWell(const Update &Step, const ServerStanding &Place) {
+  const PeerWord &Word = Step.Word;
+  std::size_t Needed =
+      std::min(Word.Peers, std::max(LeastPeers, Word.Peers / PeerShare));
+  if (Word.Heard >= Needed)
+    return 2 * Word.Well >= Word.Heard;
+  return Step.Now - Place.SickSince >= PeerPatience;
+}
+
 void forgetOldEjections(const Update &Step, ServerStanding &Place) {
   if (Place.RecentEjections > 0 &&
       Step.Now - Place.Since > Place.HoldOff * RecentHoldOffs)
@@ -179,8 +219,11 @@
   ServerStanding &Place = *One.Place;
   bool Sick = One.Candidate.Suspicion >= SickLevel;
   bool Alone = Place.PeerSuspicion < ServiceLevel;
-  if (Alone && (isOut(Place) || !Step.ServiceSlow))
-    return Sick || isOut(Place);
+  Place.SickSince = Sick ? std::min(Place.SickSince, Step.Now) : base::Never;
+  if (isOut(Place)
+          ? Alone
+          : Sick && Alone && !Step.ServiceSlow && arePeersWell(Step, Place))
+    return true;
   if (isOut(Place)) {
     if (Place.RecentEjections > 0)
       --Place.RecentEjections;
@@ -308,7 +351,12 @@
   RoutingSet &Set = State.Sets[Service];
   std::vector<Member> Members = collect(State, Set, Service, Now);
   comparePeers(Set, Members, Now);
-  Update Step{Settings, Source, Now, Now < Set.ServiceSlowUntil, {}};
+  Update Step{Settings,
+              Source,
+              Now,
+              Now < Set.ServiceSlowUntil,
+              collectWord(Members, Now),
+              {}};
   std::vector<EjectionCandidate> Candidates;
   for (Member &One : Members) {
     advance(Step, One);
--- a/currantgauge/routing/ejection.h
+++ b/currantgauge/routing/ejection.h
@@ -56,6 +56,7 @@
   double PeerSuspicion = 0;
   double Heard = 0; // suspicion that came with the last answer
   base::TimePoint HeardAt;
+  base::TimePoint SickSince = base::Never; // Never: not sick
 };
 
 // RoutingSet is an entry's view of one service. It is worked out anew when a
--- a/currantgauge/routing/ejection_test.cc
+++ b/currantgauge/routing/ejection_test.cc
@@ -34,6 +34,15 @@
   return State;
 }
 
+// Every server answers, all but the sick ones with this suspicion.
+void hearAll(RoutingState &State, base::TimePoint Now, double Level = 0) {
+  for (const auto &[Name, Server] : State.Servers) {
+    ServerStanding &Place = State.Sets[Cutlist].Servers[Name];
+    Place.Heard = Level;
+    Place.HeardAt = Now;
+  }
+}
+
 // What the floor demands of a view, worked out apart from the code under test.
 void checkFloor(const RoutingState &State, base::Percent Floor) {
   double Announced = 0, Usable = 0, Kept = 0;
@@ -108,6 +117,7 @@
   RoutingState State = makeService(8);
   State.Servers[nameOf(3)].Record.Suspicion = 1;
   config::ServiceSettings Settings;
+  hearAll(State, base::TimePoint{1});
   auto Changes =
       updateRoutingSet(State, Cutlist, Settings, Source, base::TimePoint{1});
   REQUIRE(Changes.size() == 1);
@@ -129,6 +139,7 @@
   config::ServiceSettings Settings;
   base::TimePoint Now{1000000};
   auto Update = [&] {
+    hearAll(State, Now);
     updateRoutingSet(State, Cutlist, Settings, Source, Now);
     return State.Sets[Cutlist].Servers[nameOf(0)];
   };
@@ -161,6 +172,7 @@
   BackendRecord &Record = State.Servers[nameOf(0)].Record;
   for (std::int64_t Expected : {5, 10, 20, 30, 30}) {
     Record.Suspicion = 1;
+    hearAll(State, Now);
     updateRoutingSet(State, Cutlist, Settings, Source, Now);
     CHECK(Place.HoldOff == base::seconds(Expected));
     Record.Suspicion = 0;
@@ -174,4 +186,36 @@
   CHECK(Place.Where == Standing::Ejected);
 }
 
+// All servers stop at once: the first to look sick has heard of no peer.
+TEST_CASE("without word of its peers a sick server waits a little") {
+  base::Random Source(1);
+  RoutingState State = makeService(8);
+  State.Servers[nameOf(3)].Record.Suspicion = 1;
+  config::ServiceSettings Settings;
+  base::TimePoint Now{1000000};
+  auto OutAfter = [&](base::Duration Span) {
+    Now = Now + Span;
+    return !updateRoutingSet(State, Cutlist, Settings, Source, Now).empty();
+  };
+  CHECK_FALSE(OutAfter({}));
+  CHECK_FALSE(OutAfter(base::milliseconds(290)));
+  CHECK(OutAfter(base::milliseconds(10)));
+}
+
+// All servers slow down at once: the first to look sick is a little ahead.
+TEST_CASE("while most peers that answer are uneasy no server goes") {
+  base::Random Source(1);
+  RoutingState State = makeService(8);
+  State.Servers[nameOf(3)].Record.Suspicion = 1;
+  config::ServiceSettings Settings;
+  base::TimePoint Now{1000000};
+  for (int I = 0; I < 50; ++I) {
+    Now = Now + base::milliseconds(100);
+    hearAll(State, Now, 0.15);
+    REQUIRE(updateRoutingSet(State, Cutlist, Settings, Source, Now).empty());
+  }
+  hearAll(State, Now, 0.05);
+  CHECK(updateRoutingSet(State, Cutlist, Settings, Source, Now).size() == 1);
+}
+
 } // namespace currantgauge::routing
