Keep a server out at the floor before a new one of equal suspicion

Cause: one that is out counts SickLevel more than its suspicion, so at 0 it tied with a new one at 1, and the order of names decided: the set changed places at the floor. Change: twice SickLevel.

--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -365,7 +365,7 @@
     // A server that is out and no longer suspect goes before new ones, so that
     // a set at its floor does not change with every update.
     if (isOut(*One.Place))
-      Candidates.back().Suspicion += SickLevel;
+      Candidates.back().Suspicion += 2 * SickLevel;
   }
   std::vector<bool> Out = selectEjected(Candidates, Settings.Floor);
   for (std::size_t I = 0; I < Members.size(); ++I)
--- a/currantgauge/routing/ejection_test.cc
+++ b/currantgauge/routing/ejection_test.cc
@@ -218,4 +218,19 @@
   CHECK(updateRoutingSet(State, Cutlist, Settings, Source, Now).size() == 1);
 }
 
+TEST_CASE("at the floor a server that is out stays out before a new one") {
+  base::Random Source(1);
+  RoutingState State = makeService(4);
+  config::ServiceSettings Settings;
+  Settings.Floor.Value = 75;
+  base::TimePoint Now{1000000};
+  State.Servers[nameOf(3)].Record.Suspicion = 1;
+  hearAll(State, Now);
+  updateRoutingSet(State, Cutlist, Settings, Source, Now);
+  State.Servers[nameOf(3)].Record.Suspicion = 0;
+  State.Servers[nameOf(0)].Record.Suspicion = 1;
+  CHECK(updateRoutingSet(State, Cutlist, Settings, Source, Now).empty());
+  CHECK(State.Sets[Cutlist].Servers[nameOf(0)].Why == StandingWhy::Floor);
+}
+
 } // namespace currantgauge::routing
