Count answers against the exchanges that hang beside them

Cause, by a trace: the 4 false ejections in the long tail of cutlist (36 s into a healthy minute) and the 4 left with stocktally's stalls (19 s after the stall) are one server each, sick by three exchanges that hang with every ended score at 0. The sum of the hanging ones stood beside a score that stops at 0, so the twenty answers that overtook them in a second counted for nothing. The alarm of three hanging ones had found these sooner. evidence_test: a new case that fails without the change.

--- a/currantgauge/routing/evidence.cc
+++ b/currantgauge/routing/evidence.cc
@@ -102,15 +102,16 @@
   return Nats;
 }
 
-// Good news first takes back what a silent connection could explain too.
-void add(TestScore &Score, double Nats, bool Firm) {
+// Good news first takes back what a silent connection could explain too. Least
+// is the lowest that the firm part may fall to.
+void add(TestScore &Score, double Nats, bool Firm, double Least = 0) {
   if (Nats >= 0) {
     (Firm ? Score.Firm : Score.Silent) += Nats;
     return;
   }
   Score.Silent += Nats;
   if (Score.Silent < 0) {
-    Score.Firm = std::max(0.0, Score.Firm + Score.Silent);
+    Score.Firm = std::max(Least, Score.Firm + Score.Silent);
     Score.Silent = 0;
   }
 }
@@ -145,6 +146,17 @@
   Evidence.FailShare += ShareWeight * ((Failed ? 1 : 0) - Evidence.FailShare);
 }
 
+TestScore runningScore(const ServerEvidence &Evidence, SicknessTest Test,
+                       base::TimePoint Now) {
+  TestScore Sum;
+  if (Test == SicknessTest::Failure)
+    return Sum;
+  const TestRatios &Ratio = ratiosOf(Evidence, Test);
+  for (const auto &[Attempt, One] : Evidence.Running)
+    add(Sum, Ratio.Running[binOf(Evidence, One, Now)], One.Fresh);
+  return Sum;
+}
+
 void noteTime(ServerEvidence &Evidence, const Exchange &Ended, bool Whole,
               bool Fresh, base::TimePoint Now) {
   auto Kind = Evidence.Kinds.find(Ended.Kind);
@@ -156,24 +168,18 @@
         ShareWeight * ((Bin > 0 ? 1 : 0) - Evidence.LateShare);
   for (SicknessTest Test : TimeTests) {
     const TestRatios &Ratio = ratiosOf(Evidence, Test);
+    // Answers that overtake a few exchanges that hang speak against these: the
+    // sum of both is what falls to zero at most.
+    double Least = -total(runningScore(Evidence, Test, Now));
     TestScore &Score = Evidence.Scores[static_cast<std::size_t>(Test)];
     // A whole answer, however late, proves that its connection works.
-    add(Score, Whole ? Ratio.Ended[Bin] : Ratio.Running[Bin], Whole || Fresh);
+    Score.Firm = std::max(Score.Firm, Least);
+    add(Score, Whole ? Ratio.Ended[Bin] : Ratio.Running[Bin], Whole || Fresh,
+        Least);
     cap(Score);
   }
 }
 
-TestScore runningScore(const ServerEvidence &Evidence, SicknessTest Test,
-                       base::TimePoint Now) {
-  TestScore Sum;
-  if (Test == SicknessTest::Failure)
-    return Sum;
-  const TestRatios &Ratio = ratiosOf(Evidence, Test);
-  for (const auto &[Attempt, One] : Evidence.Running)
-    add(Sum, Ratio.Running[binOf(Evidence, One, Now)], One.Fresh);
-  return Sum;
-}
-
 // Without peers a server is measured by its own past, which must not learn
 // from the time when it was sick.
 void learnTime(ServerEvidence &Evidence, const Exchange &Ended,
@@ -241,7 +247,7 @@
     TestScore Sum = runningScore(Evidence, Test, Now);
     Sum.Firm += Evidence.Scores[I].Firm;
     Sum.Silent += Evidence.Scores[I].Silent;
-    double Level = std::min(1.0, total(Sum) / threshold());
+    double Level = std::clamp(total(Sum) / threshold(), 0.0, 1.0);
     if (Level > Worst.Level)
       Worst = Suspicion{Level, Test};
   }
--- a/currantgauge/routing/evidence_test.cc
+++ b/currantgauge/routing/evidence_test.cc
@@ -73,6 +73,22 @@
   CHECK(Made.level() >= 1);
 }
 
+// Long tails let three exchanges of a busy server hang at a time.
+TEST_CASE("a few exchanges that hang while others are answered are no stall") {
+  Bench Made = taught();
+  for (int I = 0; I < 3; ++I)
+    Made.start(true);
+  for (int I = 0; I < 40; ++I) {
+    Made.run(base::milliseconds(50), ExchangeEnd::Whole, true);
+    REQUIRE(Made.level() < 1);
+  }
+  CHECK(Made.Now > base::TimePoint{} + base::seconds(2));
+  for (int I = 0; I < 4; ++I)
+    Made.start(true);
+  Made.Now = Made.Now + base::seconds(1);
+  CHECK(Made.level() >= 1);
+}
+
 TEST_CASE("silent pooled connections alone never raise the alarm") {
   Bench Made = taught();
   for (int I = 0; I < 50; ++I)
