Entry: the attempts of a request have a file of their own

The choice, start and end of attempts move to core/entry_attempts.*; entry.cc keeps what happens to the request.

--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -5,27 +5,20 @@
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/retry.h"
-#include "currantgauge/membership/member.h"
+#include "currantgauge/core/entry_attempts.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace currantgauge::core {
 namespace {
 
-constexpr std::uint32_t ReferralLimit = 4; // of one request
 // A request that two servers died with is not tried on a third.
 constexpr std::uint32_t DeathLimit = 2;
-constexpr std::size_t ChoiceLimit = 4; // servers weighed for an attempt
 constexpr base::Duration DefaultDeadline = base::seconds(30);
-// What an attempt's deadline is ahead of its request's, so that the owner's
-// answer arrives before the entry gives up: there and back.
-constexpr base::Duration HopAllowance = base::milliseconds(5);
-constexpr base::Duration LinkAllowance = base::milliseconds(20);
 
 EntryRequest *findRequest(State &Node, base::RequestId Id) {
   auto Found = Node.Entry.Requests.find(Id);
@@ -68,17 +61,6 @@
                               Request.Kind.Rank.Value, 1});
 }
 
-void endCurrentAttempt(State &Node, EntryRequest &Request) {
-  Node.Entry.ByAttempt.erase(Request.Current);
-  routing::onAttemptOver(Node.Routing, Request.CurrentServer, Request.Current);
-  auto Server = Node.Routing.Servers.find(Request.CurrentServer);
-  if (Server != Node.Routing.Servers.end() &&
-      Server->second.Record.Owner != Node.Self.Name &&
-      Server->second.Running > 0)
-    --Server->second.Running;
-  Request.Current = base::AttemptId();
-}
-
 void forget(State &Node, base::RequestId Id) {
   EntryRequest *Request = findRequest(Node, Id);
   if (Request && Request->Current.Sequence != 0)
@@ -98,43 +80,6 @@
   forget(Node, Request.Facts.Request);
 }
 
-bool isNear(const State &Node, const base::BackendName &Server) {
-  auto Found = Node.Routing.Servers.find(Server);
-  return Found == Node.Routing.Servers.end() ||
-         Found->second.Record.Region == Node.Self.Region;
-}
-
-AttemptFacts factsOf(const State &Node, const EntryRequest &Request,
-                     const base::BackendName &Preferred) {
-  AttemptFacts Facts;
-  Facts.Attempt = Request.Current;
-  Facts.Request = Request.Facts.Request;
-  Facts.Entry = Node.Self.Name;
-  Facts.Service = Request.Kind.Service;
-  Facts.Kind = Request.Kind.Name;
-  Facts.Rank = Request.Kind.Rank;
-  Facts.Workspace = Request.Facts.Workspace;
-  Facts.Preferred = Preferred;
-  Facts.Key = Request.Facts.Key;
-  Facts.Action = Request.Facts.Action;
-  Facts.Permitted = Request.Permitted;
-  Facts.Print = Request.Print;
-  Facts.Body = Request.Facts.Body;
-  Facts.BodyBytes = Request.Facts.BodyBytes;
-  Facts.TimeLeft = Request.Deadline - Node.Now -
-                   (isNear(Node, Preferred) ? HopAllowance : LinkAllowance);
-  Facts.Worth = Request.Kind.Worth;
-  Facts.Idempotent = Request.Kind.Idempotent;
-  Facts.Number = Request.Attempts;
-  return Facts;
-}
-
-admission::AttemptPlan planOf(const State &Node, const EntryRequest &Request,
-                              const routing::BackendServer &Server) {
-  return {*Node.Config.Current,    Request.Kind, Server, Node.Self.Region,
-          Request.Facts.BodyBytes, Node.Now,     1};
-}
-
 void noteEnd(State &Node, const EntryRequest &Request,
              const AttemptOutcome &Outcome, EffectList &Effects) {
   auto Server = Node.Routing.Servers.find(Request.CurrentServer);
@@ -144,74 +89,6 @@
                               Effects);
 }
 
-base::AttemptId newAttempt(State &Node, EntryRequest &Request) {
-  Request.Current =
-      base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
-  Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
-  return Request.Current;
-}
-
-// An action that another node knows more of is asked for there. The owner's
-// queue and the retry budget are not touched: that node runs nothing twice.
-bool startReferral(State &Node, EntryRequest &Request,
-                   const base::NodeName &Where, EffectList &Effects) {
-  base::NetAddress Address;
-  if (Where != Node.Self.Name) {
-    auto Member = Node.Membership.Members.find(Where);
-    if (Member == Node.Membership.Members.end())
-      return false;
-    Address = Member->second.Record.PeerAddress;
-  }
-  if (++Request.Referrals > ReferralLimit)
-    return false;
-  newAttempt(Node, Request);
-  Request.CurrentServer = base::BackendName();
-  Effects.push_back(StartAttempt{factsOf(Node, Request, {}), Where, Address});
-  return true;
-}
-
-routing::Choice chooseFor(State &Node, const EntryRequest &Request,
-                          const std::vector<base::BackendName> &Avoid,
-                          EffectList &Effects) {
-  static const config::ServiceSettings Defaults;
-  routing::ChoiceQuery Query;
-  Query.Service = Request.Kind.Service;
-  Query.Pressure = &Node.Admission;
-  Query.RankOrder =
-      admission::rankOrder(*Node.Config.Current, Request.Kind.Rank);
-  Query.Worth = Request.Kind.Worth;
-  Query.Idempotent = Request.Kind.Idempotent;
-  Query.Tried = Request.Tried;
-  Query.Tried.insert(Query.Tried.end(), Avoid.begin(), Avoid.end());
-  Query.Now = Node.Now;
-  const auto &Services = Node.Config.Current->Services;
-  auto Found = Services.find(Query.Service);
-  return routing::selectServer(
-      Node.Routing, Query, Found == Services.end() ? Defaults : Found->second,
-      Node.Source, Effects);
-}
-
-// placeAttempt() chooses a server whose owner takes this rank, and returns why
-// there is none. Owners that refuse it now are passed over a few times.
-base::Reason placeAttempt(State &Node, const EntryRequest &Request,
-                          routing::Choice &Chosen, EffectList &Effects) {
-  double Draw = base::uniformUnit(Node.Source);
-  std::vector<base::BackendName> Avoid;
-  base::Reason Why = base::Reason::None;
-  while (Avoid.size() < ChoiceLimit) {
-    Chosen = chooseFor(Node, Request, Avoid, Effects);
-    if (!Chosen.Server)
-      return base::Reason::NoBackend;
-    admission::AttemptPlan Plan = planOf(Node, Request, *Chosen.Server);
-    Plan.Draw = Draw;
-    Why = admission::admitAttempt(Node.Admission, Plan, Effects);
-    if (Why == base::Reason::None)
-      return Why;
-    Avoid.push_back(Chosen.Server->Record.Name);
-  }
-  return Why;
-}
-
 void startNextAttempt(State &Node, EntryRequest &Request, EffectList &Effects) {
   if (actions::isQuarantined(Node.Actions, Request.Print))
     return refuse(Node, Request, base::Reason::Quarantined, base::Duration{},
@@ -220,24 +97,7 @@
   base::Reason Why = placeAttempt(Node, Request, Chosen, Effects);
   if (Why != base::Reason::None)
     return refuse(Node, Request, Why, base::seconds(1), Effects);
-  const routing::BackendServer *Server = Chosen.Server;
-  ++Request.Attempts;
-  newAttempt(Node, Request);
-  Request.CurrentServer = Server->Record.Name;
-  Request.Tried.push_back(Server->Record.Name);
-  routing::onAttemptStarted(Node.Routing, Chosen, Request.Current);
-  Request.Trace.push_back({Request.Current, Server->Record.Name,
-                           Server->Record.Owner,
-                           routing::choiceName(Chosen.Why), Node.Now});
-  base::NetAddress Address;
-  if (Server->Record.Owner != Node.Self.Name) {
-    ++Node.Routing.Servers.at(Server->Record.Name).Running;
-    Address = membership::addressOf(Node.Membership, Server->Record.Owner);
-  }
-  if (Request.Permitted)
-    actions::notePlaced(Node, Request.Facts, Server->Record.Owner);
-  Effects.push_back(StartAttempt{factsOf(Node, Request, Server->Record.Name),
-                                 Server->Record.Owner, Address});
+  startAttempt(Node, Request, Chosen, Effects);
 }
 
 // An action id runs by the word of its issuer alone.
