Admission: a retry waits for what its request has left

AttemptFacts.Waited, on the wire, says how long the request has waited since it arrived. An owner under pressure lets an attempt wait for what is left of the whole patience.

codec_test also checks that Waited and AnswerBytes come through by value: its round trip would not see a member that both directions leave out.

--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -153,11 +153,10 @@
   }
 }
 
-// A retry has used up its time to wait: it starts at once or not at all.
+// What a request has waited for before this attempt is part of its wait.
 base::Duration patienceOf(const QueuedAttempt &Attempt) {
-  if (Attempt.Facts.Number > 1)
-    return {};
-  return Attempt.CrossedLink ? LinkPatience : PressedPatience;
+  base::Duration Whole = Attempt.CrossedLink ? LinkPatience : PressedPatience;
+  return std::max(Whole - Attempt.Facts.Waited, base::Duration{});
 }
 
 base::Reason refuseEarly(const ServiceQueue &Queue, const RankQueue &Rank,
--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/admission/queue.h"
 
+#include "currantgauge/admission/pressure.h"
+
 #include <doctest/doctest.h>
 
 #include <cstdint>
@@ -185,4 +187,19 @@
             .Why == base::Reason::None);
 }
 
+TEST_CASE("under pressure an attempt waits for what its request has left") {
+  Fleet Case = makeFleet(100);
+  QueuedAttempt &First = newAttempt(Case, "urgent", "commit", "w");
+  First.Facts.Number = 2;
+  First.Facts.Waited = PressedPatience - base::milliseconds(10);
+  Case.State.Queues[Service].ByRank[0].PressureEnds =
+      Case.Now + base::seconds(5);
+  CHECK(put(Case, First).Why == base::Reason::None);
+  CHECK(First.StartBy == Case.Now + base::milliseconds(10));
+  QueuedAttempt &Late = newAttempt(Case, "urgent", "commit", "w");
+  Late.Facts.Waited = PressedPatience + base::milliseconds(10);
+  CHECK(put(Case, Late).Why == base::Reason::None);
+  CHECK(Late.StartBy == Case.Now);
+}
+
 } // namespace currantgauge::admission
--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -43,6 +43,7 @@
   Facts.BodyBytes = Request.Facts.BodyBytes;
   Facts.TimeLeft = Request.Deadline - Node.Now -
                    (isNear(Node, Preferred) ? HopAllowance : LinkAllowance);
+  Facts.Waited = Node.Now - Request.Arrived;
   Facts.Worth = Request.Kind.Worth;
   Facts.Idempotent = Request.Kind.Idempotent;
   Facts.Number = Request.Attempts;
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -44,6 +44,7 @@
   base::BodyHash Body;
   base::ByteCount BodyBytes;
   base::Duration TimeLeft;
+  base::Duration Waited; // since the request arrived at its entry
   double Worth = 1;
   bool Idempotent = true;
   std::uint32_t Number = 1; // 1 for the first attempt of a request
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -228,6 +228,7 @@
   To.set_idempotent(From.Idempotent);
   To.set_number(From.Number);
   To.set_permitted(From.Permitted);
+  To.set_waited_micros(From.Waited.Micros);
 }
 
 bool fromWire(const v1::AttemptFacts &From, core::AttemptFacts &To) {
@@ -250,6 +251,7 @@
   To.Idempotent = From.idempotent();
   To.Number = From.number();
   To.Permitted = From.permitted();
+  To.Waited.Micros = From.waited_micros();
   return true;
 }
 
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -65,6 +65,15 @@
   CHECK(bytesOf<Wire>(Back) == bytesOf<Wire>(From));
 }
 
+// throughWire() returns what the other end decodes.
+template <typename Wire, typename Core> Core throughWire(const Core &From) {
+  Wire Message;
+  toWire(From, Message);
+  Core Back;
+  CHECK(fromWire(Message, Back));
+  return Back;
+}
+
 } // namespace
 
 TEST_CASE("a peer message comes back whole") {
@@ -104,14 +113,19 @@
   Facts.TimeLeft = base::milliseconds(-3);
   Facts.Print = base::Fingerprint(5);
   Facts.Idempotent = false;
+  Facts.Waited = base::milliseconds(12);
   checkRoundTrip<v1::AttemptFacts>(Facts);
+  CHECK(throughWire<v1::AttemptFacts>(Facts).Waited == base::milliseconds(12));
   core::AttemptOutcome Outcome;
   Outcome.What = base::Verdict::NotRun;
   Outcome.Why = base::LastReason;
   Outcome.Load.RefusedShare = 0.5;
   Outcome.Suspicion = 0.75;
   Outcome.Elsewhere = base::NodeName("c");
+  Outcome.AnswerBytes = base::ByteCount{70000};
   checkRoundTrip<v1::AttemptOutcome>(Outcome);
+  CHECK(throughWire<v1::AttemptOutcome>(Outcome).AnswerBytes ==
+        base::ByteCount{70000});
   config::ConfigDelta Delta;
   Delta.Version = base::ConfigVersion(6);
   Delta.Since = base::ConfigVersion(4);
