--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -53,6 +53,7 @@
 base::AttemptId newAttempt(State &Node, EntryRequest &Request) {
   Request.Current =
       base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
+  Request.CurrentRefused = false;
   Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
   return Request.Current;
 }
