Entry: pass over an owner that refuses part of a rank while others do not

An owner known to refuse a part is now passed over for one that is not, as long as that one is as near (same rule of choice, so never for the link); it gets the draw as before when all are like that. When the whole rank is shed (a quarter of the entry's attempts refused) nothing is passed over.

--- a/currantgauge/admission/entry.cc
+++ b/currantgauge/admission/entry.cc
@@ -39,6 +39,14 @@
   return Found == Config.Ranks.end() ? UnknownRankOrder : Found->second.Order;
 }
 
+// When a whole rank is shed, the owners that are not known to refuse it would
+// get the work of all the others.
+bool passesOver(const AdmissionState &State, const AttemptPlan &Plan) {
+  return !isRankShed(State, Plan.Kind) &&
+         pressureCost(State, Plan.Kind.Service, Plan.Server.Record.Owner,
+                      rankOrder(Plan.Config, Plan.Kind.Rank), Plan.Now) > 0;
+}
+
 base::Reason admitAttempt(AdmissionState &State, const AttemptPlan &Plan,
                           core::EffectList &Effects) {
   std::uint32_t Order = rankOrder(Plan.Config, Plan.Kind.Rank);
--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -17,6 +17,7 @@
 constexpr base::Duration BudgetSpan = base::seconds(10);
 constexpr double FreshShare = 0.05; // of an attempt in RefusedShare
 constexpr double RareRefusals = 0.1;
+constexpr double ShedRefusals = 0.25; // share of attempts
 constexpr base::Duration QuickRefusal = base::milliseconds(25);
 
 // Refusals that every other owner would repeat are final.
@@ -82,6 +83,12 @@
                       base::uniformUnit(Source));
 }
 
+bool isRankShed(const AdmissionState &State, const config::KindSettings &Kind) {
+  auto Known = State.Budgets.find({Kind.Service, Kind.Rank});
+  return Known != State.Budgets.end() &&
+         Known->second.RefusedShare > ShedRefusals;
+}
+
 bool takeRetry(AdmissionState &State, const config::KindSettings &Kind) {
   RetryBudget &Budget = State.Budgets[{Kind.Service, Kind.Rank}];
   if (Budget.Tokens < 1)
--- a/currantgauge/admission/retry.h
+++ b/currantgauge/admission/retry.h
@@ -46,6 +46,10 @@
                  const config::KindSettings &Kind,
                  const core::AttemptOutcome &Outcome, base::TimePoint Now);
 
+// isRankShed() says whether owners refuse much of a kind's rank for their load,
+// so that it is no accident of one of them.
+bool isRankShed(const AdmissionState &State, const config::KindSettings &Kind);
+
 // takeRetry() takes a token of a rank's budget for a service; false: none left.
 bool takeRetry(AdmissionState &State, const config::KindSettings &Kind);
 
--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -79,6 +79,14 @@
       Node.Source, Effects);
 }
 
+base::Reason admit(State &Node, const EntryRequest &Request,
+                   const routing::Choice &One, double Draw,
+                   EffectList &Effects) {
+  admission::AttemptPlan Plan = planOf(Node, Request, *One.Server);
+  Plan.Draw = Draw;
+  return admission::admitAttempt(Node.Admission, Plan, Effects);
+}
+
 } // namespace
 
 admission::AttemptPlan planOf(const State &Node, const EntryRequest &Request,
@@ -117,21 +125,34 @@
   return true;
 }
 
+// An owner that refuses part of the rank is passed over for one that is not
+// known to, unless that one is dearer to reach.
 base::Reason placeAttempt(State &Node, const EntryRequest &Request,
                           routing::Choice &Chosen, EffectList &Effects) {
   double Draw = base::uniformUnit(Node.Source);
   std::vector<base::BackendName> Avoid;
-  base::Reason Why = base::Reason::None;
+  std::vector<routing::Choice> Passed;
+  base::Reason Why = base::Reason::NoBackend;
   while (Avoid.size() < ChoiceLimit) {
     Chosen = chooseFor(Node, Request, Avoid, Effects);
     if (!Chosen.Server)
-      return base::Reason::NoBackend;
-    admission::AttemptPlan Plan = planOf(Node, Request, *Chosen.Server);
-    Plan.Draw = Draw;
-    Why = admission::admitAttempt(Node.Admission, Plan, Effects);
+      break;
+    Avoid.push_back(Chosen.Server->Record.Name);
+    bool Dearer = !Passed.empty() && Chosen.Why != Passed.front().Why;
+    if (Dearer || admission::passesOver(
+                      Node.Admission, planOf(Node, Request, *Chosen.Server))) {
+      Passed.push_back(Chosen);
+      continue;
+    }
+    Why = admit(Node, Request, Chosen, Draw, Effects);
+    if (Why == base::Reason::None)
+      return Why;
+  }
+  for (const routing::Choice &One : Passed) {
+    Chosen = One;
+    Why = admit(Node, Request, Chosen, Draw, Effects);
     if (Why == base::Reason::None)
       return Why;
-    Avoid.push_back(Chosen.Server->Record.Name);
   }
   return Why;
 }
--- /dev/null
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -0,0 +1,114 @@
+#include "currantgauge/core/entry_attempts.h"
+
+#include "currantgauge/admission/pressure.h"
+#include "currantgauge/core/reduce.h"
+#include "currantgauge/routing/registry.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace currantgauge::core {
+namespace {
+
+const base::ServiceName Service("cutlist");
+const base::KindName Kind("read");
+const base::RankName Rank("normal");
+const base::NodeName Self("a");
+const base::NodeName Other("b");
+constexpr std::uint32_t Requests = 100;
+constexpr base::TimePoint Now{1000000};
+
+config::ConfigurationPtr sampleConfig() {
+  auto *Config = new config::Configuration;
+  Config->Services[Service].Name = Service;
+  config::KindSettings &Read = Config->Kinds[Kind];
+  Read.Name = Kind;
+  Read.Service = Service;
+  Read.Rank = Rank;
+  Read.Deadline = base::milliseconds(500);
+  Config->Ranks[Rank].Name = Rank;
+  Config->Routes["all"] = config::RouteSettings{"all", "", "/", Kind};
+  config::indexRoutes(*Config);
+  return config::ConfigurationPtr(Config);
+}
+
+// fleetOfTwo() returns node a, which owns a server and knows one of node b.
+State fleetOfTwo(const std::string &OtherRegion) {
+  NodeIdentity Identity;
+  Identity.Name = Self;
+  Identity.Region = base::RegionName("north");
+  Identity.Life = base::Incarnation(1);
+  State Node = makeState(Identity, 7);
+  Node.Config.Current = sampleConfig();
+  EffectList Effects;
+  BackendAnnounced Word;
+  Word.Word.Name = base::BackendName("cutlist-1");
+  Word.Word.Service = Service;
+  Word.Word.Life = base::Incarnation(1);
+  Word.Word.Slots = 4;
+  reduce(Node, Event{base::TimePoint{1000}, {}, Word}, Effects);
+  routing::BackendRecord Record =
+      Node.Routing.Servers.at(Word.Word.Name).Record;
+  Record.Name = base::BackendName("cutlist-2");
+  Record.Owner = Other;
+  Record.Region = base::RegionName(OtherRegion);
+  routing::mergeRecord(Node.Routing, Record, base::TimePoint{2000});
+  return Node;
+}
+
+// press() has the entry know that its own queue refuses a part of the rank.
+void press(State &Node) {
+  Pressure Load;
+  Load.Owner = Self;
+  Load.Service = Service;
+  Load.RefusedOrder = 0;
+  Load.RefusedShare = 0.3;
+  admission::notePressure(Node.Admission, Load, Now);
+}
+
+// countOwn() sends requests and returns how many stay with node a.
+std::uint32_t countOwn(State &Node) {
+  std::uint32_t Own = 0;
+  for (std::uint32_t I = 0; I < Requests; ++I) {
+    RequestArrived Arrival;
+    Arrival.Facts.Request = base::RequestId{1, I + 1};
+    Arrival.Facts.Method = "GET";
+    Arrival.Facts.Path = "/lists/7";
+    EffectList Effects;
+    reduce(Node, Event{Now, {}, Arrival}, Effects);
+    for (const Effect &Item : Effects)
+      if (const auto *Start = std::get_if<StartAttempt>(&Item))
+        Own += Start->Owner == Self ? 1 : 0;
+  }
+  return Own;
+}
+
+} // namespace
+
+TEST_CASE("an owner that refuses part of the rank is passed over") {
+  State Node = fleetOfTwo("north");
+  CHECK(countOwn(Node) > 0);
+  Node = fleetOfTwo("north");
+  press(Node);
+  CHECK(countOwn(Node) == 0);
+}
+
+TEST_CASE("while the whole rank is shed its work stays spread") {
+  State Node = fleetOfTwo("north");
+  press(Node);
+  Node.Admission.Budgets[{Service, Rank}].RefusedShare = 0.5;
+  CHECK(countOwn(Node) > Requests / 4);
+}
+
+TEST_CASE("an owner that refuses a part is not passed over for the link") {
+  State Node = fleetOfTwo("south");
+  press(Node);
+  std::uint32_t Own = countOwn(Node);
+  CHECK(Own > Requests / 2);
+  CHECK(Own < Requests);
+}
+
+} // namespace currantgauge::core
