Entry: test that an answer over the link is charged and counted

AnswerBytes is in the peer codec already; what was missing is a proof, and docs/ADMISSION.md still says that it does not travel. codec_test checks its value, this test that the entry charges it to the link's budget and counts it as received LinkBytes of the owner's region. No fault found, no code changed.

--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/core/entry_attempts.h"
 
+#include "currantgauge/admission/link.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/core/reduce.h"
 #include "currantgauge/routing/registry.h"
@@ -69,19 +70,29 @@
   admission::notePressure(Node.Admission, Load, Now);
 }
 
+RequestArrived sampleRequest(std::uint64_t Sequence) {
+  RequestArrived Arrival;
+  Arrival.Facts.Request = base::RequestId{1, Sequence};
+  Arrival.Facts.Method = "GET";
+  Arrival.Facts.Path = "/lists/7";
+  return Arrival;
+}
+
+template <typename What> const What *find(const EffectList &Effects) {
+  for (const Effect &Item : Effects)
+    if (const What *Found = std::get_if<What>(&Item))
+      return Found;
+  return nullptr;
+}
+
 // countOwn() sends requests and returns how many stay with node a.
 std::uint32_t countOwn(State &Node) {
   std::uint32_t Own = 0;
   for (std::uint32_t I = 0; I < Requests; ++I) {
-    RequestArrived Arrival;
-    Arrival.Facts.Request = base::RequestId{1, I + 1};
-    Arrival.Facts.Method = "GET";
-    Arrival.Facts.Path = "/lists/7";
     EffectList Effects;
-    reduce(Node, Event{Now, {}, Arrival}, Effects);
-    for (const Effect &Item : Effects)
-      if (const auto *Start = std::get_if<StartAttempt>(&Item))
-        Own += Start->Owner == Self ? 1 : 0;
+    reduce(Node, Event{Now, {}, sampleRequest(I + 1)}, Effects);
+    if (const auto *Start = find<StartAttempt>(Effects))
+      Own += Start->Owner == Self ? 1 : 0;
   }
   return Own;
 }
@@ -111,4 +122,33 @@
   CHECK(Own < Requests);
 }
 
+TEST_CASE("an answer over the link is charged to the budget and counted") {
+  State Node = fleetOfTwo("south");
+  auto *Config = new config::Configuration(*Node.Config.Current);
+  Config->Link.BytesPerSecond = base::ByteCount{1000000};
+  Node.Config.Current = config::ConfigurationPtr(Config);
+  Node.Routing.Servers.at(base::BackendName("cutlist-1")).Drained = true;
+  EffectList Effects;
+  reduce(Node, Event{Now, {}, sampleRequest(1)}, Effects);
+  const StartAttempt *Start = find<StartAttempt>(Effects);
+  REQUIRE(Start);
+  CHECK(Start->Owner == Other);
+  CHECK(Node.Admission.Link.Spent ==
+        static_cast<double>(admission::AttemptOverhead.Bytes));
+  AttemptEnded Ended{Start->Facts.Attempt, {}};
+  Ended.Outcome.What = base::Verdict::Ran;
+  Ended.Outcome.AnswerBytes = base::ByteCount{70000};
+  Effects.clear();
+  reduce(Node, Event{Now, {}, Ended}, Effects);
+  CHECK(Node.Admission.Link.Spent ==
+        static_cast<double>(admission::AttemptOverhead.Bytes) + 70000);
+  double Received = 0;
+  for (const Effect &Item : Effects)
+    if (const auto *Counted = std::get_if<Measure>(&Item))
+      if (Counted->Which == Metric::LinkBytes && Counted->LabelA == "south" &&
+          Counted->LabelB == "received")
+        Received += Counted->Amount;
+  CHECK(Received == 70000);
+}
+
 } // namespace currantgauge::core
