Bench: plots of latency percentiles, what a server and a peer add to a node

Not run: the whole of bench/run.sh; these steps alone, on a copy with its rates and pauses shortened.

--- a/bench/load_bench.cc
+++ b/bench/load_bench.cc
@@ -20,9 +20,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <cstdio>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <random>
@@ -40,6 +43,7 @@
 DEFINE_int32(body_bytes, 0, "body of a POST, in bytes");
 DEFINE_bool(table, false, "print a table for people");
 DEFINE_bool(json, false, "print the results as JSON");
+DEFINE_string(svg, "", "file for a plot of the latency percentiles");
 
 namespace {
 
@@ -249,6 +253,70 @@
   return Out;
 }
 
+// The plot's share axis is logarithmic in the requests that took longer, so
+// that p50, p90, p99 and p99.9 stand a step apart.
+constexpr double PlotWidth = 640, PlotHeight = 320, PlotMargin = 50;
+constexpr double PlotDecades = 3.5; // up to p99.97
+
+double plotX(double Share) {
+  return PlotMargin +
+         (PlotWidth - 2 * PlotMargin) * -std::log10(1 - Share) / PlotDecades;
+}
+
+double plotY(double Millis, double Longest) {
+  return PlotHeight - PlotMargin -
+         (PlotHeight - 2 * PlotMargin) * Millis / Longest;
+}
+
+void plotAxes(std::ostream &Out, double Longest) {
+  for (double Share : {0.0, 0.5, 0.9, 0.99, 0.999})
+    Out << "<text x='" << plotX(Share) << "' y='" << PlotHeight - 30
+        << "' text-anchor='middle'>p" << Share * 100 << "</text>\n";
+  constexpr int Steps = 4;
+  for (int I = 0; I <= Steps; ++I) {
+    double Millis = Longest * I / Steps;
+    double Y = plotY(Millis, Longest);
+    Out << "<text x='4' y='" << Y << "'>" << Millis << " ms</text>\n<line x1='"
+        << PlotMargin << "' x2='" << PlotWidth - PlotMargin << "' y1='" << Y
+        << "' y2='" << Y << "' stroke='#ccc'/>\n";
+  }
+}
+
+void plotLine(std::ostream &Out, std::vector<double> &Sorted, double Longest,
+              const char *Color) {
+  constexpr int Points = 200;
+  Out << "<polyline fill='none' stroke='" << Color << "' points='";
+  for (int I = 0; I <= Points; ++I) {
+    double Share = 1 - std::pow(10, -PlotDecades * I / Points);
+    Out << plotX(Share) << ',' << plotY(percentile(Sorted, Share), Longest)
+        << ' ';
+  }
+  Out << "'/>\n";
+}
+
+void writeSvg(Load &All, std::ostream &Out) {
+  constexpr const char *Colors[] = {"#1b6", "#c33", "#36c", "#a5a", "#c80"};
+  constexpr double Step = 4; // ms: the labels of the axis are whole
+  double Longest = Step;
+  for (auto &[Name, Seen] : All.Results)
+    Longest = std::max(
+        Longest, std::ceil(percentile(Seen.Millis, 0.9997) / Step) * Step);
+  Out << "<svg xmlns='http://www.w3.org/2000/svg' width='" << PlotWidth
+      << "' height='" << PlotHeight
+      << "' font-family='sans-serif' font-size='11'>\n<text x='50' y='16'>"
+         "latency from the intended start at "
+      << FLAGS_rate << " requests/s</text>\n";
+  plotAxes(Out, Longest);
+  std::size_t Number = 0;
+  for (auto &[Name, Seen] : All.Results) {
+    const char *Color = Colors[Number % std::size(Colors)];
+    plotLine(Out, Seen.Millis, Longest, Color);
+    Out << "<text x='60' y='" << 34 + 14 * Number++ << "' fill='" << Color
+        << "'>" << Name << "</text>\n";
+  }
+  Out << "</svg>\n";
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -265,6 +333,10 @@
     std::sort(Seen.Millis.begin(), Seen.Millis.end());
   if (FLAGS_table)
     printTable(All);
+  if (!FLAGS_svg.empty()) {
+    std::ofstream Out(FLAGS_svg);
+    writeSvg(All, Out);
+  }
   if (FLAGS_json)
     std::cout << toJson(All).dump(2) << "\n";
   return 0;
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -65,11 +65,11 @@
 sleep 3
 DIRECT=127.0.0.1:$(port_of "$WORK/c-1.out")
 
-"$BUILD_DIR/load_bench" --targets="$DIRECT" --rate=540 --seconds="$SECONDS_EACH" --mix=GET:/lists/7:1 --json >"$OUT/direct.json"
+"$BUILD_DIR/load_bench" --targets="$DIRECT" --rate=540 --seconds="$SECONDS_EACH" --mix=GET:/lists/7:1 --json --svg="$OUT/direct.svg" >"$OUT/direct.json"
 snapshot "$NODE_A" >"$WORK/before"
 read -r A0 _ <<<"$(cpu_of "$NODE_A")"
 read -r B0 _ <<<"$(cpu_of "$NODE_B")"
-"$BUILD_DIR/load_bench" --targets=127.0.8.1:18080 --rate=540 --seconds="$SECONDS_EACH" --mix=GET:/lists/7:1 --json >"$OUT/two_nodes.json"
+"$BUILD_DIR/load_bench" --targets=127.0.8.1:18080 --rate=540 --seconds="$SECONDS_EACH" --mix=GET:/lists/7:1 --json --svg="$OUT/two_nodes.svg" >"$OUT/two_nodes.json"
 read -r A1 _ <<<"$(cpu_of "$NODE_A")"
 read -r B1 _ <<<"$(cpu_of "$NODE_B")"
 snapshot "$NODE_A" >"$WORK/after"
@@ -84,6 +84,32 @@
 for RATE in 2000 4000 6000; do
   "$BUILD_DIR/load_bench" --targets=127.0.8.1:18080 --rate=$RATE --seconds=5 --mix=GET:/lists/7:1 --json >"$OUT/rate_$RATE.json"
 done
+
+# What known servers and peers add to a node: servers announced to the owner,
+# peers started beside it. Anonymous memory: that of code pages is shared.
+anon_of() { awk '/RssAnon/{print $2}' "/proc/$1/status"; }
+sockets_of() { find "/proc/$1/fd" -lname 'socket:*' 2>/dev/null | wc -l; }
+announce_extra() {
+  curl -s -o /dev/null -X PUT -d '{"service": "stocktally", "address": "127.0.0.1:9", "incarnation": 1, "slots": 4}' \
+    "http://127.0.8.2:18083/v1/servers/extra-[1-$1]"
+}
+EXTRA_SERVERS=1000
+EXTRA_PEERS=4
+announce_extra 1
+sleep 1
+OWNER_KB=$(anon_of "$NODE_B") ENTRY_KB=$(anon_of "$NODE_A") OWNER_SOCKETS=$(sockets_of "$NODE_B")
+announce_extra $EXTRA_SERVERS
+sleep 1
+awk "BEGIN{printf \"{\\\"servers\\\": %d, \\\"owner_bytes_per_server\\\": %.0f, \\\"entry_bytes_per_server\\\": %.0f, \\\"owner_sockets_per_server\\\": %.3f}\n\", \
+  $EXTRA_SERVERS, ($(anon_of "$NODE_B")-$OWNER_KB)*1024/$EXTRA_SERVERS, ($(anon_of "$NODE_A")-$ENTRY_KB)*1024/$EXTRA_SERVERS, \
+  ($(sockets_of "$NODE_B")-$OWNER_SOCKETS)/$EXTRA_SERVERS}" >"$OUT/per_server.json"
+sleep 5 # the leases pass
+ENTRY_KB=$(anon_of "$NODE_A") ENTRY_SOCKETS=$(sockets_of "$NODE_A")
+for I in $(seq 1 $EXTRA_PEERS); do start_node "peer-$I" "127.0.8.$((10 + I))"; done
+sleep 10
+awk "BEGIN{printf \"{\\\"peers\\\": %d, \\\"bytes_per_peer\\\": %.0f, \\\"sockets_per_peer\\\": %.2f}\n\", \
+  $EXTRA_PEERS, ($(anon_of "$NODE_A")-$ENTRY_KB)*1024/$EXTRA_PEERS, ($(sockets_of "$NODE_A")-$ENTRY_SOCKETS)/$EXTRA_PEERS}" >"$OUT/per_peer.json"
+cat "$OUT/per_server.json" "$OUT/per_peer.json"
 "$BUILD_DIR/reduce_bench" >"$OUT/reduce.json"
 "$BUILD_DIR/membership_bench" 3 12 24 48 >"$OUT/membership.json"
 "$BUILD_DIR/config_bench" node 1 >"$OUT/config.txt"
