Peers: one timer for all attempts that wait for their acknowledgement

Attempts now wait in one list by age, and one timer looks at the oldest; it is not cancelled when an attempt arrives.

--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -14,9 +14,11 @@
 
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::peer {
 namespace {
@@ -64,35 +66,14 @@
   v1::AnswerPart Wire;
   runtime::AnswerPipePtr Pipe;
   ChannelPtr To;
-  std::function<void(const ChannelPtr &)> OnSilence;
-  grpc::Alarm ArrivalTimer;
-  std::atomic<bool> Arrived{false};
+  std::atomic<bool> Arrived{false}; // at the owner, or ended
   bool Idempotent = false;
   std::mutex Lock;
   bool Waiting = false; // for room in the pipe, under a hold
 
-  // The timer keeps its callback until it is destroyed with the call, so the
-  // callback lets go of the call by itself.
-  void awaitArrival() {
-    boost::intrusive_ptr<ForwardCall> Self(this);
-    this->ArrivalTimer.Set(after(ArrivalLimit), [Self](bool Due) mutable {
-      if (Due && !Self->Arrived)
-        Self->giveUpChannel();
-      Self.reset();
-    });
-  }
-
-  // Later calls take a new connection. An action stays, since its answer may
-  // still come; other work is better tried again.
-  void giveUpChannel() {
-    this->OnSilence(this->To);
-    if (this->Idempotent)
-      this->Context.TryCancel();
-  }
-
   void OnReadInitialMetadataDone(bool Good) override {
-    this->Arrived = this->Arrived || Good;
-    this->ArrivalTimer.Cancel();
+    if (Good)
+      this->Arrived = true;
   }
 
   void readNext() {
@@ -134,7 +115,8 @@
 
   // An end that the owner said came first; this one is then dropped.
   void OnDone(const grpc::Status &) override {
-    this->ArrivalTimer.Cancel();
+    this->Arrived = true;
+    this->Request.Clear(); // the wait for its arrival may hold the call longer
     runtime::setWriter(*this->Pipe, nullptr);
     runtime::setOnCancel(*this->Pipe, nullptr);
     runtime::pushPart(*this->Pipe, endWith(base::Verdict::MayHaveRun,
@@ -147,9 +129,20 @@
 
 namespace detail {
 
+// ArrivalWait is a call whose arrival was not acknowledged when last looked at.
+struct ArrivalWait {
+  std::chrono::system_clock::time_point Due;
+  base::NetAddress Address;
+  boost::intrusive_ptr<ForwardCall> Call;
+};
+
+// Channels has one timer for all calls: one each costs more than the call's
+// own bookkeeping.
 struct Channels {
   std::mutex Lock;
   std::map<base::NetAddress, ChannelPtr> ByAddress;
+  std::deque<ArrivalWait> Waits;      // by Due
+  std::unique_ptr<grpc::Alarm> Timer; // none: not set
 };
 
 } // namespace detail
@@ -200,6 +193,52 @@
     Current = openChannel(Address);
 }
 
+void setArrivalTimer(PeerClient &Client);
+
+// Later calls take a new connection. An action stays, since its answer may
+// still come; other work is better tried again.
+void onArrivalTimer(PeerClient &Client) {
+  std::vector<detail::ArrivalWait> Silent;
+  {
+    std::lock_guard<std::mutex> Guard(Client.Open->Lock);
+    auto &Waits = Client.Open->Waits;
+    auto Now = std::chrono::system_clock::now();
+    while (!Waits.empty() &&
+           (Waits.front().Call->Arrived || Waits.front().Due <= Now)) {
+      if (!Waits.front().Call->Arrived)
+        Silent.push_back(Waits.front());
+      Waits.pop_front();
+    }
+    setArrivalTimer(Client);
+  }
+  for (const detail::ArrivalWait &One : Silent) {
+    replaceChannel(Client, One.Address, One.Call->To);
+    if (One.Call->Idempotent)
+      One.Call->Context.TryCancel();
+  }
+}
+
+// The caller holds the lock. An alarm can't be set again in its own callback.
+void setArrivalTimer(PeerClient &Client) {
+  detail::Channels &Open = *Client.Open;
+  Open.Timer.reset();
+  if (Open.Waits.empty())
+    return;
+  Open.Timer = std::make_unique<grpc::Alarm>();
+  Open.Timer->Set(Open.Waits.front().Due, [&Client](bool Due) {
+    if (Due)
+      onArrivalTimer(Client);
+  });
+}
+
+void awaitArrival(PeerClient &Client, const base::NetAddress &Address,
+                  boost::intrusive_ptr<ForwardCall> Call) {
+  std::lock_guard<std::mutex> Guard(Client.Open->Lock);
+  Client.Open->Waits.push_back({after(ArrivalLimit), Address, std::move(Call)});
+  if (!Client.Open->Timer)
+    setArrivalTimer(Client);
+}
+
 } // namespace
 
 void forward(PeerClient &Client, const base::NetAddress &Address,
@@ -218,9 +257,6 @@
   Call->Pipe = Pipe;
   Call->To = To;
   Call->Idempotent = Facts.Idempotent;
-  Call->OnSilence = [&Client, Address](const ChannelPtr &Silent) {
-    replaceChannel(Client, Address, Silent);
-  };
   toWire(Facts, *Call->Request.mutable_facts());
   toWire(Message, Call->Request);
   Call->Context.set_deadline(after(Facts.TimeLeft + ForwardAllowance));
@@ -228,8 +264,8 @@
   To->Stub->async()->Forward(&Call->Context, &Call->Request, Call.get());
   Call->StartRead(&Call->Wire);
   runtime::setOnCancel(*Pipe, [Call] { Call->Context.TryCancel(); });
-  Call->awaitArrival();
   Call->StartCall();
+  awaitArrival(Client, Address, Call);
 }
 
 void deliver(PeerClient &Client, const base::NetAddress &Address,
