Status: the store, and each rank's queue and pressure

Cause: during an outage or a flood an operator had to read raw counters.

The status code moved from operations.cc to a file of its own.

--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -8,6 +8,7 @@
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/explain.h"
 #include "currantgauge/core/owner.h"
+#include "currantgauge/core/status.h"
 #include "currantgauge/membership/anti_entropy.h"
 #include "currantgauge/membership/detector.h"
 #include "currantgauge/membership/gossip.h"
@@ -15,7 +16,6 @@
 #include "currantgauge/membership/rumours.h"
 #include "currantgauge/routing/ejection.h"
 #include "currantgauge/routing/health.h"
-#include "currantgauge/routing/health_report.h"
 #include "currantgauge/routing/registry.h"
 
 #include <string>
@@ -99,31 +99,7 @@
   return "";
 }
 
-OperatorReply answer(State &Node, const AskStatus &) {
-  OperatorReply Reply;
-  Reply.Fields = {
-      {"node", Node.Self.Name.Value},
-      {"region", Node.Self.Region.Value},
-      {"failure_domain", Node.Self.Domain.Value},
-      {"config_version", std::to_string(Node.Config.Document.Version.Value)},
-      {"stopping", Node.Stopping ? "true" : "false"},
-  };
-  OperatorTable Nodes{
-      "nodes",
-      {"node", "region", "failure_domain", "phase", "path", "config"},
-      {}};
-  OperatorTable Servers =
-      routing::healthRows(Node.Routing, base::ServiceName(), Node.Now);
-  for (const auto &[Name, Member] : Node.Membership.Members)
-    Nodes.Rows.push_back(
-        {Name.Value, Member.Record.Region.Value, Member.Record.Domain.Value,
-         std::string(membership::phaseName(Member.Record.Phase)),
-         Member.PathFailed ? "failed" : "ok",
-         std::to_string(Member.Record.Version.Value)});
-  Reply.Tables = {std::move(Servers), std::move(Nodes),
-                  config::spreadTable(Node)};
-  return Reply;
-}
+OperatorReply answer(State &Node, const AskStatus &) { return statusOf(Node); }
 
 OperatorReply answer(State &Node, const AskExplain &Asked) {
   return explain(Node, Asked.Request);
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -7,6 +7,7 @@
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
+#include "currantgauge/core/status.h"
 #include "currantgauge/membership/detector.h"
 #include "currantgauge/membership/gossip.h"
 #include "currantgauge/membership/rumours.h"
@@ -52,6 +53,7 @@
   }
   // A call belongs to one component: each knows its own.
   void operator()(const StoreAnswered &E) {
+    noteStoreAnswer(Node, E);
     if (!actions::onStoreAnswered(Node, E, Effects) &&
         !config::onStoreAnswered(Node, E, Effects))
       membership::onStoreAnswered(Node, E, Effects);
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -70,6 +70,15 @@
   std::map<base::AttemptId, admission::QueuedAttemptPtr> Attempts;
 };
 
+// StoreSeen is what a node's calls of the platform's service came to.
+struct StoreSeen {
+  base::TimePoint LastAnswer = base::Never;
+  std::uint64_t Calls = 0;
+  std::uint64_t Refused = 0; // or not reached
+  std::uint64_t Lost = 0;    // may have been applied
+  std::uint64_t FailuresInRow = 0;
+};
+
 // State is a node.
 struct State {
   NodeIdentity Self;
@@ -87,6 +96,7 @@
   membership::MembershipState Membership;
   EntryState Entry;
   OwnerState Owner;
+  StoreSeen Store;
 };
 
 // makeState() returns a node that has seen no event yet.
--- /dev/null
+++ b/currantgauge/core/status.h
@@ -0,0 +1,21 @@
+// What an operator sees of a node: its fleet, servers, queues and store.
+//
+//   OperatorReply Reply = statusOf(Node);
+#ifndef CURRANTGAUGE_CORE_STATUS_H
+#define CURRANTGAUGE_CORE_STATUS_H
+
+#include "currantgauge/core/event.h"
+#include "currantgauge/core/operator.h"
+#include "currantgauge/core/state.h"
+
+namespace currantgauge::core {
+
+// noteStoreAnswer() counts an answer of the platform's service.
+void noteStoreAnswer(State &Node, const StoreAnswered &Answer);
+
+// statusOf() returns a node's view of the fleet.
+OperatorReply statusOf(const State &Node);
+
+} // namespace currantgauge::core
+
+#endif // CURRANTGAUGE_CORE_STATUS_H
