config push: send the parts that the node lacks

Cause: the client sent the whole document as one JSON string, 12.75 MB at the largest size, which the node then parsed whole. Now it asks in two steps which parts the node lacks, by hashes of 48 groups and then of the parts in those that differ, and sends these. A node with another version by then is sent the whole. The node checks that each part it is sent holds its own entries alone. Ruled out: one list of all part hashes, about 110 KB a push.

--- a/currantgauge/cli/push.cc
+++ b/currantgauge/cli/push.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/cli/push.h"
 
 #include "currantgauge/cli/operator_client.h"
+#include "currantgauge/cli/push_changes.h"
 #include "currantgauge/cli/table.h"
 
 #include <chrono>
@@ -24,13 +25,6 @@
   return base::PushId("p" + std::to_string(Number));
 }
 
-std::string fieldOf(const core::OperatorReply &Reply, const std::string &Key) {
-  for (const auto &[Name, Value] : Reply.Fields)
-    if (Name == Key)
-      return Value;
-  return "";
-}
-
 std::uint64_t numberOf(const std::string &Text) {
   return std::strtoull(Text.c_str(), nullptr, 10);
 }
@@ -92,18 +86,21 @@
 
 int pushDocument(const Options &Given, const std::string &Text) {
   core::AskConfigPush Push;
-  Push.Text = Text;
   Push.Push = freshPushId();
   Push.Author = Given.Author.empty() ? "unknown" : Given.Author;
   Push.BaseVersion = base::ConfigVersion(Given.Base);
-  if (Given.Base == 0) {
-    NodeAnswer Present = askNode(Given, core::AskStatus{});
-    if (!Present.Reply.Error.empty())
-      return printReply(Present.Reply, Given);
-    Push.BaseVersion =
-        base::ConfigVersion(numberOf(fieldOf(Present.Reply, "config_version")));
-  }
+  auto Ask = [&](const core::OperatorQuery &Query) {
+    return askNode(Given, Query).Reply;
+  };
+  core::OperatorReply Failed;
+  Failed.Error = planPush(Text, Ask, Push);
+  if (!Failed.Error.empty())
+    return printReply(Failed, Given);
   NodeAnswer Answer = pushUntilAnswered(Given, Push);
+  if (Answer.Reply.Error == core::SendWholeError) {
+    sendWhole(Text, Push);
+    Answer = pushUntilAnswered(Given, Push);
+  }
   int Code = printReply(Answer.Reply, Given);
   if (Code != ExitDone || !Given.Wait)
     return Code;
--- a/currantgauge/config/assemble.cc
+++ b/currantgauge/config/assemble.cc
@@ -62,6 +62,14 @@
   return Name.starts_with("workspaces/");
 }
 
+// An entry in the wrong part would be found by no lookup and removed by none.
+bool isCanonical(const ConfigPart &Part) {
+  PartSetPtr Again = splitDocument(Part.Text);
+  return Again && Again->Parts.size() == 1 &&
+         Again->Parts.begin()->first == Part.Name &&
+         Again->Parts.begin()->second->Hash == Part.Hash;
+}
+
 // Each part is parsed alone and let go, so that the parser's memory is that of
 // one part and not of the document.
 void replaceParts(const AssembleRequest &Request, const PartSet &Parts,
@@ -76,6 +84,10 @@
     auto Part = Parts.Parts.find(Name);
     if (Part == Parts.Parts.end())
       continue;
+    if (Request.CheckParts && !isCanonical(*Part->second)) {
+      noteError(Errors, Place{}, "part " + Name + " is not in canonical form");
+      continue;
+    }
     Document Entries;
     mergeInto(Entries, Name, Part->second->Text, Errors);
     buildConfiguration(Entries, Config, Errors);
--- a/currantgauge/config/assemble.h
+++ b/currantgauge/config/assemble.h
@@ -20,6 +20,7 @@
   PartSetPtr Parts;
   PartSetPtr BaseParts; // null: start from nothing
   ConfigurationPtr Base;
+  bool CheckParts = false; // that each part holds its own entries alone
 };
 
 // AssembledConfig is the result; Error is empty when it is valid.
--- /dev/null
+++ b/currantgauge/config/part_groups.cc
@@ -0,0 +1,33 @@
+#include "currantgauge/config/part_groups.h"
+
+// The functions are compiled in, so that no other library is linked.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace currantgauge::config {
+
+std::string groupOf(std::string_view PartName) {
+  return "group/" + std::to_string(XXH64(PartName.data(), PartName.size(), 0) %
+                                   PartGroups);
+}
+
+Manifest groupHashes(const PartSet &Whole) {
+  std::map<std::string, std::string> Texts;
+  for (const auto &[Name, Part] : Whole.Parts)
+    Texts[groupOf(Name)] += Name + " " + Part->Hash.Value + "\n";
+  Manifest Hashes;
+  for (const auto &[Group, Text] : Texts)
+    Hashes.emplace(Group, hashContent(Text));
+  return Hashes;
+}
+
+Manifest partsInGroups(const PartSet &Whole,
+                       const std::set<std::string> &Groups) {
+  Manifest Hashes;
+  for (const auto &[Name, Part] : Whole.Parts)
+    if (Groups.contains(groupOf(Name)))
+      Hashes.emplace(Name, Part->Hash);
+  return Hashes;
+}
+
+} // namespace currantgauge::config
--- a/currantgauge/config/push.cc
+++ b/currantgauge/config/push.cc
@@ -23,10 +23,11 @@
   Push.Asked = std::move(Asked);
   Push.Call = core::nextCall(Node);
   Push.Deadline = Node.Now + PushLimit;
-  Effects.push_back(
-      core::ParseConfig{Push.Call, AssembleRequest{Push.Asked.Text, nullptr,
-                                                   Node.Config.Document.Parts,
-                                                   Node.Config.Current}});
+  Effects.push_back(core::ParseConfig{
+      Push.Call,
+      AssembleRequest{Push.Asked.Text, Push.Asked.Parts,
+                      Node.Config.Document.Parts, Node.Config.Current,
+                      Push.Asked.Parts != nullptr}});
 }
 
 void finishPush(core::State &Node, core::OperatorReply Reply,
@@ -209,6 +210,8 @@
 void acceptInMemory(core::State &Node, core::EffectList &Effects) {
   PendingPush &Push = *Node.Config.Push;
   const ConfigDocument &Present = Node.Config.Document;
+  if (Push.Asked.Base > Present.Version)
+    return refuseOrCatchUp(Node, Effects);
   if (Push.Asked.Base != Present.Version) {
     Push.Head.Version = Present.Version;
     return refuseStale(Node, Effects);
@@ -220,13 +223,30 @@
   acceptPush(Node, Effects);
 }
 
+// partsOf() returns the pushed document's parts; null when this node does not
+// have the version that the changes are of, or their result is another one.
+PartSetPtr partsOf(const ConfigDocument &Present,
+                   const core::AskConfigPush &Asked) {
+  ConfigDelta Delta;
+  Delta.Since = Asked.BaseVersion;
+  Delta.Whole = Asked.Whole;
+  Delta.Removed = Asked.Removed;
+  for (const core::PushedPart &Part : Asked.Changed)
+    Delta.Changed.push_back(makePart(Part.Name, Part.Text));
+  auto Document = applyDelta(Present, Delta);
+  return Document ? Document->Parts : nullptr;
+}
+
 } // namespace
 
 void onPushAsked(core::State &Node, base::CallId Operator,
                  const core::AskConfigPush &Asked, core::EffectList &Effects) {
-  PushRequest Request{Operator, Asked.Text, Asked.BaseVersion, Asked.Push,
-                      Asked.Author};
   const ConfigDocument &Present = Node.Config.Document;
+  bool IsDelta = !Asked.Whole.empty();
+  PushRequest Request{Operator,   Asked.Text,   Asked.BaseVersion,
+                      Asked.Push, Asked.Author, nullptr};
+  if (IsDelta && Asked.Push != Present.Push)
+    Request.Parts = partsOf(Present, Asked);
   if (Asked.Push.empty() || Asked.Author.empty()) {
     Effects.push_back(core::AnswerOperator{
         Operator, failure("a push needs an id and an author")});
@@ -234,6 +254,9 @@
     HeadRow Row{Present.Version, Present.Push, Present.Author,
                 Present.When,    {},           ""};
     Effects.push_back(core::AnswerOperator{Operator, acceptedReply(Row)});
+  } else if (IsDelta && !Request.Parts) {
+    core::OperatorReply Reply = failure(core::SendWholeError);
+    Effects.push_back(core::AnswerOperator{Operator, std::move(Reply)});
   } else if (!Node.Config.Push) {
     startPush(Node, std::move(Request), Effects);
   } else if (Node.Config.Waiting.size() < WaitingPushes) {
--- a/currantgauge/config/queries.cc
+++ b/currantgauge/config/queries.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/config/collect.h"
 #include "currantgauge/config/load.h"
+#include "currantgauge/config/part_groups.h"
 #include "currantgauge/config/push.h"
 #include "currantgauge/config/spread.h"
 #include "currantgauge/config/time_text.h"
@@ -124,6 +125,32 @@
   Effects.push_back(core::AnswerOperator{Operator, std::move(Reply)});
 }
 
+core::OperatorReply lacksReply(const core::State &Node,
+                               const core::AskConfigLacks &Asked) {
+  PartSet Nothing;
+  const PartSetPtr &Held = Node.Config.Document.Parts;
+  Manifest Own =
+      Asked.Groups.empty()
+          ? groupHashes(Held ? *Held : Nothing)
+          : partsInGroups(Held ? *Held : Nothing,
+                          {Asked.Groups.begin(), Asked.Groups.end()});
+  core::OperatorReply Reply;
+  Reply.Fields = {
+      {"version", std::to_string(Node.Config.Document.Version.Value)}};
+  core::OperatorTable Lacks{"lacks", {"name"}, {}};
+  core::OperatorTable Extra{"extra", {"name"}, {}};
+  for (const auto &[Name, Hash] : Asked.Hashes) {
+    auto Found = Own.find(Name);
+    if (Found == Own.end() || Found->second != Hash)
+      Lacks.Rows.push_back(std::vector<std::string>{Name});
+  }
+  for (const auto &[Name, Hash] : Own)
+    if (!Asked.Hashes.contains(Name))
+      Extra.Rows.push_back(std::vector<std::string>{Name});
+  Reply.Tables = {std::move(Lacks), std::move(Extra)};
+  return Reply;
+}
+
 void onConfigParsed(core::State &Node, const core::ConfigParsed &Parsed,
                     core::EffectList &Effects) {
   if (!onPushParsed(Node, Parsed, Effects))
--- a/currantgauge/config/queries.h
+++ b/currantgauge/config/queries.h
@@ -18,6 +18,11 @@
 void onHistoryAsked(core::State &Node, base::CallId Operator,
                     core::EffectList &Effects);
 
+// lacksReply() names the asked parts or groups that the version in force here
+// has not, table "lacks", and its own that were not asked for, table "extra".
+core::OperatorReply lacksReply(const core::State &Node,
+                               const core::AskConfigLacks &Asked);
+
 // onConfigParsed() takes a parsed document to whatever waits for it.
 void onConfigParsed(core::State &Node, const core::ConfigParsed &Parsed,
                     core::EffectList &Effects);
--- a/currantgauge/config/state.h
+++ b/currantgauge/config/state.h
@@ -31,6 +31,7 @@
   base::ConfigVersion Base;
   base::PushId Push;
   std::string Author;
+  PartSetPtr Parts; // in place of Text
 };
 
 // PushPhase is what a push waits for.
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -101,6 +101,10 @@
 
 OperatorReply answer(State &Node, const AskStatus &) { return statusOf(Node); }
 
+OperatorReply answer(State &Node, const AskConfigLacks &Asked) {
+  return config::lacksReply(Node, Asked);
+}
+
 OperatorReply answer(State &Node, const AskExplain &Asked) {
   return explain(Node, Asked.Request);
 }
--- a/currantgauge/core/operator.h
+++ b/currantgauge/core/operator.h
@@ -39,17 +39,38 @@
 };
 // AskConfigHistory asks for the accepted versions.
 struct AskConfigHistory {};
-// AskConfigPush submits a merged document, valid on top of BaseVersion.
+// SendWholeError answers a push of changes that don't fit the version in force
+// here: the same push has to be sent as a text.
+constexpr const char *SendWholeError =
+    "this push's changes are not of the version in force; send the whole";
+// AskConfigLacks asks which parts the version in force here has not, so that a
+// push need not carry the others. Without Groups, Hashes are those of groups of
+// parts; with them, of the parts in those groups (config/part_groups.h).
+struct AskConfigLacks {
+  std::vector<std::string> Groups;
+  config::Manifest Hashes;
+};
+// PushedPart is one part of a document.
+struct PushedPart {
+  std::string Name;
+  std::string Text;
+};
+// AskConfigPush submits a merged document, valid on top of BaseVersion: its
+// text, or what differs from BaseVersion and the hash of the result.
 struct AskConfigPush {
   std::string Text;
   base::ConfigVersion BaseVersion;
   base::PushId Push;
   std::string Author;
+  base::ContentHash Whole; // hashManifest(); empty: Text counts
+  std::vector<PushedPart> Changed;
+  std::vector<std::string> Removed;
 };
 
-using OperatorQuery = std::variant<AskStatus, AskExplain, AskDrain,
-                                   AskQuarantine, AskQuarantineClear, AskConfig,
-                                   AskConfigHistory, AskConfigPush>;
+using OperatorQuery =
+    std::variant<AskStatus, AskExplain, AskDrain, AskQuarantine,
+                 AskQuarantineClear, AskConfig, AskConfigHistory,
+                 AskConfigLacks, AskConfigPush>;
 
 // OperatorTable is one table of an answer: a title, columns and rows.
 struct OperatorTable {
--- a/currantgauge/http/operator_codec.cc
+++ b/currantgauge/http/operator_codec.cc
@@ -74,9 +74,24 @@
       base::ConfigVersion(Body.value("version", std::uint64_t{0}))};
 }
 
+std::optional<OperatorQuery> parseLacks(const Json &Body, std::string &) {
+  core::AskConfigLacks Query;
+  Query.Groups = Body.at("groups").get<std::vector<std::string>>();
+  for (const auto &[Name, Hash] : Body.at("hashes").items())
+    Query.Hashes.emplace(Name, base::ContentHash(Hash.get<std::string>()));
+  return Query;
+}
+
 std::optional<OperatorQuery> parsePush(const Json &Body, std::string &) {
   core::AskConfigPush Query;
-  Query.Text = Body.at("text").get<std::string>();
+  if (Body.contains("whole")) {
+    Query.Whole = base::ContentHash(Body.at("whole").get<std::string>());
+    for (const auto &[Name, Text] : Body.at("changed").items())
+      Query.Changed.push_back({Name, Text.get<std::string>()});
+    Query.Removed = Body.at("removed").get<std::vector<std::string>>();
+  } else {
+    Query.Text = Body.at("text").get<std::string>();
+  }
   Query.BaseVersion =
       base::ConfigVersion(Body.at("base_version").get<std::uint64_t>());
   Query.Push = base::PushId(Body.at("push").get<std::string>());
@@ -101,6 +116,7 @@
       {"quarantine_clear", parseClear},
       {"config", parseConfig},
       {"config_history", parsePlain<core::AskConfigHistory>},
+      {"config_lacks", parseLacks},
       {"config_push", parsePush}};
   return Parsers;
 }
@@ -124,12 +140,29 @@
 Json toJson(const core::AskConfigHistory &) {
   return {{"query", "config_history"}};
 }
+Json toJson(const core::AskConfigLacks &Query) {
+  Json Hashes = Json::object();
+  for (const auto &[Name, Hash] : Query.Hashes)
+    Hashes[Name] = Hash.Value;
+  return {{"query", "config_lacks"},
+          {"groups", Query.Groups},
+          {"hashes", std::move(Hashes)}};
+}
 Json toJson(const core::AskConfigPush &Query) {
-  return {{"query", "config_push"},
-          {"text", Query.Text},
-          {"base_version", Query.BaseVersion.Value},
-          {"push", Query.Push.Value},
-          {"author", Query.Author}};
+  Json Body = {{"query", "config_push"},
+               {"base_version", Query.BaseVersion.Value},
+               {"push", Query.Push.Value},
+               {"author", Query.Author}};
+  if (Query.Whole.empty()) {
+    Body["text"] = Query.Text;
+    return Body;
+  }
+  Body["whole"] = Query.Whole.Value;
+  Body["changed"] = Json::object();
+  for (const core::PushedPart &Part : Query.Changed)
+    Body["changed"][Part.Name] = Part.Text;
+  Body["removed"] = Query.Removed;
+  return Body;
 }
 
 Json toJson(const core::OperatorTable &Table) {
--- a/currantgauge/http/operator_codec_test.cc
+++ b/currantgauge/http/operator_codec_test.cc
@@ -13,6 +13,11 @@
   Push.BaseVersion = base::ConfigVersion(7);
   Push.Push = base::PushId("p-1");
   Push.Author = "ana";
+  core::AskConfigPush Changes = Push;
+  Changes.Text.clear();
+  Changes.Whole = base::ContentHash("1f");
+  Changes.Changed = {{"base", "ranks:\n"}};
+  Changes.Removed = {"routes/1f"};
   const core::OperatorQuery Queries[] = {
       core::AskStatus{},
       core::AskExplain{base::RequestId{0x1f, 0x2a}},
@@ -21,6 +26,8 @@
       core::AskQuarantineClear{base::Fingerprint(0xffffffffffffffff)},
       core::AskConfig{base::ConfigVersion(4)},
       core::AskConfigHistory{},
+      core::AskConfigLacks{{"group/1"}, {{"base", base::ContentHash("2a")}}},
+      Changes,
       Push};
   for (const core::OperatorQuery &Query : Queries) {
     std::string Error;
@@ -36,6 +43,7 @@
   for (const char *Text :
        {"", "[]", "{}", R"({"query":"nothing"})", R"({"query":"explain"})",
         R"({"query":"explain","request":"zz"})", R"({"query":7})",
+        R"({"query":"config_lacks","groups":[1],"hashes":{}})",
         R"({"query":"config_push","text":"","base_version":"x"})"}) {
     std::string Error;
     CHECK_FALSE(parseQuery(Text, Error));
