--- a/currantgauge/cli/command.cc
+++ b/currantgauge/cli/command.cc
@@ -37,7 +37,28 @@
   return ExitUsage;
 }
 
+// subcommandsOf() returns "check, diff" for "config"; empty when there are
+// none.
+std::string subcommandsOf(const std::string &Word) {
+  std::string Names;
+  for (const Command &What : allCommands())
+    if (What.Name.starts_with(Word + " "))
+      Names += (Names.empty() ? "" : ", ") + What.Name.substr(Word.size() + 1);
+  return Names;
+}
+
+// commandEndingIn() returns "config push" for "push".
+std::string commandEndingIn(const std::string &Word) {
+  for (const Command &What : allCommands())
+    if (What.Name.ends_with(" " + Word))
+      return What.Name;
+  return "";
+}
+
 int unknownCommand(const std::vector<std::string> &Words) {
+  std::string Subcommands = subcommandsOf(Words[0]);
+  if (Words.size() == 1 && !Subcommands.empty())
+    return usageError(Words[0] + " needs one of: " + Subcommands);
   std::vector<std::string> Names;
   for (const Command &What : allCommands())
     Names.push_back(What.Name);
@@ -48,6 +69,8 @@
   std::string Nearest = config::nearestName(Given, Names);
   if (Nearest.empty())
     Nearest = config::nearestName(Words[0], Names);
+  if (Nearest.empty())
+    Nearest = commandEndingIn(Words[0]);
   return usageError("unknown command " + Given +
                     (Nearest.empty() ? "" : "; did you mean " + Nearest + "?"));
 }
--- a/currantgauge/cli/command_test.cc
+++ b/currantgauge/cli/command_test.cc
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>
 
 #include <initializer_list>
+#include <iostream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,15 @@
   return runCommandLine(static_cast<int>(Arguments.size()), Arguments.data());
 }
 
+// errorOf() returns what a command line prints to the standard error.
+std::string errorOf(std::initializer_list<const char *> Words) {
+  std::ostringstream Caught;
+  std::streambuf *Before = std::cerr.rdbuf(Caught.rdbuf());
+  run(Words);
+  std::cerr.rdbuf(Before);
+  return Caught.str();
+}
+
 } // namespace
 
 TEST_CASE("usage mistakes end with exit code 2") {
@@ -31,6 +42,16 @@
   CHECK(run({"explain", "--node=127.0.0.1:1", "zz"}) == ExitUsage);
 }
 
+TEST_CASE("a usage mistake says what would be right") {
+  CHECK(errorOf({"config"}).find("config needs one of: check, diff") !=
+        std::string::npos);
+  CHECK(errorOf({"quarantine"}).find("clear, list") != std::string::npos);
+  CHECK(errorOf({"push"}).find("did you mean config push?") !=
+        std::string::npos);
+  CHECK(errorOf({"config", "psh"}).find("did you mean config push?") !=
+        std::string::npos);
+}
+
 TEST_CASE("a failed operation ends with exit code 1") {
   CHECK(run({"config", "check", "/nonexistent"}) == ExitFailed);
   CHECK(run({"status", "--node=127.0.0.1:1"}) == ExitFailed);
@@ -51,6 +72,21 @@
   }
 }
 
+TEST_CASE("completion knows what stands where") {
+  std::string Script = formatCompletion();
+  for (const char *Line :
+       {"\"config push \"*) files=\"compgen -d\"",
+        "\"completion \"*) files=\"compgen -W bash\"",
+        "\"replay \"*) files=\"compgen -f\"",
+        "\"2 help \"*) words=\"completion",
+        "\"2 quarantine \"*) words=\"clear list\"", "words=\"table json\"",
+        "--help --version completion"}) {
+    CAPTURE(Line);
+    CHECK(Script.find(Line) != std::string::npos);
+  }
+  CHECK(Script.find("\"drain \"*) files") == std::string::npos);
+}
+
 TEST_CASE("tables are aligned and show no control bytes") {
   core::OperatorTable Table{
       "nodes", {"node", "phase"}, {{"a-long-name", "alive"}, {"b\x1b", "x"}}};
--- a/currantgauge/cli/operator_client.cc
+++ b/currantgauge/cli/operator_client.cc
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <fstream>
 #include <string>
 #include <utility>
 
@@ -25,6 +26,7 @@
 using HttpParser = beast::http::response_parser<beast::http::string_body>;
 
 constexpr std::uint64_t ReplyLimitBytes = 256 * 1024 * 1024;
+constexpr std::int64_t MicrosInSecond = 1000000;
 
 asio::ip::tcp::endpoint endpointOf(const base::NetAddress &Address,
                                    boost::system::error_code &Error) {
@@ -117,24 +119,69 @@
   return exchangeTls(Context, Socket, Given, Request, Parser);
 }
 
+// An error's own text often means little to an operator.
+std::string describe(const Options &Given,
+                     const boost::system::error_code &Error) {
+  if (Error.category() ==
+      beast::http::make_error_code(beast::http::error::bad_version).category())
+    return "it does not speak HTTP; is --node its operators' listener, and is "
+           "that over TLS (--ca)?";
+  if (Error == asio::error::connection_refused)
+    return "nothing listens there";
+  if (Error == beast::error::timeout)
+    return "it was silent for " +
+           std::to_string(Given.TimeLimit.Micros / MicrosInSecond) +
+           "s (--timeout)";
+  if (Error.category() == asio::error::get_ssl_category())
+    return "TLS: " + Error.message();
+  return Error.message();
+}
+
+// readReply() takes an answer with any status. Other listeners of a node answer
+// as well, and must not pass for an empty reply.
+core::OperatorReply readReply(const Options &Given,
+                              const HttpParser::value_type &Response) {
+  core::OperatorReply Reply;
+  if (Response.result() == beast::http::status::unauthorized) {
+    Reply.Error = "node " + Given.Node.Value +
+                  (Given.Token.empty()
+                       ? " wants a token; give --token or CURRANTGAUGE_TOKEN"
+                       : " refuses the token");
+    return Reply;
+  }
+  Reply = http::parseReply(Response.body());
+  if (Response.result() == beast::http::status::ok)
+    return Reply;
+  bool IsOperators = Response.result() == beast::http::status::bad_request &&
+                     Reply.Error.find("malformed reply") == std::string::npos;
+  if (!IsOperators || Reply.Error.empty()) {
+    Reply = core::OperatorReply();
+    Reply.Error = Given.Node.Value + " answers HTTP " +
+                  std::to_string(Response.result_int()) +
+                  "; is --node the operators' listener?";
+  }
+  return Reply;
+}
+
 } // namespace
 
 NodeAnswer askNode(const Options &Given, const core::OperatorQuery &Query) {
   NodeAnswer Answer;
+  if (!Given.Authority.empty() &&
+      !std::ifstream(Given.Authority, std::ios::binary)) {
+    Answer.Reply.Error = "can't read " + Given.Authority + " (--ca)";
+    return Answer;
+  }
   HttpParser Parser;
   Parser.body_limit(ReplyLimitBytes);
   boost::system::error_code Error = askOnce(Given, Query, Parser);
   if (Error) {
-    Answer.Reply.Error =
-        "no answer from node " + Given.Node.Value + ": " + Error.message();
+    Answer.Reply.Error = "no answer from node " + Given.Node.Value + ": " +
+                         describe(Given, Error);
     return Answer;
   }
   Answer.Reached = true;
-  if (Parser.get().result() == beast::http::status::unauthorized)
-    Answer.Reply.Error =
-        "node " + Given.Node.Value + " refuses the token; give --token";
-  else
-    Answer.Reply = http::parseReply(Parser.get().body());
+  Answer.Reply = readReply(Given, Parser.get());
   return Answer;
 }
 
--- a/currantgauge/cli/operator_client_test.cc
+++ b/currantgauge/cli/operator_client_test.cc
@@ -67,16 +67,19 @@
   std::thread Thread;
   base::NetAddress Address;
 
-  explicit TestListener(http::TlsContextPtr Tls) {
+  explicit TestListener(http::TlsContextPtr Tls, unsigned Status = 200,
+                        std::string Body = "",
+                        std::string Type = "application/json") {
     boost::system::error_code Error;
     auto Port = http::listenService(
         this->Io, base::NetAddress("127.0.0.1:0"),
-        [](const http::ServiceRequest &Request, http::ServiceReply Reply) {
+        [=](const http::ServiceRequest &Request, http::ServiceReply Reply) {
           core::OperatorReply Answer;
           Answer.Fields = {
               {"token",
                std::string(Request[boost::beast::http::field::authorization])}};
-          Reply({200, "application/json", http::encodeReply(Answer)});
+          Reply(
+              {Status, Type, Body.empty() ? http::encodeReply(Answer) : Body});
         },
         Error, std::move(Tls));
     REQUIRE(Port != 0);
@@ -105,6 +108,40 @@
   CHECK(Answer.Reply.Fields.front().second == "Bearer secret");
 }
 
+TEST_CASE("a listener that is not the operators' is an error") {
+  for (const char *Body : {"", "{}", "not found", "{\"reason\":\"x\"}"}) {
+    CAPTURE(Body);
+    TestListener Listener(nullptr, 404, Body);
+    NodeAnswer Answer = askNode(optionsFor(Listener), core::AskStatus{});
+    CHECK(Answer.Reply.Error.find("HTTP 404; is --node the operators'") !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("a node's own sentence about a query is passed on") {
+  TestListener Listener(nullptr, 400, R"({"error":"unknown query x"})");
+  CHECK(askNode(optionsFor(Listener), core::AskStatus{}).Reply.Error ==
+        "unknown query x");
+}
+
+TEST_CASE("a refused token is told from one that was not given") {
+  TestListener Listener(nullptr, 401, R"({"error":"a bearer token"})");
+  Options Given = optionsFor(Listener);
+  CHECK(askNode(Given, core::AskStatus{}).Reply.Error.find("refuses") !=
+        std::string::npos);
+  Given.Token.clear();
+  CHECK(askNode(Given, core::AskStatus{}).Reply.Error.find("--token") !=
+        std::string::npos);
+}
+
+TEST_CASE("an authority that can't be read is named") {
+  Options Given;
+  Given.Node = base::NetAddress("127.0.0.1:1");
+  Given.Authority = "/nonexistent";
+  CHECK(askNode(Given, core::AskStatus{}).Reply.Error ==
+        "can't read /nonexistent (--ca)");
+}
+
 TEST_CASE("over TLS the node's certificate is checked") {
   writeCertificate();
   boost::system::error_code Error;
