--- a/currantgauge/cli/operator_client_test.cc
+++ b/currantgauge/cli/operator_client_test.cc
@@ -61,23 +61,28 @@
   writePem(KeyPath, nullptr, Key.get());
 }
 
+using HttpStatus = boost::beast::http::status;
+
 // TestListener answers each query with the token that came with it.
 struct TestListener {
   boost::asio::io_context Io;
   std::thread Thread;
   base::NetAddress Address;
 
-  explicit TestListener(http::TlsContextPtr Tls) {
+  explicit TestListener(http::TlsContextPtr Tls,
+                        HttpStatus Status = HttpStatus::ok,
+                        std::string Body = "",
+                        std::string Type = "application/json") {
     boost::system::error_code Error;
     auto Port = http::listenService(
         this->Io, base::NetAddress("127.0.0.1:0"),
-        [](const http::ServiceRequest &Request, http::ServiceReply Reply) {
+        [=](const http::ServiceRequest &Request, http::ServiceReply Reply) {
           core::OperatorReply Answer;
           Answer.Fields = {
               {"token",
                std::string(Request[boost::beast::http::field::authorization])}};
-          Reply({boost::beast::http::status::ok, "application/json",
-                 http::encodeReply(Answer)});
+          Reply(
+              {Status, Type, Body.empty() ? http::encodeReply(Answer) : Body});
         },
         Error, std::move(Tls));
     REQUIRE(Port != 0);
@@ -106,6 +111,42 @@
   CHECK(Answer.Reply.Fields.front().second == "Bearer secret");
 }
 
+TEST_CASE("a listener that is not the operators' is an error") {
+  for (const char *Body : {"", "{}", "not found", "{\"reason\":\"x\"}"}) {
+    CAPTURE(Body);
+    TestListener Listener(nullptr, HttpStatus::not_found, Body);
+    NodeAnswer Answer = askNode(optionsFor(Listener), core::AskStatus{});
+    CHECK(Answer.Reply.Error.find("HTTP 404; is --node the operators'") !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("a node's own sentence about a query is passed on") {
+  TestListener Listener(nullptr, HttpStatus::bad_request,
+                        R"({"error":"unknown query x"})");
+  CHECK(askNode(optionsFor(Listener), core::AskStatus{}).Reply.Error ==
+        "unknown query x");
+}
+
+TEST_CASE("a refused token is told from one that was not given") {
+  TestListener Listener(nullptr, HttpStatus::unauthorized,
+                        R"({"error":"a bearer token"})");
+  Options Given = optionsFor(Listener);
+  CHECK(askNode(Given, core::AskStatus{}).Reply.Error.find("refuses") !=
+        std::string::npos);
+  Given.Token.clear();
+  CHECK(askNode(Given, core::AskStatus{}).Reply.Error.find("--token") !=
+        std::string::npos);
+}
+
+TEST_CASE("an authority that can't be read is named") {
+  Options Given;
+  Given.Node = base::NetAddress("127.0.0.1:1");
+  Given.Authority = "/nonexistent";
+  CHECK(askNode(Given, core::AskStatus{}).Reply.Error ==
+        "can't read /nonexistent (--ca)");
+}
+
 TEST_CASE("over TLS the node's certificate is checked") {
   writeCertificate();
   boost::system::error_code Error;
