--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -16,9 +16,9 @@
 // What came with an answer counts for this long.
 constexpr base::Duration HeardMemory = base::seconds(2);
 // A new ejection needs fresh word of the peers: one in PeerShare of them, and
-// two at least, have answered within PeerMemory, and most of these are well.
-// When all servers stop or slow down at once, the first to look sick is only a
-// little ahead of its peers. Without word it waits for their records.
+// two at least, have answered within PeerMemory, and three in four of these are
+// well. When all servers stop or slow down at once, the first to look sick is
+// only a little ahead of its peers. Without word it waits for their records.
 constexpr double WellLevel = 0.1;
 constexpr base::Duration PeerMemory = base::milliseconds(250);
 constexpr base::Duration PeerPatience = base::milliseconds(300);
@@ -171,7 +171,7 @@
   std::size_t Needed =
       std::min(Word.Peers, std::max(LeastPeers, Word.Peers / PeerShare));
   if (Word.Heard >= Needed)
-    return 2 * Word.Well >= Word.Heard;
+    return 4 * Word.Well >= 3 * Word.Heard;
   return Step.Now - Place.SickSince >= PeerPatience;
 }
 
