--- a/currantgauge/routing/ejection.cc
+++ b/currantgauge/routing/ejection.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/routing/ejection.h"
 
+#include "currantgauge/routing/floor.h"
 #include "currantgauge/routing/state.h"
 
 #include <algorithm>
@@ -56,10 +57,6 @@
   std::vector<StandingChange> Changes;
 };
 
-bool isOut(const ServerStanding &Place) {
-  return Place.Where == Standing::Ejected || Place.Where == Standing::Trial;
-}
-
 void moveTo(Update &Step, const Member &One, Standing To, StandingWhy Why) {
   ServerStanding &Place = *One.Place;
   StandingChange Change{One.Server->Record.Name, Place.Where, To, Why,
@@ -280,70 +277,6 @@
 
 } // namespace
 
-std::string_view standingName(Standing Where) {
-  switch (Where) {
-  case Standing::In:
-    return "in";
-  case Standing::Ejected:
-    return "ejected";
-  case Standing::Trial:
-    return "trial";
-  case Standing::SlowStart:
-    return "slow_start";
-  }
-  return "";
-}
-
-std::string_view whyName(StandingWhy Why) {
-  switch (Why) {
-  case StandingWhy::Healthy:
-    return "healthy";
-  case StandingWhy::Suspicious:
-    return "suspicious";
-  case StandingWhy::WholeService:
-    return "whole_service";
-  case StandingWhy::Floor:
-    return "floor";
-  case StandingWhy::HoldOffOver:
-    return "hold_off_over";
-  case StandingWhy::TrialsPassed:
-    return "trials_passed";
-  case StandingWhy::NoTrials:
-    return "no_trials";
-  case StandingWhy::Restarted:
-    return "restarted";
-  }
-  return "";
-}
-
-std::vector<bool>
-selectEjected(const std::vector<EjectionCandidate> &Candidates,
-              base::Percent Floor) {
-  double Announced = 0, Left = 0;
-  std::vector<std::size_t> Order;
-  for (std::size_t I = 0; I < Candidates.size(); ++I) {
-    Announced += Candidates[I].Slots;
-    if (!Candidates[I].TakesWork)
-      continue;
-    Left += Candidates[I].Slots;
-    if (Candidates[I].Sick)
-      Order.push_back(I);
-  }
-  std::stable_sort(Order.begin(), Order.end(),
-                   [&](std::size_t A, std::size_t B) {
-                     return Candidates[A].Suspicion > Candidates[B].Suspicion;
-                   });
-  double Least = Announced * Floor.Value / 100;
-  std::vector<bool> Out(Candidates.size(), false);
-  for (std::size_t I : Order) {
-    if (Left - Candidates[I].Slots < Least)
-      continue;
-    Left -= Candidates[I].Slots;
-    Out[I] = true;
-  }
-  return Out;
-}
-
 std::vector<StandingChange>
 updateRoutingSet(RoutingState &State, const base::ServiceName &Service,
                  const config::ServiceSettings &Settings, base::Random &Source,
--- a/currantgauge/routing/ejection.h
+++ b/currantgauge/routing/ejection.h
@@ -11,54 +11,17 @@
 #include "currantgauge/base/random.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/config/model.h"
+#include "currantgauge/routing/standing.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string_view>
 #include <vector>
 
 namespace currantgauge::routing {
 
 struct RoutingState;
 
-// Standing is a server's place in a routing set.
-enum class Standing { In, Ejected, Trial, SlowStart };
-
-// StandingWhy says why a server has its standing.
-enum class StandingWhy {
-  Healthy,
-  Suspicious,   // ejected: sick while its peers are well
-  WholeService, // kept: its peers are as suspicious
-  Floor,        // kept: no other may go, or this one had to come back
-  HoldOffOver,  // tried with real requests
-  TrialsPassed, // back, with growing load
-  NoTrials,     // back without a trial: no idempotent work came
-  Restarted,    // a new process: the old one's evidence is void
-};
-
-// standingName() and whyName() return snake_case names for status and logs.
-std::string_view standingName(Standing Where);
-std::string_view whyName(StandingWhy Why);
-
-// ServerStanding is one server's place in the set of one entry.
-struct ServerStanding {
-  Standing Where = Standing::In;
-  StandingWhy Why = StandingWhy::Healthy;
-  base::Incarnation Life;
-  base::TimePoint Since;
-  base::TimePoint Until; // of the hold-off or the slow start
-  base::Duration HoldOff;
-  std::uint32_t RecentEjections = 0;
-  std::uint32_t TrialsPassed = 0;
-  base::AttemptId Trial; // that runs; Sequence 0: none
-  bool TrialFailed = false;
-  double PeerSuspicion = 0;
-  double Heard = 0; // suspicion that came with the last answer
-  base::TimePoint HeardAt;
-  base::TimePoint SickSince = base::Never; // Never: not sick
-};
-
 // RoutingSet is an entry's view of one service. It is worked out anew when a
 // record changed or a time has come, not at every choice.
 struct RoutingSet {
@@ -84,20 +47,6 @@
   double Suspicion = 0;
 };
 
-// EjectionCandidate is one announced server in selectEjected().
-struct EjectionCandidate {
-  std::uint32_t Slots = 1;
-  bool TakesWork = true; // false: leaving or drained, counted as announced
-  bool Sick = false;     // should be out
-  double Suspicion = 0;
-};
-
-// selectEjected() returns the sick candidates that may be out, most suspicious
-// first, while the others' slots stay at or above the floor.
-std::vector<bool>
-selectEjected(const std::vector<EjectionCandidate> &Candidates,
-              base::Percent Floor);
-
 // updateRoutingSet() moves servers in and out of a service's set and returns
 // the changes.
 std::vector<StandingChange>
--- /dev/null
+++ b/currantgauge/routing/floor.cc
@@ -0,0 +1,36 @@
+#include "currantgauge/routing/floor.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace currantgauge::routing {
+
+std::vector<bool>
+selectEjected(const std::vector<EjectionCandidate> &Candidates,
+              base::Percent Floor) {
+  double Announced = 0, Left = 0;
+  std::vector<std::size_t> Order;
+  for (std::size_t I = 0; I < Candidates.size(); ++I) {
+    Announced += Candidates[I].Slots;
+    if (!Candidates[I].TakesWork)
+      continue;
+    Left += Candidates[I].Slots;
+    if (Candidates[I].Sick)
+      Order.push_back(I);
+  }
+  std::stable_sort(Order.begin(), Order.end(),
+                   [&](std::size_t A, std::size_t B) {
+                     return Candidates[A].Suspicion > Candidates[B].Suspicion;
+                   });
+  double Least = Announced * Floor.Value / 100;
+  std::vector<bool> Out(Candidates.size(), false);
+  for (std::size_t I : Order) {
+    if (Left - Candidates[I].Slots < Least)
+      continue;
+    Left -= Candidates[I].Slots;
+    Out[I] = true;
+  }
+  return Out;
+}
+
+} // namespace currantgauge::routing
--- /dev/null
+++ b/currantgauge/routing/tell.cc
@@ -0,0 +1,143 @@
+#include "currantgauge/routing/tell.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace currantgauge::routing {
+namespace {
+
+// Levels that records tell of. Lower ones come and go at healthy servers and
+// would fill the byte budget of a large fleet with rumours.
+constexpr std::array<double, 3> ToldLevels = {1, 0.75, 0.5};
+// Shares are told in steps, and told anew once they lie nearer to another step
+// by a margin.
+constexpr double ShareStep = 0.05;
+constexpr double ShareMargin = 0.75; // of a step
+// Up to here a late share is no news.
+constexpr double UsualLateShare = 0.1;
+constexpr base::Duration LowerAfter = base::seconds(1);
+constexpr base::Duration TimesInterval = base::seconds(5);
+constexpr double TimesTolerance = 0.25;
+constexpr std::size_t ToldKinds = 4;
+
+std::vector<KindTime> timesToTell(const ServerEvidence &Evidence) {
+  std::vector<std::pair<std::uint32_t, KindTime>> Known;
+  for (const auto &[Kind, Own] : Evidence.Kinds)
+    if (TimeProfile Times = profileOf(Own.Histogram); Times.known())
+      Known.push_back({Own.Histogram.Total, {Kind, Times}});
+  std::stable_sort(
+      Known.begin(), Known.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
+  Known.resize(std::min(Known.size(), ToldKinds));
+  std::vector<KindTime> Told;
+  for (auto &[Count, Time] : Known)
+    Told.push_back(std::move(Time));
+  return Told;
+}
+
+bool hasMoved(base::Duration Old, base::Duration New) {
+  return std::abs(static_cast<double>((New - Old).Micros)) >
+         TimesTolerance * static_cast<double>(Old.Micros);
+}
+
+// Small changes of usual times make no rumour.
+bool haveMoved(const std::vector<KindTime> &Old,
+               const std::vector<KindTime> &New) {
+  for (const KindTime &Time : New) {
+    auto Same = std::find_if(Old.begin(), Old.end(), [&](const KindTime &One) {
+      return One.Kind == Time.Kind;
+    });
+    if (Same == Old.end() || hasMoved(Same->Times.Median, Time.Times.Median) ||
+        hasMoved(Same->Times.Q90, Time.Times.Q90) ||
+        hasMoved(Same->Times.Q99, Time.Times.Q99))
+      return true;
+  }
+  return false;
+}
+
+// The entries that sent work lately hear at once, the others by gossip.
+void tellEntries(const RoutingState &State,
+                 const membership::MembershipState &Peers,
+                 const ServerEvidence &Evidence, const BackendRecord &Record,
+                 core::EffectList &Effects) {
+  for (const auto &[Entry, At] : Evidence.Entries) {
+    auto Peer = Peers.Members.find(Entry);
+    if (Entry == State.Self || Peer == Peers.Members.end())
+      continue;
+    membership::PeerMessage Message;
+    Message.From = Peers.Self.Name;
+    Message.FromAddress = Peers.Self.PeerAddress;
+    Message.Kind = membership::MessageKind::Rumours;
+    Message.Version = Peers.Self.Version;
+    Message.Backends.push_back(Record);
+    Effects.push_back(core::SendPeerMessage{
+        Entry, Peer->second.Record.PeerAddress, std::move(Message)});
+  }
+}
+
+bool hasMoved(double Told, double Share) {
+  return std::abs(Share - Told) > ShareMargin * ShareStep;
+}
+
+double toldShare(double Share) {
+  return std::round(Share / ShareStep) * ShareStep;
+}
+
+// A usual late share wavers and would make rumours: it is told as 0.
+double lateShare(const BackendRecord &Record, const ServerEvidence &Evidence) {
+  double Least = Record.LateShare > 0 ? UsualLateShare / 2 : UsualLateShare;
+  return Evidence.LateShare < Least ? 0 : Evidence.LateShare;
+}
+
+// Rising suspicion is told at once, step by step; falling suspicion waits, so
+// that a wavering score makes no stream of rumours.
+bool shouldTell(const BackendRecord &Record, const ServerEvidence &Evidence,
+                double Level, base::TimePoint Now) {
+  if (Level > Record.Suspicion)
+    return true;
+  bool Later = Level < Record.Suspicion ||
+               hasMoved(Record.FailShare, Evidence.FailShare) ||
+               hasMoved(Record.LateShare, lateShare(Record, Evidence));
+  return Later && Now - Evidence.PublishedAt >= LowerAfter;
+}
+
+} // namespace
+
+void publish(RoutingState &State, const membership::MembershipState &Peers,
+             BackendServer &Server, ServerEvidence &Evidence,
+             base::TimePoint Now, core::EffectList &Effects) {
+  BackendRecord &Record = Server.Record;
+  double Raw = suspicionOf(Evidence, Now).Level;
+  Evidence.Alarmed = Evidence.Alarmed || Raw >= 1;
+  auto Step = std::find_if(ToldLevels.begin(), ToldLevels.end(),
+                           [&](double One) { return Raw >= One; });
+  double Level = Step == ToldLevels.end() ? 0 : *Step;
+  bool Tell = shouldTell(Record, Evidence, Level, Now);
+  bool Rises = Level > Record.Suspicion;
+  bool Moves = Level != Record.Suspicion;
+  if (Tell) {
+    markStale(State, Record.Service);
+    Record.Suspicion = Level;
+    Record.FailShare = toldShare(Evidence.FailShare);
+    Record.LateShare = toldShare(lateShare(Record, Evidence));
+    Evidence.PublishedAt = Now;
+  }
+  if (Now - Evidence.TimesPublishedAt >= TimesInterval) {
+    Evidence.TimesPublishedAt = Now;
+    std::vector<KindTime> Times = timesToTell(Evidence);
+    if (haveMoved(Record.Times, Times)) {
+      Record.Times = std::move(Times);
+      Tell = true;
+    }
+  }
+  if (Tell)
+    ++Record.Revision;
+  if (Tell)
+    State.News[Record.Name] |= Moves;
+  if (Rises)
+    tellEntries(State, Peers, Evidence, Record, Effects);
+}
+
+} // namespace currantgauge::routing
