Integration: count ready servers by the rows of the table

Cause: waitForServers() counted the text "ready" anywhere in a node's status, which has a field of that name now, so it waited for one server too few. It counts rows of the table of servers whose phase is ready.

--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -131,6 +131,21 @@
   return Some.Nodes.back();
 }
 
+// readyServers() counts the rows of a node's table of servers.
+std::size_t readyServers(const NodeProcess &Node) {
+  constexpr std::size_t PhaseColumn = 3;
+  auto Status = nlohmann::json::parse(query(Node, R"({"query":"status"})"),
+                                      nullptr, false);
+  if (!Status.is_object() || !Status.contains("tables"))
+    return 0;
+  for (const auto &Table : Status["tables"])
+    if (Table["title"] == "servers")
+      return static_cast<std::size_t>(std::count_if(
+          Table["rows"].begin(), Table["rows"].end(),
+          [](const auto &Row) { return Row[PhaseColumn] == "ready"; }));
+  return 0;
+}
+
 } // namespace
 
 // Every fleet has loopback addresses of its own, so that tests and whatever
@@ -294,14 +309,8 @@
 bool waitForServers(Fleet &Some, std::size_t Count) {
   return waitUntil([&] {
     return std::all_of(
-        Some.Nodes.begin(), Some.Nodes.end(), [&](const NodeProcess &Node) {
-          std::string Text = query(Node, R"({"query":"status"})");
-          std::size_t Ready = 0;
-          for (std::size_t At = Text.find("\"ready\""); At != std::string::npos;
-               At = Text.find("\"ready\"", At + 1))
-            ++Ready;
-          return Ready >= Count;
-        });
+        Some.Nodes.begin(), Some.Nodes.end(),
+        [&](const NodeProcess &Node) { return readyServers(Node) >= Count; });
   });
 }
 
