Flood and thin path tests use the shared callers; a late unknown kind is not shed

And lateReason() compared StartBy with the deadline less the known time, while startBy() takes a margin for a kind not yet known: an attempt of such a kind was refused as shed_by_pressure without any pressure. It asks startBy() now. The new case of queue_test fails without it (shed_by_pressure for deadline_too_short).

--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -288,7 +288,7 @@
 base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Now >= Attempt.Deadline)
     return base::Reason::DeadlinePassed;
-  bool Pressed = Attempt.StartBy < Attempt.Deadline - Attempt.Expected;
+  bool Pressed = Attempt.StartBy < startBy(Attempt, Attempt.Arrived);
   return Pressed && Now >= Attempt.StartBy ? base::Reason::ShedByPressure
                                            : base::Reason::DeadlineTooShort;
 }
--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -224,6 +224,14 @@
   CHECK(isLate(Case.State, Waiting, Arrived + base::milliseconds(85)));
 }
 
+TEST_CASE("a wait for a kind not yet known ends as too late, not as shed") {
+  Fleet Case = makeFleet(1000);
+  QueuedAttempt &Waiting =
+      newAttempt(Case, "normal", "read", "a", base::milliseconds(100));
+  put(Case, Waiting);
+  CHECK(lateReason(Waiting, Waiting.StartBy) == base::Reason::DeadlineTooShort);
+}
+
 TEST_CASE("a slot that is free at once is given whatever time is left") {
   Fleet Case = makeFleet(1000);
   put(Case, newAttempt(Case, "normal", "read", "a"));
--- a/tests/integration/flood_test.cc
+++ b/tests/integration/flood_test.cc
@@ -1,7 +1,7 @@
+#include "tests/integration/callers.h"
 #include "tests/integration/fleet.h"
 
 #include <doctest/doctest.h>
-#include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <future>
@@ -13,9 +13,6 @@
 namespace currantgauge::integration {
 namespace {
 
-const std::string ConfigFolder =
-    std::string(CURRANTGAUGE_SOURCE_DIR) + "/examples/demo/config";
-
 using Counts = std::map<std::string, std::uint64_t>;
 
 // Seen is what one caller saw. Each request has a key of its own, by which the
@@ -68,13 +65,6 @@
   To.insert(To.end(), Of.begin(), Of.end());
 }
 
-// runsByKey() returns how often the server ran each key.
-Counts runsByKey(const ServerProcess &Server) {
-  auto Got = ask(Server.Address, "GET", "/.stats");
-  REQUIRE(Got.has_value());
-  return nlohmann::json::parse(Got->Body)["by_key"].get<Counts>();
-}
-
 void addRefusals(const NodeProcess &Node, Counts &Total) {
   auto Page = ask(Node.Announcements, "GET", "/metrics");
   REQUIRE(Page.has_value());
@@ -99,7 +89,7 @@
   startNode(Some, "b", "north", "north-b");
   startServer(Some, "cutlist-1", "cutlist", Some.Nodes[1],
               {"--slots=2", "--work_ms=20"});
-  REQUIRE(pushConfig(Some, ConfigFolder));
+  REQUIRE(pushConfig(Some, DemoConfig));
   REQUIRE(waitForServers(Some, 1));
   std::vector<std::future<Seen>> Callers;
   for (int I = 0; I < 48; ++I)
@@ -125,7 +115,7 @@
   for (const NodeProcess &Node : Some.Nodes)
     addRefusals(Node, Counted);
   CHECK(Counted == Saw);
-  Counts Runs = runsByKey(Some.Servers[0]);
+  Counts Runs = runsByKey(Some);
   for (const std::string &Key : All.Good)
     CHECK(Runs[Key] >= 1);
   for (const std::string &Key : All.NotRun)
--- a/tests/integration/thin_path_test.cc
+++ b/tests/integration/thin_path_test.cc
@@ -1,3 +1,4 @@
+#include "tests/integration/callers.h"
 #include "tests/integration/fleet.h"
 
 #include <doctest/doctest.h>
@@ -9,15 +10,12 @@
 namespace currantgauge::integration {
 namespace {
 
-const std::string ConfigFolder =
-    std::string(CURRANTGAUGE_SOURCE_DIR) + "/examples/demo/config";
-
 // Two nodes; the only backend server belongs to the second.
 void startTwoNodes(Fleet &Some, const std::vector<std::string> &ServerFlags) {
   startNode(Some, "a", "north", "north-a");
   startNode(Some, "b", "north", "north-b");
   startServer(Some, "cutlist-1", "cutlist", Some.Nodes[1], ServerFlags);
-  REQUIRE(pushConfig(Some, ConfigFolder));
+  REQUIRE(pushConfig(Some, DemoConfig));
   REQUIRE(waitForServers(Some, 1));
 }
 
@@ -56,7 +54,7 @@
     CHECK(exitCodeOf(Some.Nodes[Which].Process) == 0);
     if (Which == 1) {
       restartNode(Some, Some.Nodes[1]);
-      REQUIRE(pushConfig(Some, ConfigFolder));
+      REQUIRE(pushConfig(Some, DemoConfig));
       REQUIRE(waitForServers(Some, 1));
     }
   }
@@ -122,7 +120,7 @@
   std::string Path = Some.Folder + "/a.journal";
   startNode(Some, "a", "north", "north-a", "", {"--journal=" + Path});
   startServer(Some, "cutlist-1", "cutlist", Some.Nodes[0]);
-  REQUIRE(pushConfig(Some, ConfigFolder));
+  REQUIRE(pushConfig(Some, DemoConfig));
   REQUIRE(waitForServers(Some, 1));
   for (int I = 0; I < 20; ++I)
     ask(Some.Nodes[0].Callers, "GET", "/lists/7");
