--- a/currantgauge/actions/guard.cc
+++ b/currantgauge/actions/guard.cc
@@ -65,7 +65,8 @@
   confirmSilentDeaths(Node, Effects);
   forgetOldQuarantine(Node);
   flushWrites(Node, Effects);
-  startCleanup(Node, Effects);
+  if (Node.Self.TakesKeys)
+    startCleanup(Node, Effects);
   core::setTimer(Node.Timers, Node.Now + ActionRoundInterval,
                  core::ActionRound{});
 }
--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::uint32_t AttemptLimit = 3; // of one request
+// Where attempts that reach servers have a bound of their own, more owners may
+// be asked.
+constexpr std::uint32_t OwnerLimit = 5;
 constexpr base::Duration FirstBackoff = base::milliseconds(5);
 constexpr base::Duration LongestBackoff = base::milliseconds(200);
 constexpr base::Duration LeastTime = base::milliseconds(2); // for an attempt
@@ -44,7 +47,9 @@
 // a second try, but for one that costs no time.
 bool mayRetry(const AdmissionState &State, const RetryQuery &Query) {
   const core::AttemptOutcome &Outcome = Query.Outcome;
-  if (Query.Committed || Query.Attempts >= AttemptLimit || isFinal(Outcome.Why))
+  std::uint32_t Limit = Query.Bound.Ratio > 0 ? OwnerLimit : AttemptLimit;
+  if (Query.Committed || Query.Attempts >= Limit ||
+      Query.Sends >= Query.Kind.Attempts || isFinal(Outcome.Why))
     return false;
   if (Outcome.What != base::Verdict::NotRun)
     return Query.Kind.Idempotent;
@@ -73,8 +78,51 @@
   Budget.Tokens = std::min(Budget.Tokens + Share, Limit);
 }
 
+// Slack is shared out evenly and half of a node's part may be used at once, so
+// that no window of any node holds more than its part. What requests earn is
+// kept for half a window.
+void refill(SharedRetryBudget &Budget, const FleetRetryBound &Bound,
+            base::TimePoint Now) {
+  double Part = Bound.Slack / static_cast<double>(Bound.Nodes) / 2;
+  double Windows =
+      base::toSeconds(Now - Budget.Counted) / base::toSeconds(Bound.Window);
+  if (Budget.Counted == base::TimePoint{})
+    Budget.Slack = Part;
+  Budget.Counted = Now;
+  Budget.Slack = std::min(Part, Budget.Slack + Part * Windows);
+  Budget.Earned *= std::exp(-2 * Windows);
+}
+
+// Servers see nothing of an attempt that no server was sent.
+bool takeShared(AdmissionState &State, const RetryQuery &Query) {
+  if (Query.Sends == 0)
+    return true;
+  SharedRetryBudget &Budget = State.SharedBudgets[Query.Kind.Service];
+  refill(Budget, Query.Bound, Query.Now);
+  double &From = Budget.Earned >= 1 ? Budget.Earned : Budget.Slack;
+  if (From < 1)
+    return false;
+  From -= 1;
+  return true;
+}
+
 } // namespace
 
+void noteRequest(AdmissionState &State, const base::ServiceName &Service,
+                 const FleetRetryBound &Bound, base::TimePoint Now) {
+  if (Bound.Ratio <= 0)
+    return;
+  SharedRetryBudget &Budget = State.SharedBudgets[Service];
+  refill(Budget, Bound, Now);
+  Budget.Earned += Bound.Ratio;
+}
+
+bool reachedServer(const core::AttemptOutcome &Outcome) {
+  return Outcome.What != base::Verdict::NotRun ||
+         Outcome.Why == base::Reason::BackendShed ||
+         Outcome.Why == base::Reason::BackendMisdirected;
+}
+
 base::Duration retryDelay(std::uint32_t Number, base::Random &Source) {
   base::Duration Full = FirstBackoff;
   for (std::uint32_t I = 2; I < Number && Full < LongestBackoff; ++I)
@@ -109,7 +157,8 @@
   Plan.At = Query.Now + std::max(Floor, retryDelay(Query.Attempts + 1, Source));
   if (Plan.At + LeastTime >= Query.Deadline)
     return Plan;
-  Plan.Retry = takeRetry(State, Query.Kind);
+  Plan.Retry = Query.Bound.Ratio > 0 ? takeShared(State, Query)
+                                     : takeRetry(State, Query.Kind);
   if (!Plan.Retry)
     Plan.Denied = base::Reason::RetryBudget;
   return Plan;
--- a/currantgauge/admission/retry.h
+++ b/currantgauge/admission/retry.h
@@ -14,10 +14,20 @@
 #include "currantgauge/config/model.h"
 #include "currantgauge/core/request.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace currantgauge::admission {
 
+// FleetRetryBound is what all nodes together may send beyond the first attempt
+// of each request: in any window, Ratio of its requests and Slack more.
+struct FleetRetryBound {
+  double Ratio = 0; // 0: not set
+  double Slack = 0; // attempts in a window
+  base::Duration Window = base::seconds(10);
+  std::size_t Nodes = 1; // that share Slack
+};
+
 // RetryQuery is what a retry depends on.
 struct RetryQuery {
   const config::KindSettings &Kind;
@@ -27,6 +37,8 @@
   base::TimePoint Arrived;  // the request, at this entry
   base::TimePoint Deadline; // of the request
   base::TimePoint Now;
+  std::uint32_t Sends = 0; // attempts that reached a backend server
+  FleetRetryBound Bound;   // not set: the service's budget counts
 };
 
 // RetryPlan is the next attempt, or why there is none: Denied is RetryBudget
@@ -41,6 +53,10 @@
 RetryPlan planRetry(AdmissionState &State, const RetryQuery &Query,
                     base::Random &Source);
 
+// noteRequest() earns this node's share of the bound for a service.
+void noteRequest(AdmissionState &State, const base::ServiceName &Service,
+                 const FleetRetryBound &Bound, base::TimePoint Now);
+
 // noteOutcome() learns how an attempt of a kind ended.
 void noteOutcome(AdmissionState &State, const config::Configuration &Config,
                  const config::KindSettings &Kind,
@@ -53,6 +69,9 @@
 // takeRetry() takes a token of a rank's budget for a service; false: none left.
 bool takeRetry(AdmissionState &State, const config::KindSettings &Kind);
 
+// reachedServer() says that a backend server was sent the attempt.
+bool reachedServer(const core::AttemptOutcome &Outcome);
+
 // retryDelay() returns the backoff before an attempt, with jitter. Number is 2
 // for the first retry.
 base::Duration retryDelay(std::uint32_t Number, base::Random &Source);
--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -67,6 +67,14 @@
   double RefusedShare = 0; // of recent attempts, refused for an owner's load
 };
 
+// SharedRetryBudget is this node's part of what the fleet may retry of a
+// service, in attempts.
+struct SharedRetryBudget {
+  double Earned = 0; // by requests
+  double Slack = 0;
+  base::TimePoint Counted; // zero: not yet
+};
+
 // PressureKey is a rank of a service at one owner.
 struct PressureKey {
   base::ServiceName Service;
@@ -87,6 +95,7 @@
   std::map<base::ServiceName, ServiceQueue> Queues; // at the owner
   // The rest is used at the entry.
   std::map<std::pair<base::ServiceName, base::RankName>, RetryBudget> Budgets;
+  std::map<base::ServiceName, SharedRetryBudget> SharedBudgets;
   std::map<PressureKey, KnownPressure> RankPressures;
   RateLimits Limits;
   LinkBudget Link;
--- a/currantgauge/base/memory_store.cc
+++ b/currantgauge/base/memory_store.cc
@@ -91,6 +91,13 @@
   return StoreResult{StoreStatus::Done, {}, {}};
 }
 
+// A store in memory has one user, which knows what it wrote.
+StoreResult apply(MemoryStore &Store, const WatchRows &) {
+  StoreResult Result{StoreStatus::Done, {}, {}};
+  Result.Revision = Store.LastRevision;
+  return Result;
+}
+
 } // namespace
 
 StoreResult applyOperation(MemoryStore &Store,
--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -61,14 +61,23 @@
   std::string Name;
 };
 
+// WatchRows waits up to WaitMillis for rows of a table that changed after
+// Revision; the service may answer earlier, without rows.
+struct WatchRows {
+  std::string Table;
+  std::uint64_t Revision = 0;
+  std::uint32_t WaitMillis = 0;
+};
+
 using StoreOperation = std::variant<ReadRow, ScanRows, WriteRows, GetObject,
-                                    PutObject, DeleteObject>;
+                                    PutObject, DeleteObject, WatchRows>;
 
 // StoreStatus is what is known after an operation.
 enum class StoreStatus {
   Done,
   NotFound,
   ConditionFailed, // not applied; Rows holds the present rows where known
+  HistoryLost,     // of WatchRows: changes were forgotten, read the table again
   Unavailable,     // certainly not applied
   Unknown,         // may have been applied: settle it by a read
 };
@@ -78,6 +87,7 @@
   std::string Key;
   std::string Value;
   std::string ETag;
+  bool Removed = false; // of WatchRows: the row is gone
 };
 
 // StoreResult answers a StoreOperation.
@@ -85,6 +95,7 @@
   StoreStatus Status = StoreStatus::Unavailable;
   std::vector<StoreRow> Rows;
   std::string Bytes; // of GetObject
+  std::uint64_t Revision = 0; // of the whole store as read, 0: not told
 };
 
 } // namespace currantgauge::base
--- a/currantgauge/base/verdict.cc
+++ b/currantgauge/base/verdict.cc
@@ -52,6 +52,8 @@
               "the node that owns the backend server was lost meanwhile"},
     ReasonRow{Reason::BackendShed, "backend_shed",
               "the backend server sheds load"},
+    ReasonRow{Reason::BackendMisdirected, "backend_misdirected",
+              "another backend server has the address"},
     ReasonRow{Reason::BackendRefusedConnection, "backend_refused_connection",
               "the backend server refused the connection"},
     ReasonRow{Reason::BackendReset, "backend_reset",
--- a/currantgauge/base/verdict.h
+++ b/currantgauge/base/verdict.h
@@ -47,6 +47,7 @@
   PeerLost,
   // The backend server.
   BackendShed,
+  BackendMisdirected,
   BackendRefusedConnection,
   BackendReset,
   BackendSilent,
--- a/currantgauge/cli/node_commands.cc
+++ b/currantgauge/cli/node_commands.cc
@@ -2,7 +2,9 @@
 #include "currantgauge/cli/folder.h"
 #include "currantgauge/config/node_settings.h"
 #include "currantgauge/runtime/replay.h"
+#include "currantgauge/runtime/adapter.h"
 #include "currantgauge/runtime/serve.h"
+#include "platform/adapter.h"
 
 #include <iostream>
 
@@ -26,7 +28,11 @@
     std::cerr << config::formatError(Mistake) << "\n";
   if (!Errors.empty())
     return ExitFailed;
-  return runtime::serveNode(Settings, Given.Journal);
+  bool Native = Settings.Adapter == config::AdapterName::Native;
+  return runtime::serveNode(Settings,
+                            Native ? runtime::nativeAdapter()
+                                   : platform::platformAdapter(),
+                            Given.Journal);
 }
 
 int runReplay(const Options &, const Words &Arguments) {
--- a/currantgauge/config/assemble.cc
+++ b/currantgauge/config/assemble.cc
@@ -42,6 +42,7 @@
     Config.Services.clear();
     Config.Kinds.clear();
     Config.Link = LinkSettings();
+    Config.Callers = CallerLimits();
     Config.AnyWorkspace = true;
     return;
   }
@@ -116,4 +117,21 @@
   return Result;
 }
 
+AssembledConfig assembleAnnounced(AssembleRequest Request, ReadAnnounced Read) {
+  AssembledConfig Result;
+  if (!Read) {
+    Result.Error = "this node's adapter reads no announced configuration";
+    return Result;
+  }
+  AnnouncedConfig Announced = Read(Request.Announced);
+  if (Announced.Error.empty()) {
+    Request.Text = std::move(Announced.Text);
+    Result = assembleConfig(Request);
+  } else {
+    Result.Error = std::move(Announced.Error);
+  }
+  Result.Version = Announced.Version;
+  return Result;
+}
+
 } // namespace currantgauge::config
--- a/currantgauge/config/assemble.h
+++ b/currantgauge/config/assemble.h
@@ -21,6 +21,7 @@
   PartSetPtr BaseParts; // null: start from nothing
   ConfigurationPtr Base;
   bool CheckParts = false; // that each part holds its own entries alone
+  std::string Announced;   // a row of the feed, in place of Text
 };
 
 // AssembledConfig is the result; Error is empty when it is valid.
@@ -28,12 +29,27 @@
   ConfigurationPtr Config;
   PartSetPtr Parts;
   std::string Error;
+  base::ConfigVersion Version; // of Announced alone
 };
 
+// AnnouncedConfig is a configuration that the store's change feed brought, in
+// this project's form. Error is empty when it could be read.
+struct AnnouncedConfig {
+  base::ConfigVersion Version;
+  std::string Text;
+  std::string Error;
+};
+
+// ReadAnnounced turns a row of the feed into this project's form.
+using ReadAnnounced = AnnouncedConfig (*)(const std::string &Row);
+
 // assembleConfig() parses the parts that differ from BaseParts and checks the
 // whole.
 AssembledConfig assembleConfig(const AssembleRequest &Request);
 
+// assembleAnnounced() does so for Request.Announced, as read by Read.
+AssembledConfig assembleAnnounced(AssembleRequest Request, ReadAnnounced Read);
+
 } // namespace currantgauge::config
 
 #endif // CURRANTGAUGE_CONFIG_ASSEMBLE_H
--- a/currantgauge/config/build.cc
+++ b/currantgauge/config/build.cc
@@ -4,10 +4,14 @@
 #include "currantgauge/config/quantity.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdint>
 #include <map>
+#include <sstream>
 #include <string>
 #include <string_view>
+#include <system_error>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -37,6 +41,7 @@
   readValue(Map, "queue_length", Service.QueueLength);
   readValue(Map, "queue_bytes", Service.QueueBytes);
   readValue(Map, "retry_budget", Service.RetryBudget);
+  readValue(Map, "health_path", Service.HealthPath);
   if (Service.Floor.Value >= 100)
     noteField(Map, "floor",
               ": 100% can't hold, one sick backend server would break it");
@@ -55,28 +60,72 @@
   readValue(Map, "idempotent", Kind.Idempotent);
   readValue(Map, "hedge", Kind.Hedge);
   readValue(Map, "limit", Kind.Limit);
+  readValue(Map, "aim", Kind.Aim);
+  readValue(Map, "attempts", Kind.Attempts);
+  if (Kind.Attempts == 0)
+    noteField(Map, "attempts", " must be at least 1");
   if (Map.Fields.contains("deadline") && Kind.Deadline == base::Duration{})
     noteField(Map, "deadline", " must be above 0s");
   if (Kind.Hedge && !Kind.Idempotent)
     noteField(Map, "hedge", ": a non-idempotent kind is never hedged");
 }
 
+// A split is written "cutlist=90, stocktally=10".
+std::vector<ServiceShare> parseSplit(const std::string &Text) {
+  std::vector<ServiceShare> Split;
+  std::istringstream In(Text);
+  for (std::string Part; std::getline(In, Part, ',');) {
+    std::size_t Start = Part.find_first_not_of(' ');
+    std::size_t Equals = Part.rfind('=');
+    if (Start == std::string::npos || Equals == std::string::npos ||
+        Equals <= Start)
+      return {};
+    ServiceShare Share;
+    Share.Service = base::ServiceName(Part.substr(Start, Equals - Start));
+    const char *End = Part.data() + Part.size();
+    auto Read =
+        std::from_chars(Part.data() + Equals + 1, End, Share.Weight);
+    if (Read.ec != std::errc() || Read.ptr != End)
+      return {};
+    Split.push_back(std::move(Share));
+  }
+  return Split;
+}
+
+void readSplit(FieldMap &Map, RouteSettings &Route) {
+  std::string Text;
+  readValue(Map, "split", Text);
+  if (Text.empty())
+    return;
+  Route.Split = parseSplit(Text);
+  auto HasWeight = [](const ServiceShare &Part) { return Part.Weight > 0; };
+  if (std::none_of(Route.Split.begin(), Route.Split.end(), HasWeight))
+    noteField(Map, "split",
+              ": \"" + Text + "\" is not of the form cutlist=90, other=10");
+}
+
 void readEntry(FieldMap &Map, const std::string &Name, RouteSettings &Route) {
   Route.Name = Name;
   requireField(Map, "prefix");
   requireField(Map, "kind");
+  readValue(Map, "host", Route.Host);
+  readValue(Map, "deadline", Route.Deadline);
+  readValue(Map, "attempts", Route.Attempts);
+  readSplit(Map, Route);
   readValue(Map, "method", Route.Method);
   readValue(Map, "prefix", Route.Prefix);
   readName(Map, "kind", Route.Kind);
   auto IsUpper = [](char Symbol) { return Symbol >= 'A' && Symbol <= 'Z'; };
   if (!std::all_of(Route.Method.begin(), Route.Method.end(), IsUpper))
     noteField(Map, "method", " must be in capitals, such as GET");
+  auto IsCapital = [](char Symbol) { return Symbol >= 'A' && Symbol <= 'Z'; };
+  if (std::any_of(Route.Host.begin(), Route.Host.end(), IsCapital) ||
+      Route.Host.find(':') != std::string::npos)
+    noteField(Map, "host", " must be in small letters and without a port");
   if (!Route.Prefix.starts_with('/') ||
-      Route.Prefix.find_first_of("?#") != std::string::npos ||
-      (Route.Prefix.size() > 1 && Route.Prefix.ends_with('/')))
+      Route.Prefix.find_first_of("?#") != std::string::npos)
     noteField(Map, "prefix",
-              ": \"" + Route.Prefix +
-                  "\" must start with a slash and not end with one");
+              ": \"" + Route.Prefix + "\" must start with a slash");
 }
 
 void readEntry(FieldMap &Map, const std::string &Name,
@@ -93,6 +142,10 @@
 
 void readFleet(FieldMap &Map, Configuration &Config) {
   readValue(Map, "link_bytes_per_second", Config.Link.BytesPerSecond);
+  readValue(Map, "header_limit", Config.Callers.Header);
+  readValue(Map, "body_limit", Config.Callers.Body);
+  readValue(Map, "header_time", Config.Callers.Read);
+  readValue(Map, "caller_idle", Config.Callers.Idle);
   std::string Unlisted = "accept";
   readValue(Map, "unlisted_workspaces", Unlisted);
   Config.AnyWorkspace = Unlisted == "accept";
@@ -185,18 +238,20 @@
 }
 
 void checkRoutes(const Checker &Check, const Configuration &Config) {
-  std::map<std::pair<std::string_view, std::string_view>, std::string_view>
-      Seen;
+  using Key = std::tuple<std::string_view, std::string_view, std::string_view>;
+  std::map<Key, std::string_view> Seen;
   for (const auto &[Name, Route] : Config.Routes) {
     checkReference(Check, "routes", Name, "kind", Route.Kind, Config.Kinds);
+    for (const ServiceShare &Part : Route.Split)
+      checkReference(Check, "routes", Name, "service", Part.Service,
+                     Config.Services);
     auto [Same, IsNew] =
-        Seen.emplace(std::pair<std::string_view, std::string_view>(
-                         Route.Method, Route.Prefix),
-                     Name);
+        Seen.emplace(Key(Route.Host, Route.Method, Route.Prefix), Name);
     if (!IsNew)
       Check.note("routes", Name, "prefix",
                  ": route " + std::string(Same->second) +
-                     " has the same method and prefix");
+                     " has the same method and prefix" +
+                     (Route.Host.empty() ? "" : " of this host"));
   }
 }
 
--- a/currantgauge/config/collect.cc
+++ b/currantgauge/config/collect.cc
@@ -237,7 +237,7 @@
     return proceed(Node, Work.Phase, Effects);
   if (Work.Phase != CollectPhase::Idle && Node.Now - Work.Since > AnswerLimit)
     endCollection(Node);
-  if (Node.Self.Embedded || Work.Phase != CollectPhase::Idle ||
+  if (!hasHeadRow(Node) || Work.Phase != CollectPhase::Idle ||
       Node.Now < Held.NextCollection)
     return;
   auto Nodes = static_cast<std::int64_t>(Node.Membership.Members.size() + 1);
--- a/currantgauge/config/model.cc
+++ b/currantgauge/config/model.cc
@@ -3,16 +3,48 @@
 namespace currantgauge::config {
 namespace {
 
-const RouteSettings *matchMethod(const std::vector<const RouteSettings *> &Same,
-                                 std::string_view Method) {
-  const RouteSettings *Any = nullptr;
+// A route that names the host goes before one that names the method.
+int rankOf(const RouteSettings &Route) {
+  return (Route.Host.empty() ? 0 : 2) + (Route.Method.empty() ? 0 : 1);
+}
+
+const RouteSettings *bestOf(const std::vector<const RouteSettings *> &Same,
+                            const RouteQuery &Query) {
+  const RouteSettings *Best = nullptr;
   for (const RouteSettings *Route : Same) {
-    if (Route->Method == Method)
+    bool Matches = (Route->Host.empty() || Route->Host == Query.Host) &&
+                   (Route->Method.empty() || Route->Method == Query.Method);
+    if (Matches && (!Best || rankOf(*Route) > rankOf(*Best)))
+      Best = Route;
+  }
+  return Best;
+}
+
+const RouteSettings *lookUp(const Configuration &Config,
+                            std::string_view Prefix, const RouteQuery &Query) {
+  auto Found = Config.ByPrefix.find(Prefix);
+  return Found == Config.ByPrefix.end() ? nullptr
+                                        : bestOf(Found->second, Query);
+}
+
+// Prefixes end at a slash or before one, so the walk cuts the path at its
+// slashes: a lookup costs its depth and not the number of routes.
+const RouteSettings *longestMatch(const Configuration &Config,
+                                  const RouteQuery &Query) {
+  std::string_view Prefix = Query.Path.substr(0, Query.Path.find('?'));
+  while (!Prefix.empty()) {
+    if (const RouteSettings *Route = lookUp(Config, Prefix, Query))
       return Route;
-    if (Route->Method.empty())
-      Any = Route;
+    if (Prefix.back() == '/') {
+      Prefix.remove_suffix(1);
+      continue;
+    }
+    std::size_t Slash = Prefix.rfind('/');
+    if (Slash == std::string_view::npos)
+      break;
+    Prefix = Prefix.substr(0, Slash + 1);
   }
-  return Any;
+  return nullptr;
 }
 
 } // namespace
@@ -23,26 +55,41 @@
     Config.ByPrefix[Route.Prefix].push_back(&Route);
 }
 
-// Prefixes end at a slash or at the end of the path, so the walk cuts the path
-// at its slashes: a lookup costs its depth and not the number of routes.
+RouteMatch matchRoute(const Configuration &Config, const RouteQuery &Query) {
+  const RouteSettings *Route = longestMatch(Config, Query);
+  if (!Route)
+    return {};
+  auto Kind = Config.Kinds.find(Route->Kind);
+  if (Kind == Config.Kinds.end())
+    return {};
+  return {Route, &Kind->second};
+}
+
 const KindSettings *findRoute(const Configuration &Config,
                               std::string_view Method, std::string_view Path) {
-  std::string_view Prefix = Path.substr(0, Path.find('?'));
-  while (true) {
-    auto Found = Config.ByPrefix.find(Prefix);
-    if (Found != Config.ByPrefix.end()) {
-      if (const RouteSettings *Route = matchMethod(Found->second, Method)) {
-        auto Kind = Config.Kinds.find(Route->Kind);
-        return Kind == Config.Kinds.end() ? nullptr : &Kind->second;
-      }
-    }
-    if (Prefix.empty() || Prefix == "/")
-      return nullptr;
-    std::size_t Slash = Prefix.rfind('/');
-    Prefix = Slash == 0 || Slash == std::string_view::npos
-                 ? std::string_view("/")
-                 : Prefix.substr(0, Slash);
+  return matchRoute(Config, {{}, Method, Path}).Kind;
+}
+
+KindSettings requestSettings(const RouteMatch &Match, double Draw) {
+  KindSettings Settings = *Match.Kind;
+  const RouteSettings &Route = *Match.Route;
+  if (Route.Deadline > base::Duration{})
+    Settings.Deadline = Route.Deadline;
+  if (Route.Attempts > 0)
+    Settings.Attempts = Route.Attempts;
+  double Sum = 0;
+  for (const ServiceShare &Part : Route.Split)
+    Sum += Part.Weight;
+  double Left = Draw * Sum;
+  for (const ServiceShare &Part : Route.Split) {
+    if (Part.Weight == 0)
+      continue;
+    Settings.Service = Part.Service;
+    Left -= Part.Weight;
+    if (Left < 0)
+      break;
   }
+  return Settings;
 }
 
 } // namespace currantgauge::config
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -1,7 +1,8 @@
 // The fleet's configuration, as merged and checked: immutable, shared by count.
 //
 //   ConfigurationPtr Config = ...;
-//   const KindSettings *Kind = findRoute(*Config, "GET", "/lists/7");
+//   RouteMatch Match = matchRoute(*Config, {"a.example", "GET", "/lists/7"});
+//   if (Match.Route) serve(requestSettings(Match));
 #ifndef CURRANTGAUGE_CONFIG_MODEL_H
 #define CURRANTGAUGE_CONFIG_MODEL_H
 
@@ -39,6 +40,8 @@
   bool Idempotent = true;
   bool Hedge = false;
   base::PerSecond Limit; // in each node; zero: none
+  base::Duration Aim;    // an answer within it is worth most; zero: not told
+  std::uint32_t Attempts = 3; // backend servers that a request may be sent to
 };
 
 // ServiceSettings is a service and the healthy capacity that must remain.
@@ -50,14 +53,34 @@
   std::uint32_t QueueLength = 200;
   base::ByteCount QueueBytes{8 * 1024 * 1024};
   base::Percent RetryBudget{10}; // retries as a share of successes
+  std::string HealthPath;        // of its backend servers; empty: none
 };
 
-// RouteSettings maps a method and a path prefix to a kind of work.
+// ServiceShare is one part of a weighted split.
+struct ServiceShare {
+  base::ServiceName Service;
+  std::uint32_t Weight = 0;
+};
+
+// RouteSettings maps a host, a method and a path prefix to a kind of work.
 struct RouteSettings {
   std::string Name;
   std::string Method; // empty: any
-  std::string Prefix;
+  std::string Prefix; // one that ends with a slash matches only below it
   base::KindName Kind;
+  std::string Host;                // in lower case, without a port; empty: any
+  base::Duration Deadline;         // zero: the kind's
+  std::uint32_t Attempts = 0;      // zero: the kind's
+  std::vector<ServiceShare> Split; // empty: the kind's service alone
+};
+
+// CallerLimits bounds what callers may send. Zero leaves the node's own
+// setting.
+struct CallerLimits {
+  base::ByteCount Header;
+  base::ByteCount Body;
+  base::Duration Read; // of one request's header
+  base::Duration Idle; // of a connection between requests
 };
 
 // LinkSettings bounds what this fleet sends between two regions.
@@ -74,9 +97,11 @@
   std::map<std::string, RouteSettings> Routes; // by route name
   WorkspaceTable Workspaces;
   LinkSettings Link;
+  CallerLimits Callers;
   bool AnyWorkspace = true; // accept requests of workspaces not listed
 
-  // Derived by indexRoutes(): longest prefix wins, then a route with a method.
+  // Derived by indexRoutes(): longest prefix wins, then a route with a host,
+  // then one with a method.
   std::map<std::string, std::vector<const RouteSettings *>, std::less<>>
       ByPrefix;
 };
@@ -86,10 +111,31 @@
 // indexRoutes() fills ByPrefix. Call it once, when the maps are complete.
 void indexRoutes(Configuration &Config);
 
-// findRoute() returns the kind of work of a request, null when none matches.
+// RouteQuery is what a route is chosen by. Path may have a query part.
+struct RouteQuery {
+  std::string_view Host; // as in RouteSettings
+  std::string_view Method;
+  std::string_view Path;
+};
+
+// RouteMatch is a route and its kind of work; both are null when none matches.
+struct RouteMatch {
+  const RouteSettings *Route = nullptr;
+  const KindSettings *Kind = nullptr;
+};
+
+// matchRoute() returns the route of a request.
+RouteMatch matchRoute(const Configuration &Config, const RouteQuery &Query);
+
+// findRoute() returns the kind of work of a request that names no host, null
+// when no route matches.
 const KindSettings *findRoute(const Configuration &Config,
                               std::string_view Method, std::string_view Path);
 
+// requestSettings() returns the kind's settings with those of the route. Draw
+// in [0, 1) picks the service of a split route.
+KindSettings requestSettings(const RouteMatch &Match, double Draw);
+
 } // namespace currantgauge::config
 
 #endif // CURRANTGAUGE_CONFIG_MODEL_H
--- a/currantgauge/config/node_settings.cc
+++ b/currantgauge/config/node_settings.cc
@@ -36,6 +36,7 @@
   readValue(Listen, "peers", Settings.PeerAddress);
   readValue(Listen, "operators", Settings.OperatorAddress);
   readValue(Listen, "announcements", Settings.AnnounceAddress);
+  readValue(Listen, "health", Settings.HealthAddress);
   closeMap(Listen);
 }
 
@@ -86,6 +87,55 @@
               ": \"" + Platform + "\" is neither embedded nor IP:port");
 }
 
+void readAdapter(FieldMap &Root, NodeSettings &Settings) {
+  std::string Adapter = "native";
+  readValue(Root, "adapter", Adapter);
+  if (Adapter == "platform")
+    Settings.Adapter = AdapterName::Platform;
+  else if (Adapter != "native")
+    noteField(Root, "adapter",
+              ": \"" + Adapter + "\" is neither native nor platform");
+}
+
+void readBackend(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Backend = openSection(Root, "backend");
+  readName(Backend, "service", Settings.Service);
+  readValue(Backend, "address", Settings.Backend);
+  readValue(Backend, "lease", Settings.BackendLease);
+  readValue(Backend, "action_idle", Settings.ActionIdle);
+  closeMap(Backend);
+}
+
+void readRetries(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Retries = openSection(Root, "retries");
+  readValue(Retries, "ratio", Settings.RetryRatio);
+  readValue(Retries, "slack", Settings.RetrySlack);
+  readValue(Retries, "window", Settings.RetryWindow);
+  if (Settings.RetryRatio < 0 || Settings.RetryRatio > 1)
+    noteField(Retries, "ratio", " must be from 0 to 1");
+  if (Settings.RetrySlack < 0)
+    noteField(Retries, "slack", " must not be below 0");
+  if (Settings.RetryWindow == base::Duration{})
+    noteField(Retries, "window", " must be above 0s");
+  closeMap(Retries);
+}
+
+// The feed's row is "TABLE/KEY".
+void readFeed(FieldMap &Root, NodeSettings &Settings) {
+  std::string Row;
+  readValue(Root, "config_feed", Row);
+  if (Row.empty())
+    return;
+  std::size_t Slash = Row.find('/');
+  if (Slash == 0 || Slash == std::string::npos || Slash + 1 == Row.size())
+    return noteField(Root, "config_feed",
+                     ": \"" + Row + "\" is not of the form table/key");
+  Settings.FeedTable = Row.substr(0, Slash);
+  Settings.FeedKey = Row.substr(Slash + 1);
+  if (Settings.Embedded)
+    noteField(Root, "config_feed", " needs a platform");
+}
+
 // The listener that can change the fleet is never open to other VMs by
 // default: from outside loopback it takes a token.
 void checkOperators(const FieldMap &Operators, const NodeSettings &Settings) {
@@ -109,6 +159,7 @@
 void readActions(FieldMap &Root, NodeSettings &Settings) {
   FieldMap Actions = openSection(Root, "actions");
   readValue(Actions, "secret", Settings.ActionSecret);
+  readValue(Actions, "keys", Settings.TakesKeys);
   closeMap(Actions);
 }
 
@@ -119,6 +170,8 @@
     noteField(Limits, "body", " must be above 0B");
   if (Settings.CallerRead == base::Duration{})
     noteField(Limits, "caller_read", " must be above 0s");
+  if (Settings.StopLinger > Settings.StopLimit)
+    noteField(Limits, "stop_linger", " is above stop");
 }
 
 void readLimits(FieldMap &Root, NodeSettings &Settings) {
@@ -129,6 +182,7 @@
   readValue(Limits, "caller_idle", Settings.CallerIdle);
   readValue(Limits, "caller_read", Settings.CallerRead);
   readValue(Limits, "stop", Settings.StopLimit);
+  readValue(Limits, "stop_linger", Settings.StopLinger);
   checkLimits(Limits, Settings);
   closeMap(Limits);
 }
@@ -165,6 +219,10 @@
   readAdvertised(Root, Settings);
   readSeeds(Root, Settings);
   readPlatform(Root, Settings);
+  readAdapter(Root, Settings);
+  readBackend(Root, Settings);
+  readFeed(Root, Settings);
+  readRetries(Root, Settings);
   readOperators(Root, Settings);
   readActions(Root, Settings);
   readLimits(Root, Settings);
--- a/currantgauge/config/node_settings.h
+++ b/currantgauge/config/node_settings.h
@@ -28,6 +28,9 @@
 // formatError() returns "file:line:column: text".
 std::string formatError(const SettingsError &Error);
 
+// AdapterName chooses the protocols of a node's surroundings.
+enum class AdapterName { Native, Platform };
+
 // NodeSettings is what one process needs to know of itself.
 struct NodeSettings {
   base::NodeName Name;
@@ -38,6 +41,8 @@
   base::NetAddress OperatorAddress{"127.0.0.1:8082"}; // HTTP, operators
   // Backend servers announce themselves here; metrics and health as well.
   base::NetAddress AnnounceAddress{"127.0.0.1:8083"};
+  // Health, readiness and metrics also have a listener of their own when set.
+  base::NetAddress HealthAddress;
   // Where other nodes reach this one; PeerAddress unless set.
   base::NetAddress AdvertisedPeerAddress{"127.0.0.1:8081"};
   std::vector<base::NetAddress> Seeds;
@@ -53,8 +58,31 @@
   base::Duration CallerIdle = base::seconds(60);
   base::Duration CallerRead = base::seconds(15); // to read one request
   base::Duration StopLimit = base::seconds(30);  // of a graceful shutdown
+  // Callers are still served for so long after a stop request, while whoever
+  // sends them here learns that the node is not ready.
+  base::Duration StopLinger;
+  // What all nodes together may retry of a service: in any window a share of
+  // its requests and a number of attempts more. Share 0: each service's budget.
+  double RetryRatio = 0;
+  double RetrySlack = 0;
+  base::Duration RetryWindow = base::seconds(10);
   std::uint32_t TrafficThreads = 2;
   std::string LogLevel = "info"; // debug, info, warn, error
+  // How callers, backend servers and the store are spoken to.
+  AdapterName Adapter = AdapterName::Native;
+  // Of the backend server on the same VM: its service, which is named to
+  // servers as the caller's, and its address. Empty: not told.
+  base::ServiceName Service;
+  base::NetAddress Backend;
+  // How long a backend server lives without a renewal; zero: the default.
+  base::Duration BackendLease;
+  // Actions use a pooled connection to the backend server that was used so
+  // lately; zero: a new one each.
+  base::Duration ActionIdle;
+  // The row that announces the configuration; empty: operators push it.
+  std::string FeedTable;
+  std::string FeedKey;
+  bool TakesKeys = true; // idempotency keys and action ids of callers
   std::string ConfigFolder; // embedded alone: loaded at the start; else empty
 };
 
--- a/currantgauge/config/spread.cc
+++ b/currantgauge/config/spread.cc
@@ -114,12 +114,12 @@
 void lookForVersion(core::State &Node, core::EffectList &Effects) {
   if (Node.Config.Lag.Phase != CatchUpPhase::Idle)
     return;
-  bool TryStore = !Node.Self.Embedded && Node.Config.FailedFetches % 2 == 1;
+  bool TryStore = hasHeadRow(Node) && Node.Config.FailedFetches % 2 == 1;
   const membership::MemberRecord *Holder =
       lags(Node) && !TryStore ? chooseHolder(Node) : nullptr;
   if (Holder)
     return startFetch(Node, Holder->Name, Holder->PeerAddress, Effects);
-  if (Node.Self.Embedded || (Node.Now < Node.Config.NextPoll && !TryStore))
+  if (!hasHeadRow(Node) || (Node.Now < Node.Config.NextPoll && !TryStore))
     return;
   auto Nodes = static_cast<std::int64_t>(Node.Membership.Members.size() + 1);
   Node.Config.NextPoll =
@@ -143,6 +143,10 @@
 
 } // namespace
 
+bool hasHeadRow(const core::State &Node) {
+  return !Node.Self.Embedded && Node.Self.Feed.Table.empty();
+}
+
 base::CallId callStore(core::State &Node, base::StoreOperation Operation,
                        core::EffectList &Effects) {
   base::CallId Call = core::nextCall(Node);
@@ -167,6 +171,7 @@
   Held.Current = Config;
   Node.Membership.Self.Version = Document.Version;
   Effects.push_back(core::ServeConfig{Document});
+  Effects.push_back(core::BoundCallers{Config->Callers});
   Effects.push_back(core::Measure{core::Metric::ConfigInForce, "", "",
                                   static_cast<double>(Document.Version.Value)});
   Effects.push_back(
--- a/currantgauge/config/spread.h
+++ b/currantgauge/config/spread.h
@@ -20,6 +20,10 @@
 // RoundInterval is the time between two looks at what is under way.
 constexpr base::Duration RoundInterval = base::milliseconds(1000);
 
+// hasHeadRow() is true where operators push the configuration and the store
+// keeps its versions.
+bool hasHeadRow(const core::State &Node);
+
 // callStore() asks the store and returns the id of its answer.
 base::CallId callStore(core::State &Node, base::StoreOperation Operation,
                        core::EffectList &Effects);
--- a/currantgauge/config/state.h
+++ b/currantgauge/config/state.h
@@ -127,6 +127,22 @@
   bool IsHistory = false; // else one version
 };
 
+// FeedPhase is what the change feed waits for.
+enum class FeedPhase { Idle, Reading, Watching };
+
+// FeedState follows one row of the store that announces the configuration.
+struct FeedState {
+  FeedPhase Phase = FeedPhase::Idle;
+  base::CallId Call;
+  base::TimePoint Since;      // when Call was made
+  std::uint64_t Revision = 0; // of the store, as last told
+  bool Positioned = false;    // Revision holds; else the row must be read
+  std::uint32_t Failures = 0; // in a row
+  bool Reachable = true;      // the last call was answered
+  base::CallId Parsing;       // Value 0: none
+  std::string Newer;          // arrived while another one was parsed
+};
+
 // ConfigState holds the version in force here and what is under way.
 struct ConfigState {
   ConfigDocument Document;
@@ -134,6 +150,7 @@
   base::ConfigVersion Heard;  // highest accepted version known of
   base::ConfigVersion Broken; // accepted, but this node can't parse it
   CatchUp Lag;
+  FeedState Feed;
   std::uint32_t FailedFetches = 0; // in a row, of peers
   base::TimePoint NextPoll;        // of the store's head row
   base::TimePoint ReadyBy = base::Never;
--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -11,6 +11,7 @@
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/config/assemble.h"
 #include "currantgauge/config/delta.h"
+#include "currantgauge/config/model.h"
 #include "currantgauge/core/operator.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/membership/message.h"
@@ -68,7 +69,12 @@
   base::BackendName Server;
   base::NetAddress Address;
   base::Duration TimeLeft;
-  bool NewConnection = false; // do not use a pooled one
+  bool NewConnection = false;  // do not use a pooled one
+  base::Duration FreshestIdle; // of a pooled one; zero: any
+};
+// BoundCallers puts limits on what callers may send in force.
+struct BoundCallers {
+  config::CallerLimits Limits;
 };
 // CancelBackend ends the exchange and closes its connection.
 struct CancelBackend {
@@ -180,7 +186,8 @@
                             EndAttempt, KeepAnswer, ForgetAnswer, RepeatAnswer,
                             SendPeerMessage, CallStore, ParseConfig,
                             FetchConfig, ServeConfig, AnswerOperator, Measure,
-                            LogLine, BecomeReady, StopProcess, AnswerActionId>;
+                            LogLine, BecomeReady, StopProcess, AnswerActionId,
+                            BoundCallers>;
 
 using EffectList = std::vector<Effect>;
 
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -136,6 +136,12 @@
          Outcome.Why != base::Reason::None;
 }
 
+admission::FleetRetryBound retryBound(const State &Node) {
+  admission::FleetRetryBound Bound = Node.Self.Retry;
+  Bound.Nodes = Node.Membership.LiveMembers + 1;
+  return Bound;
+}
+
 bool scheduleRetry(State &Node, EntryRequest &Request,
                    const AttemptOutcome &Outcome, EffectList &Effects) {
   if (Request.Deaths >= DeathLimit)
@@ -148,7 +154,9 @@
                             .Attempts = Request.Attempts,
                             .Arrived = Request.Arrived,
                             .Deadline = Request.Deadline,
-                            .Now = Node.Now},
+                            .Now = Node.Now,
+                            .Sends = Request.Sends,
+                            .Bound = retryBound(Node)},
                            Node.Source);
   if (Plan.Denied != base::Reason::None)
     Effects.push_back(Measure{Metric::Refusals,
@@ -202,24 +210,30 @@
   EntryRequest &Request = Node.Entry.Requests[Arrival.Facts.Request];
   Request.Facts = Arrival.Facts;
   Request.Arrived = Node.Now;
-  if (Node.Stopping)
+  if (Node.Stopping && Node.Now >= Node.StopSince + Node.Self.StopLinger)
     return refuse(Node, Request, base::Reason::NodeStopping, base::Duration{},
                   Effects);
   if (!Node.Config.Current)
     return refuse(Node, Request, base::Reason::NoConfiguration,
                   base::seconds(1), Effects);
   const config::Configuration &Config = *Node.Config.Current;
-  const config::KindSettings *Kind =
-      config::findRoute(Config, Arrival.Facts.Method, Arrival.Facts.Path);
-  if (!Kind)
+  config::RouteMatch Match = config::matchRoute(
+      Config,
+      {Arrival.Facts.Host, Arrival.Facts.Method, Arrival.Facts.Path});
+  if (!Match.Route)
     return refuse(Node, Request, base::Reason::NoRoute, base::Duration{},
                   Effects);
-  Request.Kind = *Kind;
+  bool Split = !Match.Route->Split.empty();
+  Request.Kind = config::requestSettings(
+      Match, Split ? base::uniformUnit(Node.Source) : 0);
+  const config::KindSettings *Kind = &Request.Kind;
   Request.Deadline = Node.Now + deadlineOf(Arrival.Facts, *Kind);
   base::Reason Why = admission::admitAtEntry(Node.Admission, Config, *Kind,
                                              Arrival.Facts.Workspace, Node.Now);
   if (Why != base::Reason::None)
     return refuse(Node, Request, Why, base::seconds(1), Effects);
+  admission::noteRequest(Node.Admission, Kind->Service, retryBound(Node),
+                         Node.Now);
   setTimer(Node.Timers, Request.Deadline,
            RequestDeadline{Arrival.Facts.Request});
   Request.Print = actions::fingerprintOf(Request.Facts, *Kind);
@@ -270,6 +284,8 @@
   noteEnd(Node, *Request, Outcome, Effects);
   endCurrentAttempt(Node, *Request);
   Request->LastWhy = Outcome.Why;
+  if (admission::reachedServer(Outcome))
+    ++Request->Sends;
   if (Outcome.What != base::Verdict::NotRun)
     Request->MayHaveRun = true;
   if (Outcome.ServerDied)
--- a/currantgauge/core/event.h
+++ b/currantgauge/core/event.h
@@ -99,6 +99,7 @@
   config::ConfigurationPtr Config;
   config::PartSetPtr Parts;
   std::string Error;
+  base::ConfigVersion Version; // of an announced document alone
 };
 // ConfigFetched: a peer answered a FetchConfig; Found is false when it has
 // none, Delta is what config::deltaSince() returned there.
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/actions/guard.h"
 #include "currantgauge/actions/quarantine.h"
+#include "currantgauge/config/feed.h"
 #include "currantgauge/config/push.h"
 #include "currantgauge/config/queries.h"
 #include "currantgauge/config/spread.h"
@@ -63,6 +64,13 @@
     setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
 }
 
+// The node ends when nothing is left, which reduce() looks at.
+void onTimer(State &, const StopDue &, EffectList &) {}
+
+void onTimer(State &Node, const FeedDue &, EffectList &Effects) {
+  config::onFeedDue(Node, Effects);
+}
+
 void onTimer(State &Node, const ConfigRound &, EffectList &Effects) {
   config::onConfigRound(Node, Effects);
 }
@@ -99,6 +107,22 @@
   return "";
 }
 
+void logServer(const routing::BackendRecord &Record, EffectList &Effects) {
+  Effects.push_back(LogLine{LogLevel::Info,
+                            "backend_server",
+                            {{"server", Record.Name.Value},
+                             {"service", Record.Service.Value},
+                             {"address", Record.Address.Value},
+                             {"phase", phaseName(Record.Phase)}}});
+}
+
+// A node that was told of the backend server beside it takes no word of
+// another address.
+bool isExpected(const State &Node, const routing::Announcement &Word) {
+  return Node.Self.Backend.empty() || Word.Address.empty() ||
+         Word.Address == Node.Self.Backend;
+}
+
 OperatorReply answer(State &Node, const AskStatus &) { return statusOf(Node); }
 
 OperatorReply answer(State &Node, const AskConfigLacks &Asked) {
@@ -144,6 +168,7 @@
   setTimer(Node.Timers, Node.Now, GossipRound{});
   setTimer(Node.Timers, Node.Now, ActionRound{});
   config::startRounds(Node);
+  config::startFeed(Node, Effects);
   Effects.push_back(LogLine{LogLevel::Info,
                             "started",
                             {{"node", Node.Self.Name.Value},
@@ -153,13 +178,16 @@
 
 void onStopRequested(State &Node, const StopRequested &, EffectList &Effects) {
   Node.Stopping = true;
+  Node.StopSince = Node.Now;
+  setTimer(Node.Timers, Node.Now + Node.Self.StopLinger, StopDue{});
   membership::announceLeaving(Node, Effects);
   Effects.push_back(BecomeReady{false});
   Effects.push_back(LogLine{LogLevel::Info, "stopping", {}});
 }
 
 void stopWhenIdle(State &Node, EffectList &Effects) {
-  if (Node.Stopping && Node.Entry.Requests.empty() &&
+  if (Node.Stopping && Node.Now >= Node.StopSince + Node.Self.StopLinger &&
+      Node.Entry.Requests.empty() &&
       Node.Owner.Attempts.empty() && !actions::hasPendingWrites(Node))
     Effects.push_back(StopProcess{0});
 }
@@ -172,24 +200,45 @@
 
 void onBackendAnnounced(State &Node, const BackendAnnounced &Announced,
                         EffectList &Effects) {
-  actions::onServerWord(Node, Announced.Word.Name, Announced.Word.Life,
-                        Effects);
-  if (!routing::announce(Node.Routing, Announced.Word, Node.Now))
+  const routing::Announcement &Word = Announced.Word;
+  if (!isExpected(Node, Word) || routing::isOutlived(Node.Routing, Word)) {
+    Effects.push_back(LogLine{LogLevel::Warn,
+                              "announcement_ignored",
+                              {{"server", Word.Name.Value},
+                               {"service", Word.Service.Value},
+                               {"address", Word.Address.Value}}});
     return;
-  membership::queueRumour(Node.Membership,
-                          Node.Routing.Servers.at(Announced.Word.Name).Record);
-  Effects.push_back(LogLine{LogLevel::Info,
-                            "backend_server",
-                            {{"server", Announced.Word.Name.Value},
-                             {"service", Announced.Word.Service.Value},
-                             {"phase", phaseName(Announced.Word.Phase)}}});
-  runQueued(Node, Announced.Word.Service, Effects);
+  }
+  for (const routing::BackendRecord &Gone :
+       routing::replaceAt(Node.Routing, Word)) {
+    actions::onServerWord(Node, Gone.Name,
+                          base::Incarnation(Gone.Life.Value + 1), Effects);
+    membership::queueRumour(Node.Membership, Gone);
+    logServer(Gone, Effects);
+  }
+  if (Word.Phase != routing::BackendPhase::Gone)
+    actions::onServerWord(Node, Word.Name, Word.Life, Effects);
+  if (!routing::announce(Node.Routing, Word, Node.Now))
+    return;
+  const routing::BackendRecord &Record =
+      Node.Routing.Servers.at(Word.Name).Record;
+  membership::queueRumour(Node.Membership, Record);
+  logServer(Record, Effects);
+  runQueued(Node, Record.Service, Effects);
 }
 
 void onOperatorAsked(State &Node, const OperatorAsked &Asked,
                      EffectList &Effects) {
-  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query))
-    return config::onPushAsked(Node, Asked.Call, *Push, Effects);
+  if (const auto *Push = std::get_if<AskConfigPush>(&Asked.Query)) {
+    if (Node.Self.Feed.Table.empty())
+      return config::onPushAsked(Node, Asked.Call, *Push, Effects);
+    OperatorReply Refused;
+    Refused.Error = "the configuration of this fleet is announced by row " +
+                    Node.Self.Feed.Table + "/" + Node.Self.Feed.Key +
+                    " of the store and can't be pushed";
+    Effects.push_back(AnswerOperator{Asked.Call, std::move(Refused)});
+    return;
+  }
   if (const auto *Wanted = std::get_if<AskConfig>(&Asked.Query))
     return config::onConfigAsked(Node, Asked.Call, *Wanted, Effects);
   if (std::holds_alternative<AskConfigHistory>(Asked.Query))
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -6,15 +6,19 @@
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/core/entry.h"
+#include "currantgauge/membership/rumours.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
+#include "currantgauge/routing/registry.h"
 #include "currantgauge/routing/slots.h"
 
+#include <string>
 #include <utility>
 
 namespace currantgauge::core {
 namespace {
 
+constexpr std::uint32_t HttpMisdirected = 421;
 constexpr std::uint32_t HttpTooManyRequests = 429;
 constexpr std::uint32_t HttpServerErrors = 500;
 constexpr std::uint32_t HttpServiceUnavailable = 503;
@@ -44,6 +48,13 @@
   Outcome.What = !Seen.AnyByteSent  ? base::Verdict::NotRun
                  : Seen.AnswerWhole ? base::Verdict::Ran
                                     : base::Verdict::MayHaveRun;
+  if (Seen.ProvedNotRun) {
+    Outcome.What = base::Verdict::NotRun;
+    Outcome.Why = Seen.Status == HttpMisdirected
+                      ? base::Reason::BackendMisdirected
+                      : base::Reason::BackendShed;
+    return Outcome;
+  }
   if (!Seen.AnswerWhole)
     return Outcome;
   bool Sheds = Seen.Status == HttpTooManyRequests ||
@@ -99,6 +110,24 @@
   setTimer(Node.Timers, Until, SlotsReopen{Attempt.Facts.Service});
 }
 
+// Nobody listens at the address, or somebody else does: the server is gone until
+// it announces itself again.
+void noteAbsence(State &Node, const base::BackendName &Name, base::Reason Why,
+                 EffectList &Effects) {
+  if (Why != base::Reason::BackendRefusedConnection &&
+      Why != base::Reason::BackendMisdirected)
+    return;
+  if (!routing::markAbsent(Node.Routing, Name))
+    return;
+  const routing::BackendRecord &Record = Node.Routing.Servers.at(Name).Record;
+  membership::queueRumour(Node.Membership, Record);
+  Effects.push_back(LogLine{LogLevel::Warn,
+                            "backend_server_absent",
+                            {{"server", Name.Value},
+                             {"service", Record.Service.Value},
+                             {"reason", std::string(base::reasonName(Why))}}});
+}
+
 } // namespace
 
 void onAttemptArrived(State &Node, const AttemptArrived &Arrival,
@@ -180,8 +209,13 @@
   Send.TimeLeft = Attempt.Deadline - Node.Now;
   bool Suspect = routing::onExchangeStarted(Node.Routing, Attempt, Node.Now);
   // A pooled connection may have gone silent: an action that is lost on it
-  // would be in doubt, which costs more than a new connection.
-  Send.NewConnection = Suspect || !Attempt.Facts.Idempotent;
+  // would be in doubt. One that was used a moment ago is taken where the node is
+  // told that connections are dear.
+  bool Pooled = Attempt.Facts.Idempotent ||
+                Node.Self.ActionIdle > base::Duration{};
+  Send.NewConnection = Suspect || !Pooled;
+  if (!Attempt.Facts.Idempotent)
+    Send.FreshestIdle = Node.Self.ActionIdle;
   Effects.push_back(std::move(Send));
   if (routing::armRound(Node.Routing))
     setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
@@ -258,6 +292,7 @@
   Outcome.Suspicion =
       routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
                                Ended.Outcome, Evidence, Node.Now, Effects);
+  noteAbsence(Node, Found->second->Server, Outcome.Why, Effects);
   endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   runQueued(Node, Service, Effects);
 }
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/actions/action_ids.h"
 #include "currantgauge/actions/claim_store.h"
+#include "currantgauge/config/feed.h"
 #include "currantgauge/config/queries.h"
 #include "currantgauge/config/spread.h"
 #include "currantgauge/core/entry.h"
@@ -54,12 +55,14 @@
   // A call belongs to one component: each knows its own.
   void operator()(const StoreAnswered &E) {
     noteStoreAnswer(Node, E);
-    if (!actions::onStoreAnswered(Node, E, Effects) &&
+    if (!config::onFeedAnswered(Node, E, Effects) &&
+        !actions::onStoreAnswered(Node, E, Effects) &&
         !config::onStoreAnswered(Node, E, Effects))
       membership::onStoreAnswered(Node, E, Effects);
   }
   void operator()(const ConfigParsed &E) {
-    config::onConfigParsed(Node, E, Effects);
+    if (!config::onFeedParsed(Node, E, Effects))
+      config::onConfigParsed(Node, E, Effects);
   }
   void operator()(const ConfigFetched &E) {
     config::onConfigFetched(Node, E, Effects);
@@ -114,6 +117,8 @@
   Node.Routing.Self = Self.Name;
   Node.Routing.Region = Self.Region;
   Node.Routing.Domain = Self.Domain;
+  if (Self.BackendLease > base::Duration{})
+    Node.Routing.Lease = Self.BackendLease;
   membership::MemberRecord &Record = Node.Membership.Self;
   Record.Name = Self.Name;
   Record.PeerAddress = Self.PeerAddress;
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -18,6 +18,8 @@
 // RequestFacts is what the entry knows of a caller's request.
 struct RequestFacts {
   base::RequestId Request;
+  std::string CallerAttempt; // the caller's own id, for logs; empty: none given
+  std::string Host;          // in lower case, without a port
   std::string Method;
   std::string Path;
   base::WorkspaceName Workspace; // empty: none named
@@ -71,6 +73,8 @@
   base::Duration RetryAfter; // zero: none given
   base::ByteCount AnswerBytes;
   bool ProcessDied = false; // reset or refusal that hints at a crash
+  bool ProvedNotRun = false; // the server's answer says that it did not run it
+  base::BackendName Answered; // the server that answered; empty: not told
 };
 
 // AttemptOutcome is how an attempt ended, as the entry learns it.
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -6,6 +6,7 @@
 
 #include "currantgauge/actions/state.h"
 #include "currantgauge/admission/queued_attempt.h"
+#include "currantgauge/admission/retry.h"
 #include "currantgauge/admission/state.h"
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/random.h"
@@ -24,6 +25,12 @@
 
 namespace currantgauge::core {
 
+// FeedSource is the row of the store that announces the configuration.
+struct FeedSource {
+  std::string Table; // empty: operators push the configuration
+  std::string Key;
+};
+
 // NodeIdentity is what a node's settings say of it.
 struct NodeIdentity {
   base::NodeName Name;
@@ -34,6 +41,14 @@
   std::vector<base::NetAddress> Seeds;
   bool Embedded = false;    // no platform: everything stays in memory
   std::string ActionSecret; // signs action ids; empty: none are issued
+  FeedSource Feed;
+  base::ServiceName Service;   // of the backend server beside; empty: not told
+  base::NetAddress Backend;    // that server's address; empty: not told
+  base::Duration BackendLease; // zero: routing::LeaseTime
+  base::Duration ActionIdle;   // of connections for actions; zero: new ones
+  admission::FleetRetryBound Retry;
+  base::Duration StopLinger;   // callers are still served after a stop request
+  bool TakesKeys = true;       // idempotency keys and action ids of callers
 };
 
 // EntryRequest is a caller's request in flight at its entry.
@@ -44,6 +59,7 @@
   base::TimePoint Deadline;
   base::AttemptId Current; // Sequence 0: none is running
   std::uint32_t Attempts = 0;
+  std::uint32_t Sends = 0; // attempts that reached a backend server
   std::vector<base::BackendName> Tried;
   base::BackendName CurrentServer;
   base::Fingerprint Print;
@@ -86,6 +102,7 @@
   base::TimePoint Now;
   base::UnixTime Wall;
   bool Stopping = false;
+  base::TimePoint StopSince; // of Stopping
   bool Ready = false;
   std::uint64_t LastCall = 0; // of CallId
   TimerQueue Timers;
--- a/currantgauge/core/timer.h
+++ b/currantgauge/core/timer.h
@@ -50,8 +50,13 @@
   base::ServiceName Service;
 };
 
+// StopDue is when a stopping node may end.
+struct StopDue {};
+// FeedDue asks the store's change feed again.
+struct FeedDue {};
+
 using Timer =
-    std::variant<LeaseCheck, GossipRound, HealthRound, ConfigRound, ActionRound,
+    std::variant<FeedDue, StopDue, LeaseCheck, GossipRound, HealthRound, ConfigRound, ActionRound,
                  RumourFlush, SyncDue, ProbeTimeout, RequestDeadline, RetryDue,
                  AttemptDeadline, SlotsReopen>;
 
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -35,12 +36,19 @@
 using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
 
 constexpr std::chrono::seconds ConnectionAgeLimit{60};
-constexpr std::chrono::seconds IdleLimit{15};
+// For servers that announce no limit. Five seconds is the shortest default of
+// common HTTP servers.
+constexpr std::chrono::milliseconds DefaultIdleLimit{4000};
+// A connection is left alone this long before the server would close it.
+constexpr std::chrono::milliseconds IdleAllowance{1500};
+// Answers to others that may come in front of the one awaited.
+constexpr int StrayLimit = 4;
 constexpr std::chrono::milliseconds ConnectLimit{1000};
 constexpr unsigned UserTimeoutMillis = 5000; // TCP_USER_TIMEOUT
 constexpr std::size_t IdlePerServer = 16;    // connections
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimit = 64 * 1024; // bytes
+constexpr double LongestRetryAfter = 3600; // seconds; longer ones are ignored
 
 // Exchange is the coroutine's own side.
 struct Exchange {
@@ -57,7 +65,8 @@
 
 // A server that closed an idle connection shows as readable with no bytes.
 bool isUsable(BackendConnection &Idle, Clock::time_point Now) {
-  if (Now - Idle.Born > ConnectionAgeLimit || Now - Idle.IdleSince > IdleLimit)
+  if (Now - Idle.Born > ConnectionAgeLimit ||
+      Now - Idle.IdleSince > Idle.IdleLimit)
     return false;
   char Byte = 0;
   ssize_t Got = ::recv(Idle.Stream.socket().native_handle(), &Byte, 1,
@@ -65,9 +74,15 @@
   return Got < 0 && errno == EAGAIN;
 }
 
+// The one used last comes first.
 std::unique_ptr<BackendConnection> takeIdle(Exchange &E) {
   auto &Idle = E.Pool.Idle[E.What.Address];
+  std::chrono::microseconds Freshest(E.What.FreshestIdle.Micros);
   while (!Idle.empty()) {
+    bool Stale = E.What.FreshestIdle > base::Duration{} &&
+                 Clock::now() - Idle.back()->IdleSince > Freshest;
+    if (Stale)
+      return nullptr;
     std::unique_ptr<BackendConnection> Last = std::move(Idle.back());
     Idle.pop_back();
     if (isUsable(*Last, Clock::now()))
@@ -76,6 +91,26 @@
   return nullptr;
 }
 
+beast::string_view view(std::string_view Text) {
+  return beast::string_view(Text.data(), Text.size());
+}
+
+// "timeout=5, max=100"; the limit of a server that tells none is a guess.
+std::chrono::milliseconds idleLimitOf(beast::string_view KeepAlive) {
+  for (const auto &Parameter : beast::http::param_list(
+           ";" + std::string(KeepAlive))) {
+    if (!beast::iequals(Parameter.first, "timeout"))
+      continue;
+    int Seconds = 0;
+    const auto &Text = Parameter.second;
+    auto Read =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+    if (Read.ec == std::errc() && Seconds > 0)
+      return std::chrono::seconds(Seconds) - IdleAllowance;
+  }
+  return DefaultIdleLimit;
+}
+
 void keepIdle(Exchange &E) {
   auto &Idle = E.Pool.Idle[E.What.Address];
   if (Idle.size() >= IdlePerServer)
@@ -136,9 +171,15 @@
   };
   auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       E.Deadline - Clock::now());
-  Set(RequestIdField, base::formatId(E.What.Request));
-  Set(AttemptIdField, base::formatId(E.What.Attempt));
-  Set(TimeoutField, std::to_string(std::max<std::int64_t>(Left.count(), 1)));
+  const Dialect &Wire = *E.What.Wire;
+  if (!Wire.RequestField.empty())
+    Set(Wire.RequestField, base::formatId(E.What.Request));
+  if (!Wire.PassesAttempt)
+    Set(Wire.AttemptField, base::formatId(E.What.Attempt));
+  if (!Wire.ExpectedServerField.empty())
+    Set(Wire.ExpectedServerField, E.What.Expected.Value);
+  Set(Wire.TimeoutField,
+      std::to_string(std::max<std::int64_t>(Left.count(), 1)));
   Request.body() = E.What.Message->Body;
   Request.prepare_payload();
   return Request;
@@ -179,11 +220,54 @@
 
 void readRetryAfter(const AnswerParser &Parser, core::BackendOutcome &Outcome) {
   auto Field = Parser.get()[beast::http::field::retry_after];
-  std::int64_t Seconds = 0;
+  double Seconds = 0;
   auto Read =
       std::from_chars(Field.data(), Field.data() + Field.size(), Seconds);
-  if (!Field.empty() && Read.ec == std::errc() && Seconds >= 0)
-    Outcome.RetryAfter = base::seconds(std::max<std::int64_t>(Seconds, 1));
+  if (Field.empty() || Read.ec != std::errc() || !(Seconds >= 0) ||
+      Seconds > LongestRetryAfter)
+    return;
+  constexpr double MicrosPerSecond = 1e6;
+  bool Whole = Field.find('.') == beast::string_view::npos;
+  Outcome.RetryAfter = base::Duration{static_cast<std::int64_t>(
+      (Whole ? std::max(Seconds, 1.0) : Seconds) * MicrosPerSecond)};
+}
+
+// What an answer's head proves beyond its status.
+void readProofs(const AnswerParser &Parser, const Dialect &Wire,
+                core::BackendOutcome &Outcome) {
+  const auto &Head = Parser.get();
+  if (!Wire.ServerField.empty())
+    Outcome.Answered =
+        base::BackendName(std::string(Head[view(Wire.ServerField)]));
+  if (!Wire.NotRunField.empty())
+    Outcome.ProvedNotRun = Head.count(view(Wire.NotRunField)) > 0 ||
+                           Head.result() ==
+                               beast::http::status::misdirected_request;
+}
+
+// An answer to someone else, late on this connection.
+bool isStray(const Exchange &E, const AnswerParser &Parser) {
+  const Dialect &Wire = *E.What.Wire;
+  if (!Wire.EchoesAttempt)
+    return false;
+  auto Echo = Parser.get()[view(Wire.AttemptField)];
+  for (const auto &[Name, Value] : E.What.Message->Headers)
+    if (beast::iequals(Name, view(Wire.AttemptField)))
+      return !Echo.empty() && Echo != view(Value);
+  return false;
+}
+
+// A success without the server's signature, or in an encoding that nobody asked
+// for, is not what the server meant to say.
+bool isSpoilt(const Exchange &E, const AnswerParser &Parser) {
+  const Dialect &Wire = *E.What.Wire;
+  if (Wire.SignatureField.empty())
+    return false;
+  const auto &Head = Parser.get();
+  bool Success = beast::http::to_status_class(Head.result()) ==
+                 beast::http::status_class::successful;
+  return Success && (Head.count(view(Wire.SignatureField)) == 0 ||
+                     Head.count(beast::http::field::content_encoding) > 0);
 }
 
 void pushHead(Exchange &E, const AnswerParser &Parser) {
@@ -222,10 +306,30 @@
   co_return true;
 }
 
-// An answer that ends with its connection can't be told from one cut short, so
-// it does not count as whole.
+// Reads a stray answer's body away.
+asio::awaitable<bool> skipBody(Exchange &E, AnswerParser &Parser) {
+  ErrorCode Error;
+  std::string Chunk(ChunkBytes, '\0');
+  while (!Parser.is_done()) {
+    Parser.get().body().data = Chunk.data();
+    Parser.get().body().size = Chunk.size();
+    co_await beast::http::async_read_some(
+        E.Connection->Stream, E.Connection->Input, Parser, into(Error));
+    if (Error == beast::http::error::need_buffer)
+      Error = {};
+    if (Error) {
+      fail(E, Error, true);
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// An answer that ends with its connection can't be told from one cut short,
+// unless the dialect has servers reset what they break off.
 asio::awaitable<void> readAnswer(Exchange &E) {
   bool Head = E.What.Message->Method == "HEAD";
+  int Strays = 0;
   while (true) {
     AnswerParser Parser;
     Parser.header_limit(AnswerHeaderLimit);
@@ -238,20 +342,37 @@
       fail(E, Error, Error == beast::http::error::partial_message);
       co_return;
     }
-    E.Outcome.Status = Parser.get().result_int();
-    if (E.Outcome.Status < 200)
+    if (Parser.get().result_int() < 200)
       continue;
+    if (isStray(E, Parser)) {
+      bool Skipped = ++Strays <= StrayLimit && !Parser.need_eof();
+      if (Skipped)
+        Skipped = co_await skipBody(E, Parser);
+      if (Skipped)
+        continue;
+      E.Outcome.Why = base::Reason::AnswerCutShort;
+      co_return;
+    }
+    E.Outcome.Status = Parser.get().result_int();
     readRetryAfter(Parser, E.Outcome);
+    readProofs(Parser, *E.What.Wire, E.Outcome);
     bool Framed = !Parser.need_eof();
+    if (isSpoilt(E, Parser)) {
+      E.Outcome.Why = base::Reason::AnswerCutShort;
+      co_return;
+    }
     pushHead(E, Parser);
     bool Whole = co_await readBody(E, Parser);
     if (!Whole)
       co_return;
-    E.Outcome.AnswerWhole = Framed;
-    if (!Framed)
+    E.Outcome.AnswerWhole = Framed || E.What.Wire->UnframedIsWhole;
+    if (!E.Outcome.AnswerWhole)
       E.Outcome.Why = base::Reason::AnswerCutShort;
-    if (Parser.keep_alive() && E.Connection->Input.size() == 0)
+    if (Framed && Parser.keep_alive() && E.Connection->Input.size() == 0) {
+      E.Connection->IdleLimit =
+          idleLimitOf(Parser.get()[beast::http::field::keep_alive]);
       keepIdle(E);
+    }
     co_return;
   }
 }
--- a/currantgauge/http/backend_client.h
+++ b/currantgauge/http/backend_client.h
@@ -11,6 +11,7 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/core/request.h"
+#include "currantgauge/http/dialect.h"
 #include "currantgauge/runtime/answer_pipe.h"
 #include "currantgauge/runtime/message.h"
 
@@ -36,6 +37,8 @@
   boost::beast::flat_buffer Input;
   std::chrono::steady_clock::time_point Born;
   std::chrono::steady_clock::time_point IdleSince;
+  // The server closes an idle connection after this long, less an allowance.
+  std::chrono::milliseconds IdleLimit{0};
 
   explicit BackendConnection(boost::asio::io_context &Io) : Stream(Io) {}
 };
@@ -53,6 +56,9 @@
   base::NetAddress Address;
   base::Duration TimeLeft;
   bool NewConnection = false;
+  base::Duration FreshestIdle; // of a pooled connection; zero: any
+  base::BackendName Expected;  // the server that may run the request
+  const Dialect *Wire = nullptr; // outlives the exchange
   runtime::RequestMessagePtr Message;
   runtime::AnswerPipePtr Pipe;
 };
--- a/currantgauge/http/caller_answer.cc
+++ b/currantgauge/http/caller_answer.cc
@@ -27,6 +27,8 @@
   for (const auto &[Name, Value] : Head.Headers)
     if (!isHopByHop(Name))
       Answer.insert(Name, Value);
+  if (!Mark.Marked)
+    return;
   Answer.set(view(RequestIdField), base::formatId(Mark.Request));
   Answer.set(view(VerdictField), view(base::verdictName(Mark.Delivery.What)));
   Answer.set(view(ServerField), Mark.Delivery.Server.Value);
@@ -39,14 +41,29 @@
   return "";
 }
 
+// The body says the same as the fields.
+void markRefusal(TextResponse &Answer, base::Verdict What, base::Reason Why) {
+  Answer.set(view(VerdictField), view(base::verdictName(What)));
+  Answer.set(view(ReasonField), view(base::reasonName(Why)));
+}
+
+// Whole seconds are rounded up: a caller that came earlier would be refused.
+std::string retryAfterText(base::Duration After, const Dialect &Wire) {
+  constexpr std::int64_t MillisPerSecond = 1000;
+  std::int64_t Millis = std::max<std::int64_t>(base::toMillis(After), 1);
+  if (!Wire.FractionalRetryAfter)
+    return std::to_string((Millis + MillisPerSecond - 1) / MillisPerSecond);
+  std::string Fraction = std::to_string(Millis % MillisPerSecond);
+  return std::to_string(Millis / MillisPerSecond) + "." +
+         std::string(3 - Fraction.size(), '0') + Fraction;
+}
+
 TextResponse errorMessage(Status Code, base::Verdict What, base::Reason Why,
                           const std::string &Detail) {
   TextResponse Answer;
   Answer.version(11);
   Answer.result(Code);
   Answer.set(beast::http::field::content_type, "application/json");
-  Answer.set(view(VerdictField), view(base::verdictName(What)));
-  Answer.set(view(ReasonField), view(base::reasonName(Why)));
   nlohmann::ordered_json Body = {{"verdict", base::verdictName(What)},
                                  {"reason", base::reasonName(Why)},
                                  {"message", Detail}};
@@ -56,9 +73,39 @@
   return Answer;
 }
 
+// A status that a dialect reads as proof is given with proof alone.
+Status provenStatus(base::Reason Why, base::Verdict What) {
+  if (What == base::Verdict::NotRun)
+    return Why == base::Reason::WorkspaceLimit ||
+                   Why == base::Reason::KindLimit
+               ? Status::too_many_requests
+               : Status::service_unavailable;
+  bool Late = Why == base::Reason::DeadlinePassed ||
+              Why == base::Reason::BackendTimeout ||
+              Why == base::Reason::BackendSilent;
+  return Late ? Status::gateway_timeout : Status::bad_gateway;
+}
+
+bool isCallersFault(base::Reason Why) {
+  switch (Why) {
+  case base::Reason::BadRequest:
+  case base::Reason::BodyTooLarge:
+  case base::Reason::HeaderTooLarge:
+  case base::Reason::CallerTimeout:
+  case base::Reason::NoRoute:
+  case base::Reason::UnknownWorkspace:
+    return true;
+  default:
+    return false;
+  }
+}
+
 } // namespace
 
-beast::http::status statusOf(base::Reason Why, base::Verdict What) {
+beast::http::status statusOf(base::Reason Why, base::Verdict What,
+                             const Dialect &Wire) {
+  if (Wire.NotRunIsUnavailable && !isCallersFault(Why))
+    return provenStatus(Why, What);
   switch (Why) {
   case base::Reason::BadRequest:
     return Status::bad_request;
@@ -98,30 +145,29 @@
 }
 
 TextResponse refusalMessage(const core::RefuseRequest &Refusal,
-                            bool KeepAlive) {
+                            const Dialect &Wire, bool KeepAlive) {
   TextResponse Answer =
-      errorMessage(statusOf(Refusal.Why, Refusal.What), Refusal.What,
+      errorMessage(statusOf(Refusal.Why, Refusal.What, Wire), Refusal.What,
                    Refusal.Why, std::string(base::reasonText(Refusal.Why)));
-  Answer.set(view(RequestIdField), base::formatId(Refusal.Request));
-  if (Refusal.RetryAfter > base::Duration{}) {
-    constexpr std::int64_t MillisPerSecond = 1000;
-    std::int64_t Seconds =
-        (base::toMillis(Refusal.RetryAfter) + MillisPerSecond - 1) /
-        MillisPerSecond;
-    Answer.set(beast::http::field::retry_after, std::to_string(Seconds));
+  if (Wire.MarksAnswers) {
+    markRefusal(Answer, Refusal.What, Refusal.Why);
+    Answer.set(view(RequestIdField), base::formatId(Refusal.Request));
   }
+  if (Refusal.RetryAfter > base::Duration{})
+    Answer.set(beast::http::field::retry_after,
+               retryAfterText(Refusal.RetryAfter, Wire));
   Answer.keep_alive(KeepAlive);
   Answer.prepare_payload();
   return Answer;
 }
 
 TextResponse actionIdMessage(const core::AnswerActionId &Issued,
-                             bool KeepAlive) {
+                             const Dialect &Wire, bool KeepAlive) {
   if (Issued.Action.empty())
     return refusalMessage(core::RefuseRequest{Issued.Request,
                                               base::Verdict::NotRun, Issued.Why,
                                               base::seconds(1)},
-                          KeepAlive);
+                          Wire, KeepAlive);
   TextResponse Answer;
   Answer.version(11);
   Answer.result(Status::created);
@@ -134,9 +180,12 @@
   return Answer;
 }
 
-TextResponse badRequestMessage(base::Reason Why, const std::string &Detail) {
-  TextResponse Answer = errorMessage(statusOf(Why, base::Verdict::NotRun),
+TextResponse badRequestMessage(base::Reason Why, const Dialect &Wire,
+                               const std::string &Detail) {
+  TextResponse Answer = errorMessage(statusOf(Why, base::Verdict::NotRun, Wire),
                                      base::Verdict::NotRun, Why, Detail);
+  if (Wire.MarksAnswers)
+    markRefusal(Answer, base::Verdict::NotRun, Why);
   Answer.keep_alive(false);
   Answer.prepare_payload();
   return Answer;
--- a/currantgauge/http/caller_answer.h
+++ b/currantgauge/http/caller_answer.h
@@ -1,11 +1,12 @@
 // Answers to callers as HTTP messages: refusals and backend servers' answers.
 //
-//   auto Message = refusalMessage(Refusal, KeepAlive);
+//   auto Message = refusalMessage(Refusal, Wire, KeepAlive);
 #ifndef CURRANTGAUGE_HTTP_CALLER_ANSWER_H
 #define CURRANTGAUGE_HTTP_CALLER_ANSWER_H
 
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/core/effect.h"
+#include "currantgauge/http/dialect.h"
 #include "currantgauge/runtime/answer_pipe.h"
 
 #include <utility>
@@ -25,22 +26,26 @@
     boost::beast::http::response<boost::beast::http::buffer_body>;
 
 // statusOf() returns the HTTP status of a refusal.
-boost::beast::http::status statusOf(base::Reason Why, base::Verdict What);
+boost::beast::http::status statusOf(base::Reason Why, base::Verdict What,
+                                    const Dialect &Wire);
 
 // refusalMessage() returns the answer to a refused request.
-TextResponse refusalMessage(const core::RefuseRequest &Refusal, bool KeepAlive);
+TextResponse refusalMessage(const core::RefuseRequest &Refusal,
+                            const Dialect &Wire, bool KeepAlive);
 
 // actionIdMessage() returns a new action id, or why there is none.
 TextResponse actionIdMessage(const core::AnswerActionId &Answer,
-                             bool KeepAlive);
+                             const Dialect &Wire, bool KeepAlive);
 
 // badRequestMessage() returns the answer to input that is no request.
-TextResponse badRequestMessage(base::Reason Why, const std::string &Detail);
+TextResponse badRequestMessage(base::Reason Why, const Dialect &Wire,
+                               const std::string &Detail);
 
 // AnswerMark is what we add to a backend server's answer.
 struct AnswerMark {
   base::RequestId Request;
   core::DeliverAnswer Delivery;
+  bool Marked = true; // by fields that name verdict, request and server
 };
 
 // wholeMessage() returns an answer whose every byte is here.
--- a/currantgauge/http/caller_request.cc
+++ b/currantgauge/http/caller_request.cc
@@ -5,6 +5,11 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cstdint>
 #include <string_view>
@@ -16,13 +21,35 @@
 constexpr std::int64_t LongestTimeoutMillis = 24LL * 3600 * 1000;
 
 std::string fieldOf(const TextRequest &Request, std::string_view Name) {
+  if (Name.empty())
+    return {};
   auto Found =
       Request.find(boost::beast::string_view(Name.data(), Name.size()));
   return Found == Request.end() ? std::string() : std::string(Found->value());
 }
 
-bool readTimeout(const TextRequest &Request, base::Duration &TimeLeft) {
-  std::string Text = fieldOf(Request, TimeoutField);
+std::string hostOf(const TextRequest &Request) {
+  std::string Host(Request[boost::beast::http::field::host]);
+  // An IPv6 address stands in brackets and has colons of its own.
+  std::size_t Colon = Host.rfind(':');
+  if (Colon != std::string::npos && Host.find(']', Colon) == std::string::npos)
+    Host.resize(Colon);
+  std::transform(Host.begin(), Host.end(), Host.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Host;
+}
+
+// A field that the sender names in Connection ends at this hop as well.
+bool isNamedInConnection(const TextRequest &Request, std::string_view Name) {
+  boost::beast::http::token_list Named(
+      Request[boost::beast::http::field::connection]);
+  return Named.exists(boost::beast::string_view(Name.data(), Name.size()));
+}
+
+bool readTimeout(const TextRequest &Request, const Dialect &Wire,
+                 base::Duration &TimeLeft) {
+  std::string Text = fieldOf(Request, Wire.TimeoutField);
   if (Text.empty())
     return true;
   std::int64_t Millis = 0;
@@ -37,26 +64,31 @@
 } // namespace
 
 std::optional<core::RequestFacts> readFacts(const TextRequest &Request,
+                                            const Dialect &Wire,
                                             std::string &Error) {
   core::RequestFacts Facts;
+  Facts.Host = hostOf(Request);
+  if (Wire.PassesAttempt)
+    Facts.CallerAttempt = fieldOf(Request, Wire.AttemptField);
   Facts.Method = std::string(Request.method_string());
   Facts.Path = std::string(Request.target());
   if (Facts.Path.empty() || Facts.Path.front() != '/') {
     Error = "the target must be a path that starts with a slash";
     return std::nullopt;
   }
-  if (!readTimeout(Request, Facts.TimeLeft)) {
-    Error = std::string(TimeoutField) +
+  if (!readTimeout(Request, Wire, Facts.TimeLeft)) {
+    Error = Wire.TimeoutField +
             " must be a whole number of milliseconds above zero";
     return std::nullopt;
   }
-  Facts.Workspace = base::WorkspaceName(fieldOf(Request, WorkspaceField));
-  Facts.Key = base::IdempotencyKey(fieldOf(Request, KeyField));
-  Facts.Action = base::ActionToken(fieldOf(Request, ActionField));
+  Facts.Workspace = base::WorkspaceName(fieldOf(Request, Wire.WorkspaceField));
+  Facts.Key = base::IdempotencyKey(fieldOf(Request, Wire.KeyField));
+  Facts.Action = base::ActionToken(fieldOf(Request, Wire.ActionField));
   if (Facts.Workspace.Value.size() > LongestName ||
       Facts.Key.Value.size() > LongestName ||
-      Facts.Action.Value.size() > LongestName) {
-    Error = "a workspace, idempotency key or action id is at most 256 bytes";
+      Facts.Action.Value.size() > LongestName ||
+      Facts.CallerAttempt.size() > LongestName) {
+    Error = "a workspace, key or id is at most 256 bytes";
     return std::nullopt;
   }
   Facts.BodyBytes = base::ByteCount{Request.body().size()};
@@ -65,15 +97,22 @@
   return Facts;
 }
 
-runtime::RequestMessagePtr readMessage(TextRequest Request) {
+runtime::RequestMessagePtr readMessage(TextRequest Request, const Dialect &Wire,
+                                       const base::ServiceName &Service) {
   runtime::RequestMessagePtr Message(new runtime::RequestMessage);
   Message->Method = std::string(Request.method_string());
   Message->Target = std::string(Request.target());
-  for (const auto &Field : Request)
-    if (!isHopByHop(std::string_view(Field.name_string().data(),
-                                     Field.name_string().size())))
-      Message->Headers.emplace_back(std::string(Field.name_string()),
+  if (!Wire.CallerServiceField.empty())
+    Request.erase(Wire.CallerServiceField);
+  for (const auto &Field : Request) {
+    std::string_view Name(Field.name_string().data(),
+                          Field.name_string().size());
+    if (!isHopByHop(Name) && !isNamedInConnection(Request, Name))
+      Message->Headers.emplace_back(std::string(Name),
                                     std::string(Field.value()));
+  }
+  if (!Wire.CallerServiceField.empty() && !Service.empty())
+    Message->Headers.emplace_back(Wire.CallerServiceField, Service.Value);
   Message->Body = std::move(Request.body());
   return Message;
 }
--- a/currantgauge/http/caller_request.h
+++ b/currantgauge/http/caller_request.h
@@ -2,11 +2,13 @@
 // a backend server gets.
 //
 //   std::string Error;
-//   auto Facts = readFacts(Request, Error);
+//   auto Facts = readFacts(Request, Wire, Error);
 #ifndef CURRANTGAUGE_HTTP_CALLER_REQUEST_H
 #define CURRANTGAUGE_HTTP_CALLER_REQUEST_H
 
+#include "currantgauge/base/ids.h"
 #include "currantgauge/core/request.h"
+#include "currantgauge/http/dialect.h"
 #include "currantgauge/runtime/message.h"
 
 #include <utility>
@@ -25,10 +27,13 @@
 // readFacts() returns the facts of a request; none and a plain sentence in
 // Error when a field of ours is malformed.
 std::optional<core::RequestFacts> readFacts(const TextRequest &Request,
+                                            const Dialect &Wire,
                                             std::string &Error);
 
-// readMessage() takes what travels to the backend server.
-runtime::RequestMessagePtr readMessage(TextRequest Request);
+// readMessage() takes what travels to the backend server. Service is that of
+// the VM where the request began.
+runtime::RequestMessagePtr readMessage(TextRequest Request, const Dialect &Wire,
+                                       const base::ServiceName &Service);
 
 } // namespace currantgauge::http
 
--- a/currantgauge/http/caller_session.h
+++ b/currantgauge/http/caller_session.h
@@ -1,12 +1,16 @@
-// Callers' connections: HTTP/1.1 with keep-alive. Each request becomes a
-// RequestArrived event; what happens to it comes back by its CallerExchange.
+// Callers' connections: HTTP/1.1 with keep-alive and pipelining. Each request
+// becomes a RequestArrived event; what happens to it comes back by its
+// CallerExchange. Answers leave in the order of the requests.
 //
 //   CallerContext Context{...};
 //   startCallerSession(std::move(Socket), Context);
 #ifndef CURRANTGAUGE_HTTP_CALLER_SESSION_H
 #define CURRANTGAUGE_HTTP_CALLER_SESSION_H
 
+#include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
+#include "currantgauge/config/model.h"
+#include "currantgauge/http/dialect.h"
 #include "currantgauge/runtime/control.h"
 
 #include <utility>
@@ -25,13 +29,22 @@
   std::uint64_t Origin = 0; // of request ids: the node's incarnation
   std::atomic<std::uint64_t> LastRequest{0};
   std::atomic<bool> Stopping{false}; // close connections between requests
-  base::ByteCount HeaderLimit;
-  base::ByteCount BodyLimit;
+  Dialect Wire;
+  base::ServiceName Service; // of the VM, named to backend servers
   base::ByteCount AnswerBuffer;
-  base::Duration Idle; // longest wait for a request or for a slow reader
-  base::Duration Read; // longest time to read one request
+  // What the settings say, and what is in force: the configuration may change
+  // it while sessions read it.
+  config::CallerLimits Settings;
+  std::atomic<std::uint64_t> HeaderBytes{0};
+  std::atomic<std::uint64_t> BodyBytes{0};
+  std::atomic<std::int64_t> IdleMicros{0}; // between requests, of slow readers
+  std::atomic<std::int64_t> ReadMicros{0}; // to read one request
 };
 
+// boundCallers() puts limits in force; those that are zero stay as the settings
+// have them.
+void boundCallers(CallerContext &Context, const config::CallerLimits &Limits);
+
 // startCallerSession() serves a connection until it closes.
 void startCallerSession(boost::asio::ip::tcp::socket Socket,
                         CallerContext &Context);
--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -14,8 +14,11 @@
 constexpr std::size_t FewMembers = 2;
 constexpr base::Duration CallLimit = base::seconds(5);
 constexpr base::Duration WriteInterval = base::minutes(10);
+// A node that nobody can find yet has no time to lose; one that is known can
+// wait for the store.
+constexpr base::Duration EagerRetry = base::milliseconds(500);
 constexpr base::Duration WriteRetry = base::seconds(30);
-constexpr base::Duration EagerScan = base::seconds(5);
+constexpr base::Duration EagerScan = base::seconds(1);
 // All nodes together scan once in so long, however many they are.
 constexpr base::Duration ScanInterval = base::seconds(5);
 constexpr base::Duration ScanIntervalLeast = base::minutes(1);
@@ -69,7 +72,10 @@
 
 void scanRows(core::State &Node, core::EffectList &Effects) {
   MembershipState &State = Node.Membership;
-  if (Node.Now < State.Table.NextScan || !State.Table.Scans.empty())
+  // Whoever reads the table after its own row is in it knows every node that
+  // came before, and is found by those that come later.
+  if (Node.Now < State.Table.NextScan || !State.Table.Scans.empty() ||
+      !State.Table.Written)
     return;
   base::Duration Shared =
       ScanInterval * static_cast<std::int64_t>(State.LiveMembers);
@@ -120,8 +126,14 @@
   TableState &Table = Node.Membership.Table;
   bool Done = Answered.Result.Status == base::StoreStatus::Done;
   if (Table.Writes.erase(Answered.Call) != 0) {
+    // Without the row others may still be found.
+    bool Known = Table.Written;
+    Table.Written = true;
     if (!Done)
-      Table.NextWrite = std::min(Table.NextWrite, Node.Now + WriteRetry);
+      Table.NextWrite = std::min(
+          Table.NextWrite, Node.Now + (Known ? WriteRetry : EagerRetry));
+    if (!Known && !Node.Stopping)
+      scanRows(Node, Effects);
     return true;
   }
   if (Table.Scans.erase(Answered.Call) == 0)
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -121,7 +121,8 @@
   std::set<base::CallId> Scans;
   base::TimePoint NextWrite;
   base::TimePoint NextScan;
-  std::string After; // key of the last row read
+  std::string After;    // key of the last row read
+  bool Written = false; // the own row is in the table, or can't be for now
 };
 
 // MembershipState holds the other nodes and the way to the first of them.
--- a/currantgauge/routing/backend_server.h
+++ b/currantgauge/routing/backend_server.h
@@ -24,8 +24,11 @@
   base::NetAddress Address;
   base::Incarnation Life;
   std::uint32_t Slots = 1;
+  // Gone: it takes no new work and says no more; Service, Address and Slots are
+  // then not told.
   BackendPhase Phase = BackendPhase::Ready;
-  base::Duration ColdStart; // time to full speed after a start
+  base::Duration ColdStart;   // time to full speed after a start
+  std::uint64_t Sequence = 0; // rises in one life; 0: not told
 };
 
 // BackendRecord is what nodes tell each other of a backend server.
--- /dev/null
+++ b/currantgauge/routing/breaker.cc
@@ -0,0 +1,76 @@
+#include "currantgauge/routing/breaker.h"
+
+#include <algorithm>
+
+namespace currantgauge::routing {
+namespace {
+
+// A healthy server fails about one request in a hundred: three in a row are one
+// in a million.
+constexpr std::uint32_t FailuresToOpen = 3;
+// Where nine in ten fail, three successes in a row are one in a thousand.
+constexpr std::uint32_t TrialsToClose = 3;
+constexpr base::Duration FirstPause = base::milliseconds(300);
+constexpr base::Duration LongestPause = base::milliseconds(1200);
+// A trial that hangs must not keep the breaker from trying again.
+constexpr base::Duration TrialLimit = base::seconds(3);
+
+void open(Breaker &State, base::Duration Pause, base::TimePoint Now) {
+  State.Phase = BreakerPhase::Open;
+  State.Pause = std::min(Pause, LongestPause);
+  State.OpenUntil = Now + State.Pause;
+  State.TrialsPassed = 0;
+  State.TrialRuns = false;
+}
+
+} // namespace
+
+bool admits(Breaker &State, bool Idempotent, base::TimePoint Now) {
+  if (State.Phase == BreakerPhase::Closed)
+    return true;
+  if (State.Phase == BreakerPhase::Open) {
+    if (Now < State.OpenUntil)
+      return false;
+    State.Phase = BreakerPhase::Trial;
+  }
+  bool Stuck = State.TrialRuns && Now - State.TrialSince >= TrialLimit;
+  if (!Idempotent || (State.TrialRuns && !Stuck))
+    return false;
+  State.TrialRuns = true;
+  State.TrialSince = Now;
+  return true;
+}
+
+bool noteEnd(Breaker &State, bool Failed, base::TimePoint Now) {
+  switch (State.Phase) {
+  case BreakerPhase::Closed:
+    State.FailuresInRow = Failed ? State.FailuresInRow + 1 : 0;
+    if (State.FailuresInRow < FailuresToOpen)
+      return false;
+    open(State, FirstPause, Now);
+    return true;
+  case BreakerPhase::Open:
+    return false; // started before it opened
+  case BreakerPhase::Trial:
+    State.TrialRuns = false;
+    if (Failed) {
+      open(State, State.Pause * 2, Now);
+      return false;
+    }
+    if (++State.TrialsPassed < TrialsToClose)
+      return false;
+    State = Breaker();
+    return true;
+  }
+  return false;
+}
+
+void noteNothing(Breaker &State) { State.TrialRuns = false; }
+
+base::Duration waitOf(const Breaker &State, base::TimePoint Now) {
+  if (State.Phase == BreakerPhase::Closed)
+    return {};
+  return std::max(State.OpenUntil - Now, FirstPause);
+}
+
+} // namespace currantgauge::routing
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -5,11 +5,48 @@
 namespace currantgauge::routing {
 namespace {
 
+// What is left of a cold start falls with each word; the first one of a life
+// tells it.
 bool sameWord(const BackendRecord &Record, const Announcement &Word) {
   return std::tie(Record.Service, Record.Address, Record.Life, Record.Slots,
-                  Record.Phase, Record.ColdStart) ==
-         std::tie(Word.Service, Word.Address, Word.Life, Word.Slots, Word.Phase,
-                  Word.ColdStart);
+                  Record.Phase) == std::tie(Word.Service, Word.Address,
+                                            Word.Life, Word.Slots, Word.Phase);
+}
+
+bool isOldWord(const BackendServer &Server, const Announcement &Word) {
+  if (Word.Life != Server.Record.Life)
+    return Word.Life < Server.Record.Life;
+  return Server.SaidFarewell ||
+         (Word.Sequence != 0 && Word.Sequence <= Server.Sequence);
+}
+
+bool holdsAddress(const RoutingState &State, const BackendServer &Server,
+                  const Announcement &Word) {
+  return Server.Record.Name != Word.Name &&
+         Server.Record.Owner == State.Self &&
+         Server.Record.Address == Word.Address &&
+         Server.Record.Phase != BackendPhase::Gone;
+}
+
+void markGone(RoutingState &State, BackendServer &Server) {
+  Server.Record.Phase = BackendPhase::Gone;
+  ++Server.Record.Revision;
+  markStale(State, Server.Record.Service);
+}
+
+// A farewell names nothing but the server.
+bool takeFarewell(RoutingState &State, const Announcement &Word) {
+  auto Found = State.Servers.find(Word.Name);
+  if (Found == State.Servers.end() ||
+      Found->second.Record.Owner != State.Self ||
+      (Word.Life != base::Incarnation() &&
+       Word.Life < Found->second.Record.Life))
+    return false;
+  Found->second.SaidFarewell = true;
+  if (Found->second.Record.Phase == BackendPhase::Gone)
+    return false;
+  markGone(State, Found->second);
+  return true;
 }
 
 void fillRecord(BackendRecord &Record, const Announcement &Word,
@@ -23,7 +60,6 @@
   Record.Life = Word.Life;
   Record.Slots = Word.Slots;
   Record.Phase = Word.Phase;
-  Record.ColdStart = Word.ColdStart;
   ++Record.Revision;
 }
 
@@ -39,26 +75,76 @@
 
 bool announce(RoutingState &State, const Announcement &Word,
               base::TimePoint Now) {
+  if (Word.Phase == BackendPhase::Gone)
+    return takeFarewell(State, Word);
   BackendServer &Server = State.Servers[Word.Name];
   bool Known = !Server.Record.Name.empty();
-  if (Known && Word.Life < Server.Record.Life)
-    return false;
-  Server.LeaseEnds = Now + LeaseTime;
   bool Owned = Known && Server.Record.Owner == State.Self;
-  if (Owned && sameWord(Server.Record, Word))
+  if (Known && (Owned ? isOldWord(Server, Word)
+                      : Word.Life < Server.Record.Life))
     return false;
-  if (!Known || Server.Record.Life != Word.Life)
+  bool NewLife = !Known || Server.Record.Life != Word.Life;
+  Server.LeaseEnds = Now + State.Lease;
+  Server.Sequence = Word.Sequence;
+  Announcement Kept = Word;
+  if (!NewLife && Owned && Server.Record.Phase == BackendPhase::Leaving)
+    Kept.Phase = BackendPhase::Leaving;
+  if (Owned && sameWord(Server.Record, Kept))
+    return false;
+  if (NewLife) {
     Server.ReadySince = Now;
+    Server.Record.ColdStart = Word.ColdStart;
+    Server.SaidFarewell = false;
+  }
   if (Known && Server.Record.Service != Word.Service)
     State.ByService[Server.Record.Service].erase(Word.Name);
   markStale(State, Server.Record.Service);
   markStale(State, Word.Service);
-  fillRecord(Server.Record, Word, State);
+  fillRecord(Server.Record, Kept, State);
   State.ByService[Word.Service].insert(Word.Name);
   State.Owned.insert(Word.Name);
   return true;
 }
 
+std::vector<BackendRecord> replaceAt(RoutingState &State,
+                                     const Announcement &Word) {
+  std::vector<BackendRecord> Gone;
+  if (Word.Phase == BackendPhase::Gone || Word.Address.empty())
+    return Gone;
+  for (const base::BackendName &Name : State.Owned) {
+    BackendServer &Server = State.Servers.at(Name);
+    if (!holdsAddress(State, Server, Word) || Server.Record.Life >= Word.Life)
+      continue;
+    markGone(State, Server);
+    Server.SaidFarewell = true;
+    Gone.push_back(Server.Record);
+  }
+  return Gone;
+}
+
+bool isOutlived(const RoutingState &State, const Announcement &Word) {
+  if (Word.Phase == BackendPhase::Gone || Word.Address.empty())
+    return false;
+  for (const base::BackendName &Name : State.Owned) {
+    const BackendServer &Server = State.Servers.at(Name);
+    bool SameAddress = Name != Word.Name && Server.Record.Owner == State.Self &&
+                       Server.Record.Address == Word.Address;
+    if (SameAddress && Word.Life < Server.Record.Life)
+      return true;
+  }
+  return false;
+}
+
+bool markAbsent(RoutingState &State, const base::BackendName &Name) {
+  auto Found = State.Servers.find(Name);
+  if (Found == State.Servers.end() ||
+      Found->second.Record.Owner != State.Self ||
+      Found->second.Record.Phase == BackendPhase::Gone)
+    return false;
+  markGone(State, Found->second);
+  return true;
+}
+
 std::vector<BackendRecord> expireLeases(RoutingState &State,
                                         base::TimePoint Now) {
   std::vector<BackendRecord> Gone;
@@ -66,9 +152,7 @@
     BackendServer &Server = State.Servers[Name];
     if (Server.LeaseEnds > Now || Server.Record.Phase == BackendPhase::Gone)
       continue;
-    Server.Record.Phase = BackendPhase::Gone;
-    markStale(State, Server.Record.Service);
-    ++Server.Record.Revision;
+    markGone(State, Server);
     Gone.push_back(Server.Record);
   }
   return Gone;
--- a/currantgauge/routing/registry.h
+++ b/currantgauge/routing/registry.h
@@ -14,10 +14,25 @@
 namespace currantgauge::routing {
 
 // announce() takes a backend server's word; this node becomes its owner.
-// Returns true when its record changed. An older incarnation is ignored.
+// Returns true when its record changed. Words of an older incarnation, or older
+// ones of the same, are ignored; one that leaves or is gone stays so until its
+// next incarnation.
 bool announce(RoutingState &State, const Announcement &Word,
               base::TimePoint Now);
 
+// replaceAt() marks owned servers gone that had the address of a newer process,
+// and returns their records. Call it before announce().
+std::vector<BackendRecord> replaceAt(RoutingState &State,
+                                     const Announcement &Word);
+
+// isOutlived() is true when the address of the announcement is known to have
+// passed to a process that was started later.
+bool isOutlived(const RoutingState &State, const Announcement &Word);
+
+// markAbsent() marks an owned server gone until it announces itself again.
+// Returns true when it was not gone already.
+bool markAbsent(RoutingState &State, const base::BackendName &Name);
+
 // expireLeases() marks owned servers gone whose lease has passed and returns
 // their records.
 std::vector<BackendRecord> expireLeases(RoutingState &State,
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -28,10 +28,14 @@
   base::TimePoint PausedUntil; // owner: it shed load; zero: never
   std::uint32_t Running = 0;   // owner: slots in use; entry: own attempts there
   bool Drained = false;        // by an operator
+  // Owner: of the last announcement in this life.
+  std::uint64_t Sequence = 0;
+  bool SaidFarewell = false; // owner: it announced that it is gone
 };
 
 // RoutingState holds every known backend server, indexed by service.
 struct RoutingState {
+  base::Duration Lease = LeaseTime;
   base::NodeName Self;
   base::RegionName Region;
   base::DomainName Domain;
--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -120,6 +120,9 @@
   Request.Address = What.Address;
   Request.TimeLeft = What.TimeLeft;
   Request.NewConnection = What.NewConnection;
+  Request.FreshestIdle = What.FreshestIdle;
+  Request.Expected = What.Server;
+  Request.Wire = &Self.Spoken.Http;
   Request.Message = Found->second.Message;
   Request.Pipe = Found->second.Pipe;
   Found->second.Exchange = http::startExchange(
@@ -194,16 +197,20 @@
     Answer(base::applyOperation(Self.Embedded, What.Operation));
     return;
   }
-  platform::callStore(*Self.Store, Self.Traffic.Threads.front()->Io,
+  store::callStore(*Self.Store, Self.Traffic.Threads.front()->Io,
                       What.Operation, What.TimeLimit, Answer);
 }
 
 void carryOut(Node &Self, core::ParseConfig &What) {
   onTraffic(Self, [&Self, What = std::move(What)] {
-    config::AssembledConfig Done = config::assembleConfig(What.Request);
+    config::AssembledConfig Done =
+        What.Request.Announced.empty()
+            ? config::assembleConfig(What.Request)
+            : config::assembleAnnounced(What.Request, Self.Spoken.ReadConfig);
     post(Self, inputOf(core::ConfigParsed{What.Call, std::move(Done.Config),
                                           std::move(Done.Parts),
-                                          std::move(Done.Error)}));
+                                          std::move(Done.Error),
+                                          Done.Version}));
   });
 }
 
@@ -240,6 +247,10 @@
 
 void carryOut(Node &, core::LogLine &What) { telemetry::writeLog(What); }
 
+void carryOut(Node &Self, core::BoundCallers &What) {
+  http::boundCallers(Self.Callers, What.Limits);
+}
+
 void carryOut(Node &Self, core::BecomeReady &What) { Self.Ready = What.Ready; }
 
 void carryOut(Node &Self, core::StopProcess &What) {
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -1,17 +1,15 @@
 #include "currantgauge/runtime/listeners.h"
 
-#include "currantgauge/http/announce_codec.h"
 #include "currantgauge/http/listener.h"
 #include "currantgauge/http/operator_codec.h"
 #include "currantgauge/http/service.h"
 #include "currantgauge/http/tls.h"
-#include "currantgauge/routing/state.h"
+#include "currantgauge/telemetry/log.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
-#include <string_view>
 #include <utility>
 
 namespace currantgauge::runtime {
@@ -21,8 +19,6 @@
 using asio::ip::tcp;
 using Status = boost::beast::http::status;
 
-constexpr std::string_view ServersPath = "/v1/servers/";
-
 http::ServiceAnswer errorAnswer(Status Code, const std::string &Text) {
   return {Code, "application/json",
           nlohmann::json{{"error", Text}}.dump(
@@ -30,28 +26,30 @@
               "\n"};
 }
 
-http::ServiceAnswer announce(Node &Self, const std::string &Name,
-                             const std::string &Body) {
-  std::string Error;
-  auto Word = http::parseAnnouncement(Name, Body, Error);
-  if (!Word)
-    return errorAnswer(Status::bad_request, Error);
-  post(Self, ControlInput{core::BackendAnnounced{*Word}, {}, {}, {}, {}});
-  nlohmann::json Answer = {{"lease_ms", base::toMillis(routing::LeaseTime)}};
-  return {Status::ok, "application/json", Answer.dump() + "\n"};
+http::ServiceAnswer takeAnnouncement(Node &Self,
+                                     const AnnouncementRead &Read) {
+  if (!Read.Word) {
+    telemetry::writeLog({core::LogLevel::Warn,
+                         "announcement_refused",
+                         {{"error", Read.Error}}});
+    return errorAnswer(Status::bad_request, Read.Error);
+  }
+  post(Self, ControlInput{core::BackendAnnounced{*Read.Word}, {}, {}, {}, {}});
+  return {Status::ok, "application/json", Read.Answer};
 }
 
 http::ServiceAnswer localService(Node &Self,
                                  const http::ServiceRequest &Request) {
   std::string Target(Request.target());
-  if (Target.starts_with(ServersPath) && Request.method_string() == "PUT")
-    return announce(Self, Target.substr(ServersPath.size()), Request.body());
+  AnnouncementRead Read = Self.Spoken.ReadAnnouncement(Request);
+  if (Read.Matched)
+    return takeAnnouncement(Self, Read);
   if (Target == "/metrics")
     return {Status::ok, "text/plain; version=0.0.4",
             telemetry::metricsText(Self.Metrics)};
   if (Target == "/healthz")
     return {Status::ok, "text/plain", "ok\n"};
-  if (Target == "/readyz")
+  if (Target == "/readyz" || Target == Self.Spoken.ReadinessPath)
     return Self.Ready ? http::ServiceAnswer{Status::ok, "text/plain", "ready\n"}
                       : http::ServiceAnswer{Status::service_unavailable,
                                             "text/plain", "not ready\n"};
@@ -151,14 +149,16 @@
 
 bool openServices(Node &Self, boost::system::error_code &Failed) {
   asio::io_context &Io = Self.Traffic.Threads.back()->Io;
-  return http::listenService(
-             Io, Self.Settings.AnnounceAddress,
-             [&Self](const http::ServiceRequest &Request,
-                     http::ServiceReply Reply) {
-               Reply(localService(Self, Request));
-             },
-             Failed) != 0 &&
-         openOperators(Self, Io, Failed);
+  auto Local = [&Self](const http::ServiceRequest &Request,
+                       http::ServiceReply Reply) {
+    Reply(localService(Self, Request));
+  };
+  auto Open = [&](const base::NetAddress &Address) {
+    return http::listenService(Io, Address, Local, Failed) != 0;
+  };
+  const base::NetAddress &Health = Self.Settings.HealthAddress;
+  return Open(Self.Settings.AnnounceAddress) &&
+         (Health.empty() || Open(Health)) && openOperators(Self, Io, Failed);
 }
 
 } // namespace
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -15,7 +15,8 @@
 #include "currantgauge/http/caller_session.h"
 #include "currantgauge/peer/client.h"
 #include "currantgauge/peer/server.h"
-#include "currantgauge/platform/store_client.h"
+#include "currantgauge/store/store_client.h"
+#include "currantgauge/runtime/adapter.h"
 #include "currantgauge/runtime/control.h"
 #include "currantgauge/runtime/journal.h"
 #include "currantgauge/runtime/traffic.h"
@@ -56,6 +57,7 @@
 // Node is one process.
 struct Node {
   config::NodeSettings Settings;
+  Adapter Spoken; // fixed once the node serves
   core::State State;
   TrafficThreads Traffic;
   std::vector<std::unique_ptr<http::BackendPool>> Pools; // one a thread
@@ -63,7 +65,7 @@
   http::CallerContext Callers;
   std::unique_ptr<peer::PeerServer> PeerServer;
   peer::PeerClient Peers;
-  std::optional<platform::StoreClient> Store; // none: embedded
+  std::optional<store::StoreClient> Store; // none: embedded
   base::MemoryStore Embedded;
   telemetry::Metrics Metrics;
   Journal Log;
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -28,6 +28,7 @@
 
 // Answers that were just decided still have to leave their sockets.
 constexpr std::chrono::milliseconds FlushTime{300};
+constexpr double RetryMargin = 0.8; // of the fleet's bound
 
 core::NodeIdentity identityOf(const config::NodeSettings &Settings) {
   core::NodeIdentity Self;
@@ -39,6 +40,16 @@
   Self.Seeds = Settings.Seeds;
   Self.Embedded = Settings.Embedded;
   Self.ActionSecret = Settings.ActionSecret;
+  Self.Feed = {Settings.FeedTable, Settings.FeedKey};
+  Self.Service = Settings.Service;
+  Self.Backend = Settings.Backend;
+  Self.BackendLease = Settings.BackendLease;
+  Self.ActionIdle = Settings.ActionIdle;
+  Self.StopLinger = Settings.StopLinger;
+  // The margin is for nodes that count the members differently.
+  Self.Retry = {RetryMargin * Settings.RetryRatio,
+                RetryMargin * Settings.RetrySlack, Settings.RetryWindow, 1};
+  Self.TakesKeys = Settings.TakesKeys;
   return Self;
 }
 
@@ -55,16 +66,18 @@
   std::uint64_t Seed = randomNumber();
   Self.State = core::makeState(Identity, Seed);
   if (!Settings.Embedded)
-    Self.Store.emplace(Settings.Platform);
+    Self.Store.emplace(Settings.Platform, store::StoreLimits(),
+                       Self.Spoken.Store);
   Self.Callers.Post = [&Self](ControlInput Input) {
     post(Self, std::move(Input));
   };
   Self.Callers.Origin = randomNumber();
-  Self.Callers.HeaderLimit = Settings.HeaderLimit;
-  Self.Callers.BodyLimit = Settings.BodyLimit;
+  Self.Callers.Wire = Self.Spoken.Http;
+  Self.Callers.Service = Settings.Service;
   Self.Callers.AnswerBuffer = Settings.AnswerBuffer;
-  Self.Callers.Idle = Settings.CallerIdle;
-  Self.Callers.Read = Settings.CallerRead;
+  Self.Callers.Settings = {Settings.HeaderLimit, Settings.BodyLimit,
+                           Settings.CallerRead, Settings.CallerIdle};
+  http::boundCallers(Self.Callers, config::CallerLimits());
   if (JournalPath.empty())
     return;
   std::error_code Failed;
@@ -151,7 +164,7 @@
 
 } // namespace
 
-int serveNode(const config::NodeSettings &Settings,
+int serveNode(const config::NodeSettings &Settings, const Adapter &Spoken,
               const std::string &JournalPath) {
   telemetry::startLog(Settings.LogLevel, Settings.Name.Value);
   asio::io_context Main(1);
@@ -164,6 +177,7 @@
   // while the process ends.
   Node &Self = *new Node;
   Self.Settings = Settings;
+  Self.Spoken = Spoken;
   Self.OnStop = [&Main, &Latch](int ExitCode) {
     asio::post(Main, [&Latch, ExitCode] { finish(Latch, ExitCode); });
   };
--- a/currantgauge/runtime/serve.h
+++ b/currantgauge/runtime/serve.h
@@ -5,6 +5,7 @@
 #define CURRANTGAUGE_RUNTIME_SERVE_H
 
 #include "currantgauge/config/node_settings.h"
+#include "currantgauge/runtime/adapter.h"
 
 #include <string>
 
@@ -13,7 +14,7 @@
 // serveNode() runs a node and returns its exit code. JournalPath is empty for
 // no journal. SIGTERM and SIGINT start a graceful shutdown, a second one ends
 // the process at once.
-int serveNode(const config::NodeSettings &Settings,
+int serveNode(const config::NodeSettings &Settings, const Adapter &Spoken,
               const std::string &JournalPath);
 
 } // namespace currantgauge::runtime
--- a/currantgauge/platform/store_client.cc
+++ b/currantgauge/store/store_client.cc
@@ -1,6 +1,4 @@
-#include "currantgauge/platform/store_client.h"
-
-#include "currantgauge/platform/store_codec.h"
+#include "currantgauge/store/store_client.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,8 +12,9 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <variant>
 
-namespace currantgauge::platform {
+namespace currantgauge::store {
 namespace {
 
 namespace asio = boost::asio;
@@ -134,7 +133,7 @@
                Client.Limits.LowestPerSecond, Response.result_int());
     if (Response.keep_alive())
       putIdle(Client, std::move(Stream));
-    co_return Tried{decodeAnswer(Operation, Response),
+    co_return Tried{Client.Wire.Decode(Operation, Response),
                     Response.result_int() == HttpTooManyRequests};
   } catch (const std::exception &) {
     // Connections to one place tend to die together.
@@ -171,11 +170,15 @@
     if (Start > Clock::now())
       co_await sleepUntil(Start);
     Clock::time_point Now = Clock::now();
+    // A watch waits for its answer on purpose and is asked again by its user.
+    bool Watch = std::holds_alternative<base::WatchRows>(Operation);
     Last = co_await exchange(Client, Operation, Request,
-                             Write ? Deadline
-                                   : Now + (Deadline - Now) / ReadTryShare);
-    bool Again = Last.Limited || (!Write && Last.Result.Status ==
-                                                base::StoreStatus::Unavailable);
+                             Write || Watch
+                                 ? Deadline
+                                 : Now + (Deadline - Now) / ReadTryShare);
+    bool Again =
+        !Watch && (Last.Limited || (!Write && Last.Result.Status ==
+                                                  base::StoreStatus::Unavailable));
     Clock::time_point Next = backoff(Client, Try);
     if (!Again || Next >= Deadline)
       co_return Last.Result;
@@ -186,7 +189,7 @@
 asio::awaitable<void> call(StoreClient &Client, base::StoreOperation Operation,
                            Clock::time_point Deadline,
                            std::function<void(base::StoreResult)> OnResult) {
-  std::optional<StoreRequest> Request = encodeOperation(Operation);
+  std::optional<StoreRequest> Request = Client.Wire.Encode(Operation);
   base::StoreResult Result;
   if (Request) {
     Request->set(http::field::host, Client.Address.Value);
@@ -198,9 +201,10 @@
 
 } // namespace
 
-StoreClient::StoreClient(base::NetAddress Address, StoreLimits Limits)
+StoreClient::StoreClient(base::NetAddress Address, StoreLimits Limits,
+                         Encoding Wire)
     : Address(std::move(Address)),
-      Limits(Limits), Reads{Limits.ReadsPerSecond, Limits.ReadsPerSecond, {}},
+      Limits(Limits), Wire(Wire), Reads{Limits.ReadsPerSecond, Limits.ReadsPerSecond, {}},
       Writes{Limits.WritesPerSecond, Limits.WritesPerSecond, {}},
       Jitter(std::random_device{}()) {}
 
@@ -215,4 +219,4 @@
                  asio::detached);
 }
 
-} // namespace currantgauge::platform
+} // namespace currantgauge::store
--- a/currantgauge/platform/store_client.h
+++ b/currantgauge/store/store_client.h
@@ -4,12 +4,13 @@
 //
 //   StoreClient Client(base::NetAddress("10.0.0.9:7000"));
 //   callStore(Client, Io, Operation, base::milliseconds(500), OnResult);
-#ifndef CURRANTGAUGE_PLATFORM_STORE_CLIENT_H
-#define CURRANTGAUGE_PLATFORM_STORE_CLIENT_H
+#ifndef CURRANTGAUGE_STORE_STORE_CLIENT_H
+#define CURRANTGAUGE_STORE_STORE_CLIENT_H
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/store.h"
 #include "currantgauge/base/units.h"
+#include "currantgauge/store/encoding.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
@@ -23,7 +24,7 @@
 #include <random>
 #include <vector>
 
-namespace currantgauge::platform {
+namespace currantgauge::store {
 
 // StoreLimits bounds one node's use of the service.
 struct StoreLimits {
@@ -53,10 +54,12 @@
 // StoreClient is a node's way to the service. It outlives its io_context's
 // last run.
 struct StoreClient {
-  explicit StoreClient(base::NetAddress Address, StoreLimits Limits = {});
+  explicit StoreClient(base::NetAddress Address, StoreLimits Limits = {},
+                       Encoding Wire = nativeEncoding());
 
   base::NetAddress Address; // IP:port
   StoreLimits Limits;
+  Encoding Wire;
   CallRate Reads;
   CallRate Writes;
   std::vector<IdleConnection> Idle;
@@ -74,6 +77,6 @@
                const base::StoreOperation &Operation, base::Duration TimeLimit,
                std::function<void(base::StoreResult)> OnResult);
 
-} // namespace currantgauge::platform
+} // namespace currantgauge::store
 
-#endif // CURRANTGAUGE_PLATFORM_STORE_CLIENT_H
+#endif // CURRANTGAUGE_STORE_STORE_CLIENT_H
--- a/currantgauge/platform/store_client_test.cc
+++ b/currantgauge/store/store_client_test.cc
@@ -1,4 +1,4 @@
-#include "currantgauge/platform/store_client.h"
+#include "currantgauge/store/store_client.h"
 
 #include "tests/stand_ins/platform_server.h"
 
@@ -9,7 +9,7 @@
 
 #include <string>
 
-namespace currantgauge::platform {
+namespace currantgauge::store {
 namespace {
 
 // Generous, because a test never passes or fails by speed.
@@ -146,4 +146,4 @@
   CHECK(Result->Status == base::StoreStatus::Done);
 }
 
-} // namespace currantgauge::platform
+} // namespace currantgauge::store
--- a/currantgauge/platform/store_codec.cc
+++ b/currantgauge/store/store_codec.cc
@@ -1,4 +1,4 @@
-#include "currantgauge/platform/store_codec.h"
+#include "currantgauge/store/store_codec.h"
 
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/status.hpp>
@@ -8,7 +8,7 @@
 #include <string>
 #include <variant>
 
-namespace currantgauge::platform {
+namespace currantgauge::store {
 namespace {
 
 namespace http = boost::beast::http;
@@ -16,24 +16,6 @@
 
 constexpr int HttpVersion = 11;
 
-std::string encodePercent(const std::string &Text) {
-  static constexpr char Digits[] = "0123456789ABCDEF";
-  static constexpr std::string_view Unreserved =
-      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
-  std::string Encoded;
-  for (char Letter : Text) {
-    if (Unreserved.find(Letter) != std::string_view::npos) {
-      Encoded += Letter;
-      continue;
-    }
-    auto Byte = static_cast<unsigned char>(Letter);
-    Encoded += '%';
-    Encoded += Digits[Byte >> 4];
-    Encoded += Digits[Byte & 0xf];
-  }
-  return Encoded;
-}
-
 StoreRequest makeRequest(http::verb Verb, const std::string &Target) {
   return StoreRequest{Verb, Target, HttpVersion};
 }
@@ -106,6 +88,12 @@
                      "/objects/" + encodePercent(Delete.Name));
 }
 
+// This encoding has no change feed.
+StoreRequest encode(const base::WatchRows &Watch) {
+  return makeRequest(http::verb::get,
+                     "/tables/" + encodePercent(Watch.Table) + "/changes");
+}
+
 // A service that is overloaded or out says so before it applies anything; any
 // other failure of the server leaves a write in doubt.
 base::StoreStatus statusOf(const base::StoreOperation &Operation,
@@ -135,12 +123,6 @@
 
 } // namespace
 
-bool isWrite(const base::StoreOperation &Operation) {
-  return std::holds_alternative<base::WriteRows>(Operation) ||
-         std::holds_alternative<base::PutObject>(Operation) ||
-         std::holds_alternative<base::DeleteObject>(Operation);
-}
-
 std::optional<StoreRequest>
 encodeOperation(const base::StoreOperation &Operation) {
   try {
@@ -178,4 +160,4 @@
   return Result;
 }
 
-} // namespace currantgauge::platform
+} // namespace currantgauge::store
--- a/currantgauge/platform/store_codec.h
+++ b/currantgauge/store/store_codec.h
@@ -2,22 +2,15 @@
 //
 //   auto Request = encodeOperation(ReadRow{"claims", Key});
 //   StoreResult Result = decodeAnswer(Operation, Response);
-#ifndef CURRANTGAUGE_PLATFORM_STORE_CODEC_H
-#define CURRANTGAUGE_PLATFORM_STORE_CODEC_H
+#ifndef CURRANTGAUGE_STORE_STORE_CODEC_H
+#define CURRANTGAUGE_STORE_STORE_CODEC_H
 
 #include "currantgauge/base/store.h"
-
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "currantgauge/store/encoding.h"
 
 #include <optional>
 
-namespace currantgauge::platform {
-
-using StoreRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
-using StoreResponse =
-    boost::beast::http::response<boost::beast::http::string_body>;
+namespace currantgauge::store {
 
 // encodeOperation() returns the HTTP request; none when a text is not UTF-8.
 std::optional<StoreRequest>
@@ -27,9 +20,6 @@
 base::StoreResult decodeAnswer(const base::StoreOperation &Operation,
                                const StoreResponse &Response);
 
-// isWrite() is true for operations that change the store.
-bool isWrite(const base::StoreOperation &Operation);
-
-} // namespace currantgauge::platform
+} // namespace currantgauge::store
 
-#endif // CURRANTGAUGE_PLATFORM_STORE_CODEC_H
+#endif // CURRANTGAUGE_STORE_STORE_CODEC_H
