Owner's breaker, placement by load and distance, waits by the aim; SIGHUP

- Exits with code 129: nothing handled SIGHUP.
The settings are read again.
Origin drawn at random.
- Calls that a silent path swallowed: the request is sent after the owner's word, so that an attempt without it is proved not to have run.
- Processes still there at the end of the grace period: the log library's shutdown hung after the last line; the process ends without it.
- Sheds with proof opened breakers and paused servers: they are no failure.
- PressedPatience of 40 ms refused work with an aim of 1,200 ms: patience follows the aim.
Long work leaves a slot for each more urgent rank of short work.

Unit tests: 238 passed. Integration tests: not run on this commit.

--- a/currantgauge/admission/pressure.cc
+++ b/currantgauge/admission/pressure.cc
@@ -81,6 +81,11 @@
   auto Queue = State.Queues.find(Service);
   if (Queue == State.Queues.end())
     return Load;
+  std::uint32_t Running = 0;
+  for (const auto &[Order, Each] : Queue->second.ByRank)
+    Running += Each.Running;
+  Load.Busy = static_cast<double>(Running + Queue->second.Length) /
+              std::max<std::uint32_t>(Queue->second.OpenSlots, 1);
   auto Rank = Queue->second.ByRank.find(RankOrder);
   if (Rank == Queue->second.ByRank.end())
     return Load;
--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -13,6 +13,9 @@
 // near, so that a refusal still reaches the caller in time.
 constexpr base::Duration UnknownTime = base::milliseconds(20);
 constexpr double UnknownShare = 0.125; // of the time left, at most
+// Of what the aim leaves beside the service time; the rest is for the way back
+// and for times above the mean.
+constexpr double AimedShare = 0.7;
 
 double weightOf(const config::Configuration &Config,
                 const base::WorkspaceName &Workspace) {
@@ -165,9 +168,15 @@
   }
 }
 
+// An answer within the aim is worth as much as one at once.
+base::Duration aimedWait(const QueuedAttempt &Attempt) {
+  return base::scaled(Attempt.Aim - Attempt.Expected, AimedShare);
+}
+
 // What a request has waited for before this attempt is part of its wait.
 base::Duration patienceOf(const QueuedAttempt &Attempt) {
-  base::Duration Whole = Attempt.CrossedLink ? LinkPatience : PressedPatience;
+  base::Duration Whole = std::max(
+      Attempt.CrossedLink ? LinkPatience : PressedPatience, aimedWait(Attempt));
   return std::max(Whole - Attempt.Facts.Waited, base::Duration{});
 }
 
@@ -176,7 +185,8 @@
   if (Attempt.Deadline <= Now)
     return base::Reason::DeadlinePassed;
   base::Duration Wait = waitOf(Queue, Attempt);
-  if (isPressed(Rank, Now) && Wait > std::min(PressedWait, patienceOf(Attempt)))
+  base::Duration Bearable = std::max(PressedWait, aimedWait(Attempt));
+  if (isPressed(Rank, Now) && Wait > std::min(Bearable, patienceOf(Attempt)))
     return base::Reason::ShedByPressure;
   if (Wait > base::Duration{} &&
       Now + Wait + Attempt.Expected > Attempt.Deadline)
@@ -198,6 +208,8 @@
   Queue.OpenSlots = OpenSlots;
   advanceShares(Queue, Now);
   Attempt.Expected = expectedTime(Queue, Facts.Kind);
+  if (auto Kind = Config.Kinds.find(Facts.Kind); Kind != Config.Kinds.end())
+    Attempt.Aim = Kind->second.Aim;
   EnqueueResult Result;
   Result.Why = refuseEarly(Queue, Rank, Attempt, Now);
   if (Result.Why == base::Reason::None)
@@ -263,6 +275,11 @@
   if (!Fresh)
     Mean->second +=
         base::scaled(Now - Attempt.Started - Mean->second, FreshShare);
+  base::Duration &OfRank = Queue.ByRank[Attempt.RankOrder].MeanTime;
+  OfRank = OfRank == base::Duration{}
+               ? Now - Attempt.Started
+               : OfRank + base::scaled(Now - Attempt.Started - OfRank,
+                                       FreshShare);
 }
 
 void dequeue(AdmissionState &State, QueuedAttempt &Attempt) {
--- a/currantgauge/admission/queued_attempt.h
+++ b/currantgauge/admission/queued_attempt.h
@@ -33,6 +33,7 @@
   base::TimePoint Taken;    // when it got its slot
   base::TimePoint Started;  // of the exchange; zero while it waits
   base::Duration Expected;  // slot time, as known when it arrived
+  base::Duration Aim;       // of its kind, as known when it arrived
   base::BackendName Server; // empty while it waits for a slot
   bool CrossedLink = false; // its entry is in another region
   bool Cancelled = false;
--- a/currantgauge/admission/rank_share.cc
+++ b/currantgauge/admission/rank_share.cc
@@ -9,6 +9,12 @@
 // Credit and debt are bounded by this much of a rank's share, and one attempt.
 constexpr base::Duration CreditSpan = base::milliseconds(500);
 constexpr base::Duration UseSpan = base::milliseconds(200);
+constexpr base::Duration LongUseSpan = base::seconds(5);
+// More urgent work that holds this much of a slot gets one to itself, if the
+// other work takes more than LongWork times as long.
+constexpr double ReservingUse = 0.02;
+constexpr std::int64_t LongWork = 2;
+constexpr std::uint32_t LeastSlotsToReserve = 3;
 constexpr double LeastSlots = 0.05;
 constexpr base::Duration NoGuarantee = base::minutes(60);
 
@@ -32,20 +38,40 @@
     return;
   Queue.Advanced = Now;
   double Fresh = 1 - std::exp(-Elapsed / static_cast<double>(UseSpan.Micros));
+  double LongFresh =
+      1 - std::exp(-Elapsed / static_cast<double>(LongUseSpan.Micros));
   for (auto &[Order, Rank] : Queue.ByRank) {
     double Limit = creditLimit(Queue, Rank);
     Rank.Credit = std::clamp(Rank.Credit + guaranteed(Queue, Rank) * Elapsed,
                              -Limit, Limit);
     Rank.Use += (Rank.Running - Rank.Use) * Fresh;
+    Rank.LongUse += (Rank.Running - Rank.LongUse) * LongFresh;
   }
 }
 
+// A slot is not taken back from work that runs. So long work leaves a slot free
+// for each more urgent rank of short work that keeps coming.
+bool mayTakeSlot(const ServiceQueue &Queue, std::uint32_t RankOrder) {
+  if (Queue.OpenSlots < LeastSlotsToReserve)
+    return true;
+  base::Duration Own = Queue.ByRank.at(RankOrder).MeanTime;
+  std::uint32_t Reserved = 0;
+  std::uint32_t Running = 0; // of this rank and less urgent ones
+  for (const auto &[Order, Rank] : Queue.ByRank) {
+    if (Order >= RankOrder)
+      Running += Rank.Running;
+    else if (Rank.LongUse >= ReservingUse && Rank.MeanTime * LongWork < Own)
+      ++Reserved;
+  }
+  return Running < std::max(Queue.OpenSlots, Reserved + 1) - Reserved;
+}
+
 // Credit is earned over time because a server has few slots: a tenth of four
 // slots is one slot for a tenth of the time.
 RankQueue *chooseRank(ServiceQueue &Queue) {
   RankQueue *MostUrgent = nullptr;
   for (auto &[Order, Rank] : Queue.ByRank) {
-    if (Rank.Length == 0)
+    if (Rank.Length == 0 || !mayTakeSlot(Queue, Order))
       continue;
     if (Rank.Credit > 0)
       return &Rank;
--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -117,6 +117,12 @@
   Budget.Earned += Bound.Ratio;
 }
 
+void returnShared(AdmissionState &State, const base::ServiceName &Service) {
+  auto Found = State.SharedBudgets.find(Service);
+  if (Found != State.SharedBudgets.end())
+    Found->second.Earned += 1;
+}
+
 bool reachedServer(const core::AttemptOutcome &Outcome) {
   return Outcome.What != base::Verdict::NotRun ||
          Outcome.Why == base::Reason::BackendShed ||
@@ -150,10 +156,12 @@
   RetryPlan Plan;
   if (!mayRetry(State, Query))
     return Plan;
-  // An owner's Retry-After speaks of its own queue, a server's of its service.
-  base::Duration Floor = isLoadRefusal(Query.Outcome.Why)
-                             ? base::Duration{}
-                             : Query.Outcome.RetryAfter;
+  // An owner's Retry-After speaks of its own queue or server, a server's of its
+  // service.
+  bool OwnersAlone = isLoadRefusal(Query.Outcome.Why) ||
+                     Query.Outcome.Why == base::Reason::BackendSuspect;
+  base::Duration Floor =
+      OwnersAlone ? base::Duration{} : Query.Outcome.RetryAfter;
   Plan.At = Query.Now + std::max(Floor, retryDelay(Query.Attempts + 1, Source));
   if (Plan.At + LeastTime >= Query.Deadline)
     return Plan;
--- a/currantgauge/admission/retry.h
+++ b/currantgauge/admission/retry.h
@@ -57,6 +57,9 @@
 void noteRequest(AdmissionState &State, const base::ServiceName &Service,
                  const FleetRetryBound &Bound, base::TimePoint Now);
 
+// returnShared() gives a token back for an attempt that reached no server.
+void returnShared(AdmissionState &State, const base::ServiceName &Service);
+
 // noteOutcome() learns how an attempt of a kind ended.
 void noteOutcome(AdmissionState &State, const config::Configuration &Config,
                  const config::KindSettings &Kind,
--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -43,6 +43,8 @@
   std::uint32_t Running = 0;  // slots held
   base::Duration RunningTime; // expected slot time of those
   double Use = 0;             // slots held, averaged over time
+  double LongUse = 0;         // the same, over some seconds
+  base::Duration MeanTime;    // of its attempts in a slot; zero: not known
   double Credit = 0;          // guaranteed slot time not yet used, microseconds
   RefusalWindow Window;
   double Keep = 1; // share of the rank's work that entries may send here
--- a/currantgauge/base/verdict.cc
+++ b/currantgauge/base/verdict.cc
@@ -54,6 +54,8 @@
               "the backend server sheds load"},
     ReasonRow{Reason::BackendMisdirected, "backend_misdirected",
               "another backend server has the address"},
+    ReasonRow{Reason::BackendSuspect, "backend_suspect",
+              "the backend server failed its last requests"},
     ReasonRow{Reason::BackendRefusedConnection, "backend_refused_connection",
               "the backend server refused the connection"},
     ReasonRow{Reason::BackendReset, "backend_reset",
--- a/currantgauge/base/verdict.h
+++ b/currantgauge/base/verdict.h
@@ -48,6 +48,7 @@
   // The backend server.
   BackendShed,
   BackendMisdirected,
+  BackendSuspect,
   BackendRefusedConnection,
   BackendReset,
   BackendSilent,
--- a/currantgauge/config/assemble.cc
+++ b/currantgauge/config/assemble.cc
@@ -43,6 +43,7 @@
     Config.Kinds.clear();
     Config.Link = LinkSettings();
     Config.Callers = CallerLimits();
+    Config.Placement = PlacementSettings();
     Config.AnyWorkspace = true;
     return;
   }
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -88,6 +88,13 @@
   base::ByteCount BytesPerSecond; // a node's share; zero: no limit
 };
 
+// PlacementSettings weighs the way to a backend server against its load. Costs
+// are in loads: 1 is as much work as a server has slots.
+struct PlacementSettings {
+  double OtherNode = 0;        // a hop to another VM
+  double OtherDomain = 0.25;   // and into another failure domain
+};
+
 // Configuration is one accepted version of it all.
 struct Configuration
     : boost::intrusive_ref_counter<Configuration, boost::thread_safe_counter> {
@@ -97,6 +104,7 @@
   std::map<std::string, RouteSettings> Routes; // by route name
   WorkspaceTable Workspaces;
   LinkSettings Link;
+  PlacementSettings Placement;
   CallerLimits Callers;
   bool AnyWorkspace = true; // accept requests of workspaces not listed
 
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -48,9 +48,38 @@
   remember(Node.Entry.Recent, std::move(Trace));
 }
 
+// What a caller was refused or failed, or got late, is told in full; successes
+// are counted.
+void logEnd(const State &Node, const EntryRequest &Request, base::Verdict What,
+            base::Reason Why, EffectList &Effects) {
+  const RequestFacts &Facts = Request.Facts;
+  bool Late = Why == base::Reason::None;
+  LogLine Line{LogLevel::Info, Late ? "request_late" : "request_failed", {}};
+  Line.Fields = {
+      {"request", base::formatId(Facts.Request)},
+      {"caller_attempt", Facts.CallerAttempt},
+      {"kind", Request.Kind.Name.Value},
+      {"service", Request.Kind.Service.Value},
+      {"verdict", std::string(base::verdictName(What))},
+      {"reason", std::string(base::reasonName(Why))},
+      {"took_ms", std::to_string(base::toMillis(Node.Now - Request.Arrived))},
+      {"config", std::to_string(Node.Config.Document.Version.Value)},
+      {"sends", std::to_string(Request.Sends)}};
+  for (const AttemptTrace &Trace : Request.Trace)
+    Line.Fields.push_back({"attempt_" + std::to_string(Trace.Attempt.Sequence),
+                           describeAttempt(Trace, Request.Arrived)});
+  Effects.push_back(std::move(Line));
+}
+
 void countEnd(State &Node, const EntryRequest &Request, base::Verdict What,
               base::Reason Why, EffectList &Effects) {
   rememberEnd(Node, Request, What, Why);
+  bool Failed =
+      Why != base::Reason::None && Why != base::Reason::CallerGone;
+  bool Late = Request.Kind.Aim > base::Duration{} &&
+              Node.Now - Request.Arrived > Request.Kind.Aim;
+  if (Failed || Late)
+    logEnd(Node, Request, What, Why, Effects);
   Effects.push_back(Measure{Metric::Requests, Request.Kind.Name.Value,
                             std::string(base::verdictName(What)), 1});
   Effects.push_back(Measure{Metric::RequestSeconds, Request.Kind.Rank.Value,
@@ -280,12 +309,16 @@
   const AttemptOutcome &Outcome = Ended.Outcome;
   routing::onAttemptOutcome(Node.Routing, Request->CurrentServer, Ended.Attempt,
                             Outcome, Node.Now);
+  routing::noteOwnersBreaker(Node.Routing, Request->CurrentServer, Outcome,
+                             Node.Now);
   noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now);
   noteEnd(Node, *Request, Outcome, Effects);
   endCurrentAttempt(Node, *Request);
   Request->LastWhy = Outcome.Why;
   if (admission::reachedServer(Outcome))
     ++Request->Sends;
+  else if (Request->Sends > 0 && Node.Self.Retry.Ratio > 0)
+    admission::returnShared(Node.Admission, Request->Kind.Service);
   if (Outcome.What != base::Verdict::NotRun)
     Request->MayHaveRun = true;
   if (Outcome.ServerDied)
--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -51,8 +51,9 @@
 }
 
 base::AttemptId newAttempt(State &Node, EntryRequest &Request) {
-  Request.Current =
-      base::AttemptId{Node.Self.Life.Value, ++Node.Entry.LastAttempt};
+  std::uint64_t Origin =
+      Node.Self.Origin != 0 ? Node.Self.Origin : Node.Self.Life.Value;
+  Request.Current = base::AttemptId{Origin, ++Node.Entry.LastAttempt};
   Request.CurrentRefused = false;
   Node.Entry.ByAttempt[Request.Current] = Request.Facts.Request;
   return Request.Current;
@@ -71,6 +72,7 @@
   Query.Idempotent = Request.Kind.Idempotent;
   Query.Tried = Request.Tried;
   Query.Tried.insert(Query.Tried.end(), Avoid.begin(), Avoid.end());
+  Query.Placement = Node.Config.Current->Placement;
   Query.Now = Node.Now;
   const auto &Services = Node.Config.Current->Services;
   auto Found = Services.find(Query.Service);
--- a/currantgauge/core/explain.cc
+++ b/currantgauge/core/explain.cc
@@ -80,6 +80,19 @@
     Found->Server = Outcome.Server;
 }
 
+std::string describeAttempt(const AttemptTrace &Trace,
+                            base::TimePoint Arrived) {
+  std::string Text =
+      Trace.Server.Value + " at " + Trace.Owner.Value + " by " +
+      std::string(Trace.Choice) + " after " +
+      std::to_string(base::toMillis(Trace.Started - Arrived)) + " ms";
+  if (!Trace.Ended)
+    return Text + ", not ended";
+  return Text + ", " + std::string(base::verdictName(Trace.What)) + " " +
+         std::string(base::reasonName(Trace.Why)) + " in " +
+         std::to_string(base::toMillis(Trace.Took)) + " ms";
+}
+
 void remember(RecentRequests &Recent, RequestTrace Ended) {
   std::deque<RequestTrace> &Ring =
       isTroubled(Ended) ? Recent.Troubled : Recent.Plain;
--- a/currantgauge/core/explain.h
+++ b/currantgauge/core/explain.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -62,6 +63,10 @@
                     base::AttemptId Attempt, const AttemptOutcome &Outcome,
                     base::TimePoint Now);
 
+// describeAttempt() returns an attempt as one line of a log: server, owner, why
+// it was chosen, when it started after the request's arrival, and its end.
+std::string describeAttempt(const AttemptTrace &Trace, base::TimePoint Arrived);
+
 // remember() keeps an ended request and drops the oldest beyond the limit.
 void remember(RecentRequests &Recent, RequestTrace Ended);
 
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -18,6 +18,8 @@
 namespace currantgauge::core {
 namespace {
 
+// A wait for a slot that is told of: a quarter of the shortest aim in use.
+constexpr base::Duration NotableWait = base::milliseconds(60);
 constexpr std::uint32_t HttpMisdirected = 421;
 constexpr std::uint32_t HttpTooManyRequests = 429;
 constexpr std::uint32_t HttpServerErrors = 500;
@@ -67,12 +69,34 @@
   return Outcome;
 }
 
+routing::ChoiceQuery ownQuery(const State &Node,
+                              const admission::QueuedAttempt &Attempt) {
+  routing::ChoiceQuery Query;
+  Query.Service = Attempt.Facts.Service;
+  Query.Idempotent = Attempt.Facts.Idempotent;
+  Query.Now = Node.Now;
+  return Query;
+}
+
+// How long the entry should keep away after a refusal for that reason.
+base::Duration retryAfterOf(const State &Node,
+                            const admission::QueuedAttempt &Attempt,
+                            base::Reason Why) {
+  base::Duration Wait = base::seconds(1);
+  if (Why == base::Reason::BackendSuspect)
+    routing::isTakenByOwn(Node.Routing, ownQuery(Node, Attempt), Wait);
+  return Wait;
+}
+
 base::Reason queueAttempt(State &Node, admission::QueuedAttempt &Attempt,
                           EffectList &Effects) {
   routing::OwnSlots Slots =
       routing::ownSlots(Node.Routing, Attempt.Facts.Service, Node.Now);
   if (Slots.Servers == 0)
     return base::Reason::NoBackend;
+  base::Duration Wait;
+  if (!routing::isTakenByOwn(Node.Routing, ownQuery(Node, Attempt), Wait))
+    return base::Reason::BackendSuspect;
   admission::EnqueueResult Queued = admission::enqueue(
       Node.Admission, *Node.Config.Current, Attempt, Slots.Open, Node.Now);
   for (base::AttemptId Victim : Queued.Victims)
@@ -100,6 +124,27 @@
            AttemptDeadline{Attempt.Facts.Attempt});
 }
 
+void logWait(const State &Node, const admission::QueuedAttempt &Attempt,
+             EffectList &Effects) {
+  const routing::BackendServer &Server =
+      Node.Routing.Servers.at(Attempt.Server);
+  auto Millis = [](base::Duration Span) {
+    return std::to_string(base::toMillis(Span));
+  };
+  Effects.push_back(LogLine{
+      LogLevel::Info,
+      "attempt_waited",
+      {{"request", base::formatId(Attempt.Facts.Request)},
+       {"entry", Attempt.Facts.Entry.Value},
+       {"kind", Attempt.Facts.Kind.Value},
+       {"server", Attempt.Server.Value},
+       {"waited_ms", Millis(Node.Now - Attempt.Arrived)},
+       {"left_ms", Millis(Attempt.Deadline - Node.Now)},
+       {"running", std::to_string(Server.Running)},
+       {"open_slots", std::to_string(routing::openSlots(Server, Node.Now))},
+       {"slots", std::to_string(Server.Record.Slots)}}});
+}
+
 void pauseAfterShed(State &Node, const admission::QueuedAttempt &Attempt,
                     base::Duration RetryAfter) {
   auto Server = Node.Routing.Servers.find(Attempt.Server);
@@ -128,6 +173,44 @@
                              {"reason", std::string(base::reasonName(Why))}}});
 }
 
+// BreakerWord is what the end of an exchange says to the server's breaker.
+enum class BreakerWord { Well, Failed, Nothing };
+
+BreakerWord breakerWord(const AttemptOutcome &Outcome) {
+  if (Outcome.RequestAtFault)
+    return BreakerWord::Nothing;
+  switch (Outcome.Why) {
+  case base::Reason::None:
+    return BreakerWord::Well;
+  case base::Reason::BackendError:
+  case base::Reason::BackendReset:
+  case base::Reason::BackendSilent:
+  case base::Reason::BackendTimeout:
+  case base::Reason::AnswerCutShort:
+    return BreakerWord::Failed;
+  default:
+    return BreakerWord::Nothing;
+  }
+}
+
+void noteBreaker(State &Node, const base::BackendName &Name,
+                 const AttemptOutcome &Outcome, EffectList &Effects) {
+  routing::Breaker &Breaker = Node.Routing.Breakers[Name];
+  BreakerWord Word = breakerWord(Outcome);
+  if (Word == BreakerWord::Nothing)
+    return routing::noteNothing(Breaker);
+  if (!routing::noteEnd(Breaker, Word == BreakerWord::Failed, Node.Now))
+    return;
+  bool Opened = Breaker.Phase != routing::BreakerPhase::Closed;
+  Effects.push_back(LogLine{
+      Opened ? LogLevel::Warn : LogLevel::Info,
+      Opened ? "breaker_opened" : "breaker_closed",
+      {{"server", Name.Value},
+       {"reason", std::string(base::reasonName(Outcome.Why))},
+       {"status", std::to_string(Outcome.Status)},
+       {"pause_ms", std::to_string(base::toMillis(Breaker.Pause))}}});
+}
+
 } // namespace
 
 void onAttemptArrived(State &Node, const AttemptArrived &Arrival,
@@ -157,7 +240,8 @@
   base::Reason Why = queueAttempt(Node, *Attempt, Effects);
   if (Why != base::Reason::None)
     return endAttempt(Node, Arrival.Facts.Attempt,
-                      refusal(Why, base::seconds(1)), Effects);
+                      refusal(Why, retryAfterOf(Node, *Attempt, Why)),
+                      Effects);
   runQueued(Node, Arrival.Facts.Service, Effects);
   if (Attempt->Server.empty())
     setTimer(Node.Timers, Attempt->StartBy,
@@ -181,13 +265,19 @@
           Effects);
       continue;
     }
-    routing::ChoiceQuery Query;
-    Query.Service = Service;
-    Query.Now = Node.Now;
+    routing::ChoiceQuery Query = ownQuery(Node, *Attempt);
+    base::Duration Wait;
+    if (!routing::isTakenByOwn(Node.Routing, Query, Wait)) {
+      endAttempt(Node, Attempt->Facts.Attempt,
+                 refusal(base::Reason::BackendSuspect, Wait), Effects);
+      continue;
+    }
     routing::BackendServer *Server =
         routing::chooseOwnServer(Node.Routing, Query, Attempt->Facts.Preferred);
     if (!Server)
       return;
+    routing::admits(Node.Routing.Breakers[Server->Record.Name],
+                    Query.Idempotent, Node.Now);
     takeSlot(Node, *Attempt, *Server);
     actions::GuardAnswer Guard = actions::beforeRun(Node, *Attempt, Effects);
     if (Guard.What == actions::GuardDecision::Refuse)
@@ -199,6 +289,8 @@
 
 void startExchange(State &Node, admission::QueuedAttempt &Attempt,
                    EffectList &Effects) {
+  if (Node.Now - Attempt.Arrived >= NotableWait)
+    logWait(Node, Attempt, Effects);
   const routing::BackendServer &Server =
       Node.Routing.Servers.at(Attempt.Server);
   Attempt.Started = Node.Now;
@@ -242,7 +334,11 @@
   if (!Attempt->Server.empty()) {
     releaseSlot(Node, *Attempt);
     admission::finishRun(Node.Admission, *Attempt, Outcome, Node.Now);
-    if (Outcome.Why == base::Reason::BackendShed)
+    // A server that proves that it ran nothing, and names no time, is asked again
+    // at once: its slots are free.
+    bool Rests = Outcome.What != base::Verdict::NotRun ||
+                 Outcome.RetryAfter > base::Duration{};
+    if (Outcome.Why == base::Reason::BackendShed && Rests)
       pauseAfterShed(Node, *Attempt, Outcome.RetryAfter);
     actions::afterRun(Node, *Attempt, Outcome, Effects);
   }
@@ -293,6 +389,7 @@
       routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
                                Ended.Outcome, Evidence, Node.Now, Effects);
   noteAbsence(Node, Found->second->Server, Outcome.Why, Effects);
+  noteBreaker(Node, Found->second->Server, Outcome, Effects);
   endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   runQueued(Node, Service, Effects);
 }
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -61,6 +61,9 @@
   std::uint32_t RefusedOrder = UINT32_MAX; // the rank's order
   double RefusedShare = 0;                 // of the rank's work
   base::Duration QueueDelay;
+  // Running and waiting attempts of the service, by its open slots; below 0:
+  // not told.
+  double Busy = -1;
 };
 
 // BackendOutcome is what a traffic thread saw of one exchange.
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -38,6 +38,9 @@
   base::DomainName Domain;
   base::NetAddress PeerAddress;
   base::Incarnation Life; // rises with every start
+  // Of attempt ids, drawn at random: nodes that start in the same millisecond
+  // have the same Life. Zero: Life counts.
+  std::uint64_t Origin = 0;
   std::vector<base::NetAddress> Seeds;
   bool Embedded = false;    // no platform: everything stays in memory
   std::string ActionSecret; // signs action ids; empty: none are issued
--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -32,9 +32,9 @@
 constexpr int LongestReconnectMillis = 1000;
 constexpr base::Duration DeliverLimit = base::milliseconds(1000);
 constexpr base::Duration FetchLimit = base::seconds(5);
-// An owner acknowledges an attempt when it arrives. Without that the connection
-// is taken for silent.
-constexpr base::Duration ArrivalLimit = base::milliseconds(500);
+// An owner acknowledges a call before it is sent the request. Without that the
+// connection is taken for silent. Between regions a round trip takes 16 ms.
+constexpr base::Duration ArrivalLimit = base::milliseconds(150);
 // The owner ends an attempt at its deadline; this is for an owner that is gone.
 constexpr base::Duration ForwardAllowance = base::milliseconds(200);
 
@@ -57,19 +57,22 @@
   return End;
 }
 
+// CallPhase orders the owner's acknowledgement and the end of the wait for it:
+// the request is sent by one of them alone, or never.
+enum class CallPhase { Asking, Sent, GivenUp };
+
 // ForwardCall copies the owner's answer into a pipe. It is counted, since a
 // call of the pipe may still run on another thread when the call is done; the
 // call's own count is released in OnDone().
 struct ForwardCall
-    : grpc::ClientReadReactor<v1::AnswerPart>,
+    : grpc::ClientBidiReactor<v1::ForwardRequest, v1::AnswerPart>,
       boost::intrusive_ref_counter<ForwardCall, boost::thread_safe_counter> {
   grpc::ClientContext Context;
   v1::ForwardRequest Request;
   v1::AnswerPart Wire;
   runtime::AnswerPipePtr Pipe;
   ChannelPtr To;
-  std::atomic<bool> Arrived{false}; // at the owner, or ended
-  bool Idempotent = false;
+  std::atomic<CallPhase> Phase{CallPhase::Asking};
   std::mutex Lock;
   bool Waiting = false; // for room in the pipe, under a hold
 
@@ -80,8 +83,9 @@
 
   void OnReadInitialMetadataDone(bool Good) override {
     runtime::observe(this);
-    if (Good)
-      this->Arrived = true;
+    CallPhase Asking = CallPhase::Asking;
+    if (Good && this->Phase.compare_exchange_strong(Asking, CallPhase::Sent))
+      this->StartWriteLast(&this->Request, grpc::WriteOptions());
   }
 
   void readNext() {
@@ -125,12 +129,16 @@
   // An end that the owner said came first; this one is then dropped.
   void OnDone(const grpc::Status &) override {
     runtime::observe(this);
-    this->Arrived = true;
+    CallPhase Asking = CallPhase::Asking;
+    this->Phase.compare_exchange_strong(Asking, CallPhase::GivenUp);
     this->Request.Clear(); // the wait for its arrival may hold the call longer
     runtime::setWriter(*this->Pipe, nullptr);
     runtime::setOnCancel(*this->Pipe, nullptr);
-    runtime::pushPart(*this->Pipe, endWith(base::Verdict::MayHaveRun,
-                                           base::Reason::PeerLost));
+    bool Sent = this->Phase == CallPhase::Sent;
+    runtime::pushPart(
+        *this->Pipe,
+        Sent ? endWith(base::Verdict::MayHaveRun, base::Reason::PeerLost)
+             : endWith(base::Verdict::NotRun, base::Reason::PeerUnavailable));
     boost::intrusive_ptr<ForwardCall> Last(this, false);
   }
 };
@@ -205,8 +213,7 @@
 
 void setArrivalTimer(PeerClient &Client);
 
-// Later calls take a new connection. An action stays, since its answer may
-// still come; other work is better tried again.
+// Later calls take a new connection; this one was not sent and ends.
 void onArrivalTimer(PeerClient &Client) {
   std::vector<detail::ArrivalWait> Silent;
   {
@@ -214,8 +221,11 @@
     auto &Waits = Client.Open->Waits;
     auto Now = std::chrono::system_clock::now();
     while (!Waits.empty() &&
-           (Waits.front().Call->Arrived || Waits.front().Due <= Now)) {
-      if (!Waits.front().Call->Arrived)
+           (Waits.front().Call->Phase != CallPhase::Asking ||
+            Waits.front().Due <= Now)) {
+      CallPhase Asking = CallPhase::Asking;
+      if (Waits.front().Call->Phase.compare_exchange_strong(
+              Asking, CallPhase::GivenUp))
         Silent.push_back(Waits.front());
       Waits.pop_front();
     }
@@ -223,8 +233,7 @@
   }
   for (const detail::ArrivalWait &One : Silent) {
     replaceChannel(Client, One.Address, One.Call->To);
-    if (One.Call->Idempotent)
-      One.Call->Context.TryCancel();
+    One.Call->Context.TryCancel();
   }
 }
 
@@ -266,12 +275,11 @@
   intrusive_ptr_add_ref(Call.get()); // released in OnDone()
   Call->Pipe = Pipe;
   Call->To = To;
-  Call->Idempotent = Facts.Idempotent;
   toWire(Facts, *Call->Request.mutable_facts());
   toWire(Message, Call->Request);
   Call->Context.set_deadline(after(Facts.TimeLeft + ForwardAllowance));
   runtime::setWriter(*Pipe, [Call] { Call->resume(); });
-  To->Stub->async()->Forward(&Call->Context, &Call->Request, Call.get());
+  To->Stub->async()->Forward(&Call->Context, Call.get());
   Call->startRead();
   runtime::setOnCancel(*Pipe, [Call] { Call->Context.TryCancel(); });
   runtime::publish(Call.get());
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -149,6 +149,7 @@
   To.set_refused_order(From.RefusedOrder);
   To.set_refused_share(From.RefusedShare);
   To.set_queue_delay_micros(From.QueueDelay.Micros);
+  To.set_busy(static_cast<float>(From.Busy));
 }
 
 void fromWire(const v1::Pressure &From, core::Pressure &To) {
@@ -157,6 +158,7 @@
   To.RefusedOrder = From.refused_order();
   To.RefusedShare = From.refused_share();
   To.QueueDelay.Micros = From.queue_delay_micros();
+  To.Busy = From.busy();
 }
 
 template <typename Wire, typename Record>
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -25,9 +25,11 @@
 // the pipe may still run on another thread when the call is done; the call's
 // own count is released in OnDone(). The library demands the inheritance.
 struct ForwardReactor
-    : grpc::ServerWriteReactor<v1::AnswerPart>,
+    : grpc::ServerBidiReactor<v1::ForwardRequest, v1::AnswerPart>,
       boost::intrusive_ref_counter<ForwardReactor, boost::thread_safe_counter> {
   runtime::AnswerPipePtr Pipe{new runtime::AnswerPipe};
+  const PeerHandlers *Handlers = nullptr;
+  v1::ForwardRequest Request;
   std::mutex Lock;
   v1::AnswerPart Wire;
   bool Writing = false;
@@ -61,6 +63,23 @@
     this->Finish(Status);
   }
 
+  // The entry gave up before it sent the request: nothing is to be done.
+  void OnReadDone(bool Good) override {
+    runtime::observe(this);
+    core::AttemptFacts Facts;
+    if (!Good)
+      return this->finishEarly(grpc::Status::CANCELLED);
+    if (!fromWire(this->Request.facts(), Facts))
+      return this->finishEarly(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
+                                            "the attempt is malformed"));
+    runtime::RequestMessagePtr Message(new runtime::RequestMessage);
+    fromWire(this->Request, *Message);
+    this->Request.Clear();
+    boost::intrusive_ptr<ForwardReactor> Self(this);
+    runtime::setReader(*this->Pipe, [Self] { Self->writeNext(); });
+    this->Handlers->Forward(std::move(Facts), std::move(Message), this->Pipe);
+  }
+
   void OnWriteDone(bool Good) override {
     runtime::observe(this);
     {
@@ -108,25 +127,15 @@
     return Reactor;
   }
 
-  grpc::ServerWriteReactor<v1::AnswerPart> *
-  Forward(grpc::CallbackServerContext *,
-          const v1::ForwardRequest *Request) override {
+  grpc::ServerBidiReactor<v1::ForwardRequest, v1::AnswerPart> *
+  Forward(grpc::CallbackServerContext *) override {
     boost::intrusive_ptr<ForwardReactor> Reactor(new ForwardReactor);
     intrusive_ptr_add_ref(Reactor.get()); // released in OnDone()
-    core::AttemptFacts Facts;
-    if (!fromWire(Request->facts(), Facts)) {
-      Reactor->finishEarly(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
-                                        "the attempt is malformed"));
-      return Reactor.get();
-    }
-    runtime::RequestMessagePtr Message(new runtime::RequestMessage);
-    fromWire(*Request, *Message);
-    runtime::AnswerPipePtr Pipe = Reactor->Pipe;
-    // Tells the entry that the attempt has arrived, however long it waits here.
+    Reactor->Handlers = &this->Handlers;
+    // Tells the entry that it may send the attempt.
     Reactor->StartSendInitialMetadata();
-    runtime::setReader(*Pipe, [Reactor] { Reactor->writeNext(); });
-    this->Handlers.Forward(std::move(Facts), std::move(Message), Pipe);
     runtime::publish(Reactor.get());
+    Reactor->StartRead(&Reactor->Request);
     return Reactor.get();
   }
 
--- a/currantgauge/routing/breaker.cc
+++ b/currantgauge/routing/breaker.cc
@@ -25,6 +25,11 @@
 
 } // namespace
 
+bool wouldAdmit(const Breaker &State, bool Idempotent, base::TimePoint Now) {
+  Breaker Copy = State;
+  return admits(Copy, Idempotent, Now);
+}
+
 bool admits(Breaker &State, bool Idempotent, base::TimePoint Now) {
   if (State.Phase == BreakerPhase::Closed)
     return true;
--- a/currantgauge/routing/breaker.h
+++ b/currantgauge/routing/breaker.h
@@ -32,6 +32,9 @@
   base::Duration Pause; // of the last opening; grows while trials fail
 };
 
+// wouldAdmit() says whether a request could start now.
+bool wouldAdmit(const Breaker &State, bool Idempotent, base::TimePoint Now);
+
 // admits() says whether a request may start now. Open turns into Trial when its
 // time has passed; a trial that is admitted counts as running.
 bool admits(Breaker &State, bool Idempotent, base::TimePoint Now);
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/routing/choose.h"
 
 #include "currantgauge/admission/pressure.h"
+#include "currantgauge/admission/state.h"
 #include "currantgauge/routing/slots.h"
 
 #include <algorithm>
@@ -10,13 +11,16 @@
 namespace {
 
 constexpr std::size_t SampleSize = 3;
+// Up to so many servers all are compared: that takes less than the hop it saves.
+constexpr std::size_t WholeSize = 64;
 // Costs are in loads: 1 is as much work as a server has slots.
-constexpr double OtherDomainCost = 0.25;
 // Only proven sickness costs: less would starve the test of evidence.
 constexpr double SickCost = 2;
 // Work of worth 1 leaves the region when every server sampled there costs this
 // much more than its slots; work of worth 10 when they are a tenth over.
 constexpr double LinkCost = 1;
+// About the time of a request: what ran then has ended.
+constexpr base::Duration BusyHalfLife = base::milliseconds(300);
 constexpr double SlowStartFloor = 0.1; // of the slots
 
 // Candidate is a server that may be chosen.
@@ -48,6 +52,12 @@
          Query.Tried.end();
 }
 
+// The owner's breaker would refuse the request.
+bool isSuspect(const ChoiceQuery &Query, const BackendServer &Server) {
+  return Query.Now < Server.AvoidUntil ||
+         (!Query.Idempotent && Query.Now < Server.TrialUntil);
+}
+
 double load(const BackendServer &Server) {
   return static_cast<double>(Server.Running) /
          std::max<std::uint32_t>(Server.Record.Slots, 1);
@@ -68,16 +78,37 @@
                                  Query.Now);
 }
 
+// Work of other entries shows only in what the owner last said, which is worth
+// less with its age. The own queue is known exactly.
+double workAt(const ChoiceQuery &Query, const RoutingState &State,
+              const BackendServer &Server) {
+  double Own = Server.Running;
+  if (Server.Record.Owner == State.Self) {
+    if (!Query.Pressure)
+      return Own;
+    auto Queue = Query.Pressure->Queues.find(Query.Service);
+    return Queue == Query.Pressure->Queues.end() ? Own
+                                                 : Own + Queue->second.Length;
+  }
+  double Age = base::toSeconds(Query.Now - Server.BusyAt);
+  double Heard = Server.HeardBusy * Server.Record.Slots *
+                 std::exp2(-Age / base::toSeconds(BusyHalfLife));
+  return std::max(Own, Heard);
+}
+
 double costOf(const RoutingState &State, const ChoiceQuery &Query,
               const Candidate &One) {
   const BackendServer &Server = *One.Server;
   double Cost =
-      (Server.Running + 1) / effectiveSlots(Server, One.Place, Query.Now);
+      (workAt(Query, State, Server) + 1) /
+      effectiveSlots(Server, One.Place, Query.Now);
   Cost += queueCost(Query, Server);
   if (Server.Record.Suspicion >= 1)
     Cost += SickCost;
+  if (Server.Record.Owner != State.Self)
+    Cost += Query.Placement.OtherNode;
   if (Server.Record.Domain != State.Domain)
-    Cost += OtherDomainCost;
+    Cost += Query.Placement.OtherDomain;
   return Cost;
 }
 
@@ -89,7 +120,7 @@
       !takesWork(Server->second))
     return {};
   bool Avoided =
-      wasTried(For.Query, Name) ||
+      wasTried(For.Query, Name) || isSuspect(For.Query, Server->second) ||
       isPathBad(For.State.Paths, Server->second.Record.Owner, For.Query.Now);
   if (For.Avoid && Avoided)
     return {};
@@ -109,7 +140,7 @@
 Best sampleBest(const Search &For, const std::vector<base::BackendName> &Names,
                 base::Random &Source) {
   Best Found;
-  if (Names.size() > SampleSize)
+  if (Names.size() > WholeSize)
     for (std::size_t I = 0; I < SampleSize; ++I)
       consider(For, Names[base::uniformBelow(Source, Names.size())], Found);
   if (!Found.Server)
@@ -139,7 +170,7 @@
 bool isWorthTheLink(const ChoiceQuery &Query, const Best &Here,
                     const Best &There) {
   double Price = LinkCost / std::max(Query.Worth, 1e-3);
-  return There.Server && Here.Cost >= 1 + OtherDomainCost + Price &&
+  return There.Server && Here.Cost >= 1 + Query.Placement.OtherDomain + Price &&
          Here.Cost > There.Cost;
 }
 
@@ -190,6 +221,24 @@
   return lastResort(For, Source);
 }
 
+bool isTakenByOwn(const RoutingState &State, const ChoiceQuery &Query,
+                  base::Duration &WaitLeast) {
+  bool Any = false;
+  for (const base::BackendName &Name : State.Owned) {
+    const BackendServer &Server = State.Servers.at(Name);
+    if (Server.Record.Service != Query.Service || !takesWork(Server))
+      continue;
+    auto Found = State.Breakers.find(Name);
+    if (Found == State.Breakers.end() ||
+        wouldAdmit(Found->second, Query.Idempotent, Query.Now))
+      return true;
+    base::Duration Wait = waitOf(Found->second, Query.Now);
+    WaitLeast = Any ? std::min(WaitLeast, Wait) : Wait;
+    Any = true;
+  }
+  return !Any;
+}
+
 BackendServer *chooseOwnServer(RoutingState &State, const ChoiceQuery &Query,
                                const base::BackendName &Preferred) {
   // An owner has few servers, a service may have many elsewhere.
@@ -198,7 +247,8 @@
     BackendServer &Server = State.Servers.at(Name);
     if (Server.Record.Service != Query.Service || !takesWork(Server) ||
         Server.Record.Owner != State.Self ||
-        Server.Running >= openSlots(Server, Query.Now))
+        Server.Running >= openSlots(Server, Query.Now) ||
+        !wouldAdmit(State.Breakers[Name], Query.Idempotent, Query.Now))
       continue;
     if (Name == Preferred)
       return &Server;
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -29,6 +29,7 @@
   double Worth = 1;
   bool Idempotent = false;              // may be a trial request
   std::vector<base::BackendName> Tried; // avoided while others remain
+  config::PlacementSettings Placement;
   base::TimePoint Now;
 };
 
@@ -51,6 +52,11 @@
 Choice chooseServer(const RoutingState &State, const ChoiceQuery &Query,
                     base::Random &Source);
 
+// isTakenByOwn() says whether some ready owned server of the service would take
+// such work, by its breaker; WaitLeast is the shortest wait where none does.
+bool isTakenByOwn(const RoutingState &State, const ChoiceQuery &Query,
+                  base::Duration &WaitLeast);
+
 // chooseOwnServer() returns an owned server with a free slot that may take
 // work of the service now; Preferred wins when it is one. Null: none.
 BackendServer *chooseOwnServer(RoutingState &State, const ChoiceQuery &Query,
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -16,6 +16,9 @@
 // The resets of all exchanges with a process that died are one sign, and a
 // process that restarts refuses connections meanwhile.
 constexpr base::Duration DeathWindow = base::milliseconds(500);
+// An entry without idempotent work tries a suspect server's owner again after
+// this long.
+constexpr base::Duration TrialTime = base::seconds(2);
 constexpr base::Duration LongestColdStart = base::minutes(2);
 
 bool isCold(const BackendServer &Server, base::TimePoint Now) {
@@ -276,6 +279,25 @@
     endTrial(State, *Known, Attempt, TrialEnd::Open);
 }
 
+void noteOwnersBreaker(RoutingState &State, const base::BackendName &Server,
+                       const core::AttemptOutcome &Outcome,
+                       base::TimePoint Now) {
+  auto Found = State.Servers.find(Server);
+  if (Found == State.Servers.end())
+    return;
+  if (Outcome.Load.Busy >= 0) {
+    Found->second.HeardBusy = Outcome.Load.Busy;
+    Found->second.BusyAt = Now;
+  }
+  if (Outcome.Why == base::Reason::BackendSuspect) {
+    Found->second.AvoidUntil = Now + Outcome.RetryAfter;
+    Found->second.TrialUntil = Found->second.AvoidUntil + TrialTime;
+  } else if (Outcome.Why == base::Reason::None &&
+             Outcome.What == base::Verdict::Ran) {
+    Found->second.TrialUntil = base::TimePoint();
+  }
+}
+
 void onOwnerHeard(RoutingState &State, const base::NodeName &Owner) {
   notePathOk(State.Paths, Owner);
 }
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -92,6 +92,7 @@
   if (Owned && sameWord(Server.Record, Kept))
     return false;
   if (NewLife) {
+    State.Breakers.erase(Word.Name);
     Server.ReadySince = Now;
     Server.Record.ColdStart = Word.ColdStart;
     Server.SaidFarewell = false;
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -7,6 +7,7 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/routing/backend_server.h"
+#include "currantgauge/routing/breaker.h"
 #include "currantgauge/routing/ejection.h"
 #include "currantgauge/routing/evidence.h"
 #include "currantgauge/routing/path.h"
@@ -31,6 +32,13 @@
   // Owner: of the last announcement in this life.
   std::uint64_t Sequence = 0;
   bool SaidFarewell = false; // owner: it announced that it is gone
+  // Entry: its owner's breaker refused work; until then none is sent, and after
+  // it idempotent work alone, for a while.
+  base::TimePoint AvoidUntil;
+  base::TimePoint TrialUntil;
+  // Entry: what its owner last said of its load, by its slots, and when.
+  double HeardBusy = 0;
+  base::TimePoint BusyAt;
 };
 
 // RoutingState holds every known backend server, indexed by service.
@@ -43,6 +51,7 @@
   std::map<base::ServiceName, std::set<base::BackendName>> ByService;
   std::set<base::BackendName> Owned;
   std::map<base::BackendName, ServerEvidence> Evidence; // at the owner
+  std::map<base::BackendName, Breaker> Breakers;        // at the owner
   std::map<base::ServiceName, RoutingSet> Sets;         // at the entry
   std::map<base::NodeName, PathEvidence> Paths;         // at the entry
   // Own records that changed since membership looked, and whether the change is
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -18,7 +18,10 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <optional>
 #include <sstream>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace currantgauge::runtime {
@@ -28,6 +31,8 @@
 
 // Answers that were just decided still have to leave their sockets.
 constexpr std::chrono::milliseconds FlushTime{300};
+// A file that changed without a signal is noticed after this long.
+constexpr std::chrono::seconds RereadInterval{5};
 constexpr double RetryMargin = 0.8; // of the fleet's bound
 
 core::NodeIdentity identityOf(const config::NodeSettings &Settings) {
@@ -63,6 +68,7 @@
 void setUp(Node &Self, const std::string &JournalPath, std::string &Error) {
   const config::NodeSettings &Settings = Self.Settings;
   core::NodeIdentity Identity = identityOf(Settings);
+  Identity.Origin = randomNumber();
   std::uint64_t Seed = randomNumber();
   Self.State = core::makeState(Identity, Seed);
   if (!Settings.Embedded)
@@ -149,23 +155,76 @@
     Limit.expires_after(
         std::chrono::microseconds(Self.Settings.StopLimit.Micros));
     Limit.async_wait([&](boost::system::error_code Late) {
-      if (!Late)
-        finish(Latch, 1);
+      if (Late)
+        return;
+      telemetry::writeLog({core::LogLevel::Error, "stop_limit_passed", {}});
+      finish(Latch, 1);
     });
     onSignal(Self, Latch, Signals, Limit);
   });
 }
 
-void stopThreads(Node &Self) {
-  peer::stopPeerServer(*Self.PeerServer, base::milliseconds(100));
-  stopTraffic(Self.Traffic);
-  stopControl(Self.Control);
+// Reloader takes over what a running node can change.
+struct Reloader {
+  Node &Self;
+  const RereadSettings &Reread;
+  asio::signal_set HangUps;
+  asio::steady_timer Again;
+};
+
+// Addresses, identity and protocols stay: they take a new process.
+bool needsRestart(const config::NodeSettings &Old,
+                  const config::NodeSettings &New) {
+  auto Fixed = [](const config::NodeSettings &Of) {
+    return std::tie(Of.Name, Of.Region, Of.Domain, Of.CallerAddress,
+                    Of.PeerAddress, Of.AnnounceAddress, Of.HealthAddress,
+                    Of.Platform, Of.Service, Of.Backend, Of.FeedTable,
+                    Of.FeedKey);
+  };
+  return Fixed(Old) != Fixed(New);
+}
+
+void reload(Reloader &Reload, const char *Why) {
+  std::optional<config::NodeSettings> Fresh = Reload.Reread();
+  if (!Fresh)
+    return;
+  Node &Self = Reload.Self;
+  bool Restart = needsRestart(Self.Settings, *Fresh);
+  telemetry::setLogLevel(Fresh->LogLevel);
+  telemetry::writeLog({core::LogLevel::Info,
+                       "settings_read",
+                       {{"why", Why},
+                        {"log_level", Fresh->LogLevel},
+                        {"needs_restart", Restart ? "true" : "false"}}});
+}
+
+void awaitHangUp(Reloader &Reload) {
+  Reload.HangUps.async_wait([&Reload](boost::system::error_code Error, int) {
+    if (Error)
+      return;
+    reload(Reload, "signal");
+    awaitHangUp(Reload);
+  });
+}
+
+void awaitRereading(Reloader &Reload) {
+  Reload.Again.expires_after(RereadInterval);
+  Reload.Again.async_wait([&Reload](boost::system::error_code Error) {
+    if (Error)
+      return;
+    std::optional<config::NodeSettings> Fresh = Reload.Reread();
+    if (Fresh && Fresh->LogLevel != Reload.Self.Settings.LogLevel) {
+      Reload.Self.Settings.LogLevel = Fresh->LogLevel;
+      reload(Reload, "file_changed");
+    }
+    awaitRereading(Reload);
+  });
 }
 
 } // namespace
 
 int serveNode(const config::NodeSettings &Settings, const Adapter &Spoken,
-              const std::string &JournalPath) {
+              const std::string &JournalPath, const RereadSettings &Reread) {
   telemetry::startLog(Settings.LogLevel, Settings.Name.Value);
   asio::io_context Main(1);
   auto Work = asio::make_work_guard(Main);
@@ -193,11 +252,18 @@
     std::_Exit(1);
   }
   onSignal(Self, Latch, Signals, Limit);
+  Reloader Reload{Self, Reread, asio::signal_set(Main, SIGHUP),
+                  asio::steady_timer(Main)};
+  awaitHangUp(Reload);
+  awaitRereading(Reload);
   post(Self, ControlInput{core::Started{}, {}, {}, {}, {}});
   pushFolder(Self);
   Main.run();
-  stopThreads(Self);
-  telemetry::stopLog();
+  // Threads of libraries may wait for other nodes' calls to end; nothing of ours
+  // is in flight any more.
+  telemetry::writeLog({core::LogLevel::Info,
+                       "stopped",
+                       {{"exit_code", std::to_string(Latch.ExitCode)}}});
   std::_Exit(Latch.ExitCode);
 }
 
--- a/currantgauge/telemetry/log.cc
+++ b/currantgauge/telemetry/log.cc
@@ -80,6 +80,10 @@
   Root.setLogLevel(levelNamed(Level));
 }
 
+void setLogLevel(const std::string &Level) {
+  log4cplus::Logger::getRoot().setLogLevel(levelNamed(Level));
+}
+
 void writeLog(const core::LogLine &Line) {
   log4cplus::Logger Root = log4cplus::Logger::getRoot();
   log4cplus::LogLevel Level = levelOf(Line.Level);
--- a/currantgauge/telemetry/log.h
+++ b/currantgauge/telemetry/log.h
@@ -14,6 +14,9 @@
 // startLog() sets the lowest level written: debug, info, warn or error.
 void startLog(const std::string &Level, const std::string &Node);
 
+// setLogLevel() takes effect with the next line.
+void setLogLevel(const std::string &Level);
+
 // writeLog() writes one line; any thread may call it.
 void writeLog(const core::LogLine &Line);
 
