--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -276,10 +276,10 @@
     Mean->second +=
         base::scaled(Now - Attempt.Started - Mean->second, FreshShare);
   base::Duration &OfRank = Queue.ByRank[Attempt.RankOrder].MeanTime;
-  OfRank = OfRank == base::Duration{}
-               ? Now - Attempt.Started
-               : OfRank + base::scaled(Now - Attempt.Started - OfRank,
-                                       FreshShare);
+  OfRank =
+      OfRank == base::Duration{}
+          ? Now - Attempt.Started
+          : OfRank + base::scaled(Now - Attempt.Started - OfRank, FreshShare);
 }
 
 void dequeue(AdmissionState &State, QueuedAttempt &Attempt) {
--- a/currantgauge/admission/rank_share.h
+++ b/currantgauge/admission/rank_share.h
@@ -16,8 +16,8 @@
 // advanceShares() counts credit and use of every rank up to Now.
 void advanceShares(ServiceQueue &Queue, base::TimePoint Now);
 
-// mayTakeSlot() says whether work of a rank may take a free slot, or has to leave
-// the last one to more urgent work.
+// mayTakeSlot() says whether work of a rank may take a free slot, or has to
+// leave the last one to more urgent work.
 bool mayTakeSlot(const ServiceQueue &Queue, std::uint32_t RankOrder);
 
 // chooseRank() returns the rank to serve next, null when nothing waits.
--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -94,7 +94,7 @@
 struct StoreResult {
   StoreStatus Status = StoreStatus::Unavailable;
   std::vector<StoreRow> Rows;
-  std::string Bytes; // of GetObject
+  std::string Bytes;          // of GetObject
   std::uint64_t Revision = 0; // of the whole store as read, 0: not told
 };
 
--- a/currantgauge/cli/node_commands.cc
+++ b/currantgauge/cli/node_commands.cc
@@ -1,8 +1,8 @@
 #include "currantgauge/cli/commands.h"
 #include "currantgauge/cli/folder.h"
 #include "currantgauge/config/node_settings.h"
-#include "currantgauge/runtime/replay.h"
 #include "currantgauge/runtime/adapter.h"
+#include "currantgauge/runtime/replay.h"
 #include "currantgauge/runtime/serve.h"
 #include "platform/adapter.h"
 
@@ -23,8 +23,7 @@
     return std::nullopt;
   }
   config::SettingsErrors Errors;
-  config::NodeSettings Settings =
-      config::parseNodeSettings(Text, Path, Errors);
+  config::NodeSettings Settings = config::parseNodeSettings(Text, Path, Errors);
   for (const config::SettingsError &Mistake : Errors)
     std::cerr << config::formatError(Mistake) << "\n";
   if (!Errors.empty())
@@ -43,13 +42,10 @@
   if (!Settings)
     return ExitFailed;
   bool Native = Settings->Adapter == config::AdapterName::Native;
-  return runtime::serveNode(*Settings,
-                            Native ? runtime::nativeAdapter()
-                                   : platform::platformAdapter(),
-                            Given.Journal,
-                            [Path = Given.Settings] {
-                              return readSettings(Path);
-                            });
+  return runtime::serveNode(
+      *Settings,
+      Native ? runtime::nativeAdapter() : platform::platformAdapter(),
+      Given.Journal, [Path = Given.Settings] { return readSettings(Path); });
 }
 
 int runReplay(const Options &, const Words &Arguments) {
--- a/currantgauge/config/build.cc
+++ b/currantgauge/config/build.cc
@@ -83,8 +83,7 @@
     ServiceShare Share;
     Share.Service = base::ServiceName(Part.substr(Start, Equals - Start));
     const char *End = Part.data() + Part.size();
-    auto Read =
-        std::from_chars(Part.data() + Equals + 1, End, Share.Weight);
+    auto Read = std::from_chars(Part.data() + Equals + 1, End, Share.Weight);
     if (Read.ec != std::errc() || Read.ptr != End)
       return {};
     Split.push_back(std::move(Share));
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -91,8 +91,8 @@
 // PlacementSettings weighs the way to a backend server against its load. Costs
 // are in loads: 1 is as much work as a server has slots.
 struct PlacementSettings {
-  double OtherNode = 0;        // a hop to another VM
-  double OtherDomain = 0.25;   // and into another failure domain
+  double OtherNode = 0;      // a hop to another VM
+  double OtherDomain = 0.25; // and into another failure domain
 };
 
 // Configuration is one accepted version of it all.
--- a/currantgauge/config/node_settings.h
+++ b/currantgauge/config/node_settings.h
@@ -82,7 +82,7 @@
   // The row that announces the configuration; empty: operators push it.
   std::string FeedTable;
   std::string FeedKey;
-  bool TakesKeys = true; // idempotency keys and action ids of callers
+  bool TakesKeys = true;    // idempotency keys and action ids of callers
   std::string ConfigFolder; // embedded alone: loaded at the start; else empty
 };
 
--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -181,13 +181,13 @@
   int ExitCode = 0;
 };
 
-using Effect = std::variant<WakeAt, StartAttempt, CancelAttempt, DeliverAnswer,
-                            RefuseRequest, SendToBackend, CancelBackend,
-                            EndAttempt, KeepAnswer, ForgetAnswer, RepeatAnswer,
-                            SendPeerMessage, CallStore, ParseConfig,
-                            FetchConfig, ServeConfig, AnswerOperator, Measure,
-                            LogLine, BecomeReady, StopProcess, AnswerActionId,
-                            BoundCallers>;
+using Effect =
+    std::variant<WakeAt, StartAttempt, CancelAttempt, DeliverAnswer,
+                 RefuseRequest, SendToBackend, CancelBackend, EndAttempt,
+                 KeepAnswer, ForgetAnswer, RepeatAnswer, SendPeerMessage,
+                 CallStore, ParseConfig, FetchConfig, ServeConfig,
+                 AnswerOperator, Measure, LogLine, BecomeReady, StopProcess,
+                 AnswerActionId, BoundCallers>;
 
 using EffectList = std::vector<Effect>;
 
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::core {
 namespace {
@@ -74,8 +75,7 @@
 void countEnd(State &Node, const EntryRequest &Request, base::Verdict What,
               base::Reason Why, EffectList &Effects) {
   rememberEnd(Node, Request, What, Why);
-  bool Failed =
-      Why != base::Reason::None && Why != base::Reason::CallerGone;
+  bool Failed = Why != base::Reason::None && Why != base::Reason::CallerGone;
   bool Late = Request.Kind.Aim > base::Duration{} &&
               Node.Now - Request.Arrived > Request.Kind.Aim;
   if (Failed || Late)
@@ -247,8 +247,7 @@
                   base::seconds(1), Effects);
   const config::Configuration &Config = *Node.Config.Current;
   config::RouteMatch Match = config::matchRoute(
-      Config,
-      {Arrival.Facts.Host, Arrival.Facts.Method, Arrival.Facts.Path});
+      Config, {Arrival.Facts.Host, Arrival.Facts.Method, Arrival.Facts.Path});
   if (!Match.Route)
     return refuse(Node, Request, base::Reason::NoRoute, base::Duration{},
                   Effects);
@@ -345,6 +344,20 @@
          Effects);
 }
 
+void answerBeforeStop(State &Node, EffectList &Effects) {
+  std::vector<base::RequestId> Left;
+  for (const auto &[Id, Request] : Node.Entry.Requests)
+    if (!Request.Committed)
+      Left.push_back(Id);
+  for (base::RequestId Id : Left) {
+    EntryRequest &Request = Node.Entry.Requests.at(Id);
+    if (Request.Current.Sequence != 0)
+      giveUpAttempt(Node, Request, Effects);
+    refuse(Node, Request, base::Reason::NodeStopping, base::Duration{},
+           Effects);
+  }
+}
+
 void noteRefusedHere(State &Node, base::AttemptId Attempt) {
   if (EntryRequest *Request = findByAttempt(Node, Attempt))
     Request->CurrentRefused = true;
--- a/currantgauge/core/entry.h
+++ b/currantgauge/core/entry.h
@@ -24,6 +24,10 @@
                        EffectList &Effects);
 void onRetryDue(State &Node, const RetryDue &Due, EffectList &Effects);
 
+// answerBeforeStop() ends what still waits for an answer: the process is about
+// to end, and a closed connection would say less.
+void answerBeforeStop(State &Node, EffectList &Effects);
+
 // noteRefusedHere() tells the entry's side that this node, as the owner, ended
 // the attempt as not run, before AttemptEnded brings the whole outcome.
 void noteRefusedHere(State &Node, base::AttemptId Attempt);
--- a/currantgauge/core/explain.cc
+++ b/currantgauge/core/explain.cc
@@ -82,10 +82,10 @@
 
 std::string describeAttempt(const AttemptTrace &Trace,
                             base::TimePoint Arrived) {
-  std::string Text =
-      Trace.Server.Value + " at " + Trace.Owner.Value + " by " +
-      std::string(Trace.Choice) + " after " +
-      std::to_string(base::toMillis(Trace.Started - Arrived)) + " ms";
+  std::string Text = Trace.Server.Value + " at " + Trace.Owner.Value + " by " +
+                     std::string(Trace.Choice) + " after " +
+                     std::to_string(base::toMillis(Trace.Started - Arrived)) +
+                     " ms";
   if (!Trace.Ended)
     return Text + ", not ended";
   return Text + ", " + std::string(base::verdictName(Trace.What)) + " " +
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -24,6 +24,8 @@
 namespace currantgauge::core {
 namespace {
 
+// Answers leave before the process ends.
+constexpr base::Duration StopAllowance = base::milliseconds(300);
 constexpr base::Duration LeaseCheckInterval = base::milliseconds(500);
 
 void onTimer(State &Node, const LeaseCheck &, EffectList &Effects) {
@@ -67,6 +69,10 @@
 // The node ends when nothing is left, which reduce() looks at.
 void onTimer(State &, const StopDue &, EffectList &) {}
 
+void onTimer(State &Node, const StopAnswersDue &, EffectList &Effects) {
+  answerBeforeStop(Node, Effects);
+}
+
 void onTimer(State &Node, const FeedDue &, EffectList &Effects) {
   config::onFeedDue(Node, Effects);
 }
@@ -180,6 +186,9 @@
   Node.Stopping = true;
   Node.StopSince = Node.Now;
   setTimer(Node.Timers, Node.Now + Node.Self.StopLinger, StopDue{});
+  if (Node.Self.StopLimit > StopAllowance)
+    setTimer(Node.Timers, Node.Now + Node.Self.StopLimit - StopAllowance,
+             StopAnswersDue{});
   membership::announceLeaving(Node, Effects);
   Effects.push_back(BecomeReady{false});
   Effects.push_back(LogLine{LogLevel::Info, "stopping", {}});
@@ -187,8 +196,8 @@
 
 void stopWhenIdle(State &Node, EffectList &Effects) {
   if (Node.Stopping && Node.Now >= Node.StopSince + Node.Self.StopLinger &&
-      Node.Entry.Requests.empty() &&
-      Node.Owner.Attempts.empty() && !actions::hasPendingWrites(Node))
+      Node.Entry.Requests.empty() && Node.Owner.Attempts.empty() &&
+      !actions::hasPendingWrites(Node))
     Effects.push_back(StopProcess{0});
 }
 
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -6,10 +6,9 @@
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/core/entry.h"
-#include "currantgauge/membership/rumours.h"
+#include "currantgauge/core/owner_evidence.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
-#include "currantgauge/routing/registry.h"
 #include "currantgauge/routing/slots.h"
 
 #include <string>
@@ -155,62 +154,6 @@
   setTimer(Node.Timers, Until, SlotsReopen{Attempt.Facts.Service});
 }
 
-// Nobody listens at the address, or somebody else does: the server is gone until
-// it announces itself again.
-void noteAbsence(State &Node, const base::BackendName &Name, base::Reason Why,
-                 EffectList &Effects) {
-  if (Why != base::Reason::BackendRefusedConnection &&
-      Why != base::Reason::BackendMisdirected)
-    return;
-  if (!routing::markAbsent(Node.Routing, Name))
-    return;
-  const routing::BackendRecord &Record = Node.Routing.Servers.at(Name).Record;
-  membership::queueRumour(Node.Membership, Record);
-  Effects.push_back(LogLine{LogLevel::Warn,
-                            "backend_server_absent",
-                            {{"server", Name.Value},
-                             {"service", Record.Service.Value},
-                             {"reason", std::string(base::reasonName(Why))}}});
-}
-
-// BreakerWord is what the end of an exchange says to the server's breaker.
-enum class BreakerWord { Well, Failed, Nothing };
-
-BreakerWord breakerWord(const AttemptOutcome &Outcome) {
-  if (Outcome.RequestAtFault)
-    return BreakerWord::Nothing;
-  switch (Outcome.Why) {
-  case base::Reason::None:
-    return BreakerWord::Well;
-  case base::Reason::BackendError:
-  case base::Reason::BackendReset:
-  case base::Reason::BackendSilent:
-  case base::Reason::BackendTimeout:
-  case base::Reason::AnswerCutShort:
-    return BreakerWord::Failed;
-  default:
-    return BreakerWord::Nothing;
-  }
-}
-
-void noteBreaker(State &Node, const base::BackendName &Name,
-                 const AttemptOutcome &Outcome, EffectList &Effects) {
-  routing::Breaker &Breaker = Node.Routing.Breakers[Name];
-  BreakerWord Word = breakerWord(Outcome);
-  if (Word == BreakerWord::Nothing)
-    return routing::noteNothing(Breaker);
-  if (!routing::noteEnd(Breaker, Word == BreakerWord::Failed, Node.Now))
-    return;
-  bool Opened = Breaker.Phase != routing::BreakerPhase::Closed;
-  Effects.push_back(LogLine{
-      Opened ? LogLevel::Warn : LogLevel::Info,
-      Opened ? "breaker_opened" : "breaker_closed",
-      {{"server", Name.Value},
-       {"reason", std::string(base::reasonName(Outcome.Why))},
-       {"status", std::to_string(Outcome.Status)},
-       {"pause_ms", std::to_string(base::toMillis(Breaker.Pause))}}});
-}
-
 } // namespace
 
 void onAttemptArrived(State &Node, const AttemptArrived &Arrival,
@@ -240,8 +183,7 @@
   base::Reason Why = queueAttempt(Node, *Attempt, Effects);
   if (Why != base::Reason::None)
     return endAttempt(Node, Arrival.Facts.Attempt,
-                      refusal(Why, retryAfterOf(Node, *Attempt, Why)),
-                      Effects);
+                      refusal(Why, retryAfterOf(Node, *Attempt, Why)), Effects);
   runQueued(Node, Arrival.Facts.Service, Effects);
   if (Attempt->Server.empty())
     setTimer(Node.Timers, Attempt->StartBy,
@@ -301,10 +243,10 @@
   Send.TimeLeft = Attempt.Deadline - Node.Now;
   bool Suspect = routing::onExchangeStarted(Node.Routing, Attempt, Node.Now);
   // A pooled connection may have gone silent: an action that is lost on it
-  // would be in doubt. One that was used a moment ago is taken where the node is
-  // told that connections are dear.
-  bool Pooled = Attempt.Facts.Idempotent ||
-                Node.Self.ActionIdle > base::Duration{};
+  // would be in doubt. One that was used a moment ago is taken where the node
+  // is told that connections are dear.
+  bool Pooled =
+      Attempt.Facts.Idempotent || Node.Self.ActionIdle > base::Duration{};
   Send.NewConnection = Suspect || !Pooled;
   if (!Attempt.Facts.Idempotent)
     Send.FreshestIdle = Node.Self.ActionIdle;
@@ -334,8 +276,8 @@
   if (!Attempt->Server.empty()) {
     releaseSlot(Node, *Attempt);
     admission::finishRun(Node.Admission, *Attempt, Outcome, Node.Now);
-    // A server that proves that it ran nothing, and names no time, is asked again
-    // at once: its slots are free.
+    // A server that proves that it ran nothing, and names no time, is asked
+    // again at once: its slots are free.
     bool Rests = Outcome.What != base::Verdict::NotRun ||
                  Outcome.RetryAfter > base::Duration{};
     if (Outcome.Why == base::Reason::BackendShed && Rests)
@@ -388,8 +330,7 @@
   Outcome.Suspicion =
       routing::onExchangeEnded(Node.Routing, Node.Membership, *Found->second,
                                Ended.Outcome, Evidence, Node.Now, Effects);
-  noteAbsence(Node, Found->second->Server, Outcome.Why, Effects);
-  noteBreaker(Node, Found->second->Server, Outcome, Effects);
+  noteServerWord(Node, Found->second->Server, Outcome, Effects);
   endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   runQueued(Node, Service, Effects);
 }
--- a/currantgauge/core/reduce_test.cc
+++ b/currantgauge/core/reduce_test.cc
@@ -219,4 +219,35 @@
   CHECK_FALSE(Node.Owner.Attempts.contains(AtOwner.Facts.Attempt));
 }
 
+TEST_CASE("nodes that start in one millisecond name their attempts apart") {
+  auto FirstAttempt = [](std::uint64_t Origin) {
+    State Node = nodeWithServer();
+    Node.Self.Origin = Origin;
+    EffectList Effects;
+    reduce(Node, Event{base::TimePoint{2000}, {}, arrival(1)}, Effects);
+    return find<StartAttempt>(Effects)->Facts.Attempt;
+  };
+  CHECK(FirstAttempt(11) != FirstAttempt(12));
+}
+
+TEST_CASE("a stopping node serves its callers while it lingers") {
+  State Node = nodeWithServer();
+  Node.Self.StopLinger = base::milliseconds(10);
+  Node.Self.StopLimit = base::seconds(5);
+  EffectList Effects;
+  reduce(Node, Event{base::TimePoint{2000}, {}, StopRequested{}}, Effects);
+  CHECK_FALSE(find<StopProcess>(Effects));
+  reduce(Node, Event{base::TimePoint{3000}, {}, arrival(1)}, Effects);
+  CHECK(find<StartAttempt>(Effects));
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{20000}, {}, arrival(2)}, Effects);
+  REQUIRE(find<RefuseRequest>(Effects));
+  CHECK(find<RefuseRequest>(Effects)->Why == base::Reason::NodeStopping);
+  // What still waits gets an answer before the process ends.
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{4900000}, {}, TimerFired{}}, Effects);
+  CHECK(find<RefuseRequest>(Effects));
+  CHECK(Node.Entry.Requests.empty());
+}
+
 } // namespace currantgauge::core
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -50,8 +50,9 @@
   base::Duration BackendLease; // zero: routing::LeaseTime
   base::Duration ActionIdle;   // of connections for actions; zero: new ones
   admission::FleetRetryBound Retry;
-  base::Duration StopLinger;   // callers are still served after a stop request
-  bool TakesKeys = true;       // idempotency keys and action ids of callers
+  base::Duration StopLimit;  // of a graceful shutdown; zero: none
+  base::Duration StopLinger; // callers are still served after a stop request
+  bool TakesKeys = true;     // idempotency keys and action ids of callers
 };
 
 // EntryRequest is a caller's request in flight at its entry.
--- a/currantgauge/core/timer.h
+++ b/currantgauge/core/timer.h
@@ -52,13 +52,15 @@
 
 // StopDue is when a stopping node may end.
 struct StopDue {};
+// StopAnswersDue is when what still waits at a stopping node gets an answer.
+struct StopAnswersDue {};
 // FeedDue asks the store's change feed again.
 struct FeedDue {};
 
-using Timer =
-    std::variant<FeedDue, StopDue, LeaseCheck, GossipRound, HealthRound, ConfigRound, ActionRound,
-                 RumourFlush, SyncDue, ProbeTimeout, RequestDeadline, RetryDue,
-                 AttemptDeadline, SlotsReopen>;
+using Timer = std::variant<FeedDue, StopDue, StopAnswersDue, LeaseCheck,
+                           GossipRound, HealthRound, ConfigRound, ActionRound,
+                           RumourFlush, SyncDue, ProbeTimeout, RequestDeadline,
+                           RetryDue, AttemptDeadline, SlotsReopen>;
 
 // TimerQueue orders timers by time, then by the order in which they were set.
 struct TimerQueue {
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/http/backend_client.h"
 
+#include "currantgauge/http/backend_answer.h"
 #include "currantgauge/http/fields.h"
 #include "currantgauge/http/listener.h"
 #include "currantgauge/http/wake.h"
@@ -11,7 +12,6 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -20,7 +20,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -36,11 +35,6 @@
 using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
 
 constexpr std::chrono::seconds ConnectionAgeLimit{60};
-// For servers that announce no limit. Five seconds is the shortest default of
-// common HTTP servers.
-constexpr std::chrono::milliseconds DefaultIdleLimit{4000};
-// A connection is left alone this long before the server would close it.
-constexpr std::chrono::milliseconds IdleAllowance{1500};
 // Answers to others that may come in front of the one awaited.
 constexpr int StrayLimit = 4;
 constexpr std::chrono::milliseconds ConnectLimit{1000};
@@ -48,7 +42,6 @@
 constexpr std::size_t IdlePerServer = 16;    // connections
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimit = 64 * 1024; // bytes
-constexpr double LongestRetryAfter = 3600; // seconds; longer ones are ignored
 
 // Exchange is the coroutine's own side.
 struct Exchange {
@@ -91,26 +84,6 @@
   return nullptr;
 }
 
-beast::string_view view(std::string_view Text) {
-  return beast::string_view(Text.data(), Text.size());
-}
-
-// "timeout=5, max=100"; the limit of a server that tells none is a guess.
-std::chrono::milliseconds idleLimitOf(beast::string_view KeepAlive) {
-  for (const auto &Parameter : beast::http::param_list(
-           ";" + std::string(KeepAlive))) {
-    if (!beast::iequals(Parameter.first, "timeout"))
-      continue;
-    int Seconds = 0;
-    const auto &Text = Parameter.second;
-    auto Read =
-        std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
-    if (Read.ec == std::errc() && Seconds > 0)
-      return std::chrono::seconds(Seconds) - IdleAllowance;
-  }
-  return DefaultIdleLimit;
-}
-
 void keepIdle(Exchange &E) {
   auto &Idle = E.Pool.Idle[E.What.Address];
   if (Idle.size() >= IdlePerServer)
@@ -218,58 +191,6 @@
   co_return !Error;
 }
 
-void readRetryAfter(const AnswerParser &Parser, core::BackendOutcome &Outcome) {
-  auto Field = Parser.get()[beast::http::field::retry_after];
-  double Seconds = 0;
-  auto Read =
-      std::from_chars(Field.data(), Field.data() + Field.size(), Seconds);
-  if (Field.empty() || Read.ec != std::errc() || !(Seconds >= 0) ||
-      Seconds > LongestRetryAfter)
-    return;
-  constexpr double MicrosPerSecond = 1e6;
-  bool Whole = Field.find('.') == beast::string_view::npos;
-  Outcome.RetryAfter = base::Duration{static_cast<std::int64_t>(
-      (Whole ? std::max(Seconds, 1.0) : Seconds) * MicrosPerSecond)};
-}
-
-// What an answer's head proves beyond its status.
-void readProofs(const AnswerParser &Parser, const Dialect &Wire,
-                core::BackendOutcome &Outcome) {
-  const auto &Head = Parser.get();
-  if (!Wire.ServerField.empty())
-    Outcome.Answered =
-        base::BackendName(std::string(Head[view(Wire.ServerField)]));
-  if (!Wire.NotRunField.empty())
-    Outcome.ProvedNotRun = Head.count(view(Wire.NotRunField)) > 0 ||
-                           Head.result() ==
-                               beast::http::status::misdirected_request;
-}
-
-// An answer to someone else, late on this connection.
-bool isStray(const Exchange &E, const AnswerParser &Parser) {
-  const Dialect &Wire = *E.What.Wire;
-  if (!Wire.EchoesAttempt)
-    return false;
-  auto Echo = Parser.get()[view(Wire.AttemptField)];
-  for (const auto &[Name, Value] : E.What.Message->Headers)
-    if (beast::iequals(Name, view(Wire.AttemptField)))
-      return !Echo.empty() && Echo != view(Value);
-  return false;
-}
-
-// A success without the server's signature, or in an encoding that nobody asked
-// for, is not what the server meant to say.
-bool isSpoilt(const Exchange &E, const AnswerParser &Parser) {
-  const Dialect &Wire = *E.What.Wire;
-  if (Wire.SignatureField.empty())
-    return false;
-  const auto &Head = Parser.get();
-  bool Success = beast::http::to_status_class(Head.result()) ==
-                 beast::http::status_class::successful;
-  return Success && (Head.count(view(Wire.SignatureField)) == 0 ||
-                     Head.count(beast::http::field::content_encoding) > 0);
-}
-
 void pushHead(Exchange &E, const AnswerParser &Parser) {
   runtime::AnswerHead Head;
   Head.Status = Parser.get().result_int();
@@ -344,7 +265,7 @@
     }
     if (Parser.get().result_int() < 200)
       continue;
-    if (isStray(E, Parser)) {
+    if (isStray(Parser.get(), *E.What.Wire, *E.What.Message)) {
       bool Skipped = ++Strays <= StrayLimit && !Parser.need_eof();
       if (Skipped)
         Skipped = co_await skipBody(E, Parser);
@@ -354,10 +275,10 @@
       co_return;
     }
     E.Outcome.Status = Parser.get().result_int();
-    readRetryAfter(Parser, E.Outcome);
-    readProofs(Parser, *E.What.Wire, E.Outcome);
+    readRetryAfter(Parser.get(), E.Outcome);
+    readProofs(Parser.get(), *E.What.Wire, E.Outcome);
     bool Framed = !Parser.need_eof();
-    if (isSpoilt(E, Parser)) {
+    if (isSpoilt(Parser.get(), *E.What.Wire)) {
       E.Outcome.Why = base::Reason::AnswerCutShort;
       co_return;
     }
@@ -369,8 +290,7 @@
     if (!E.Outcome.AnswerWhole)
       E.Outcome.Why = base::Reason::AnswerCutShort;
     if (Framed && Parser.keep_alive() && E.Connection->Input.size() == 0) {
-      E.Connection->IdleLimit =
-          idleLimitOf(Parser.get()[beast::http::field::keep_alive]);
+      E.Connection->IdleLimit = idleLimitOf(Parser.get());
       keepIdle(E);
     }
     co_return;
--- a/currantgauge/http/backend_client.h
+++ b/currantgauge/http/backend_client.h
@@ -56,8 +56,8 @@
   base::NetAddress Address;
   base::Duration TimeLeft;
   bool NewConnection = false;
-  base::Duration FreshestIdle; // of a pooled connection; zero: any
-  base::BackendName Expected;  // the server that may run the request
+  base::Duration FreshestIdle;   // of a pooled connection; zero: any
+  base::BackendName Expected;    // the server that may run the request
   const Dialect *Wire = nullptr; // outlives the exchange
   runtime::RequestMessagePtr Message;
   runtime::AnswerPipePtr Pipe;
--- a/currantgauge/http/caller_answer.cc
+++ b/currantgauge/http/caller_answer.cc
@@ -76,8 +76,7 @@
 // A status that a dialect reads as proof is given with proof alone.
 Status provenStatus(base::Reason Why, base::Verdict What) {
   if (What == base::Verdict::NotRun)
-    return Why == base::Reason::WorkspaceLimit ||
-                   Why == base::Reason::KindLimit
+    return Why == base::Reason::WorkspaceLimit || Why == base::Reason::KindLimit
                ? Status::too_many_requests
                : Status::service_unavailable;
   bool Late = Why == base::Reason::DeadlinePassed ||
--- a/currantgauge/http/caller_answer_test.cc
+++ b/currantgauge/http/caller_answer_test.cc
@@ -12,21 +12,23 @@
 } // namespace
 
 TEST_CASE("a refusal's status tells a caller's fault from the fleet's") {
-  CHECK(statusOf(Reason::BadRequest, Verdict::NotRun, nativeDialect()) == Status::bad_request);
+  CHECK(statusOf(Reason::BadRequest, Verdict::NotRun, nativeDialect()) ==
+        Status::bad_request);
   CHECK(statusOf(Reason::WorkspaceLimit, Verdict::NotRun, nativeDialect()) ==
         Status::too_many_requests);
   CHECK(statusOf(Reason::ActionRunning, Verdict::MayHaveRun, nativeDialect()) ==
         Status::conflict);
-  CHECK(statusOf(Reason::DeadlinePassed, Verdict::MayHaveRun, nativeDialect()) ==
-        Status::gateway_timeout);
+  CHECK(statusOf(Reason::DeadlinePassed, Verdict::MayHaveRun,
+                 nativeDialect()) == Status::gateway_timeout);
 }
 
 TEST_CASE("503 says that nothing ran, 502 that it may have") {
   CHECK(statusOf(Reason::QueueFull, Verdict::NotRun, nativeDialect()) ==
         Status::service_unavailable);
-  CHECK(statusOf(Reason::PeerUnavailable, Verdict::MayHaveRun, nativeDialect()) ==
+  CHECK(statusOf(Reason::PeerUnavailable, Verdict::MayHaveRun,
+                 nativeDialect()) == Status::bad_gateway);
+  CHECK(statusOf(Reason::PeerLost, Verdict::MayHaveRun, nativeDialect()) ==
         Status::bad_gateway);
-  CHECK(statusOf(Reason::PeerLost, Verdict::MayHaveRun, nativeDialect()) == Status::bad_gateway);
 }
 
 TEST_CASE("a refusal carries verdict, reason and whole seconds to wait") {
--- a/currantgauge/http/caller_request.cc
+++ b/currantgauge/http/caller_request.cc
@@ -63,9 +63,8 @@
 
 } // namespace
 
-std::optional<core::RequestFacts> readFacts(const TextRequest &Request,
-                                            const Dialect &Wire,
-                                            std::string &Error) {
+std::optional<core::RequestFacts>
+readFacts(const TextRequest &Request, const Dialect &Wire, std::string &Error) {
   core::RequestFacts Facts;
   Facts.Host = hostOf(Request);
   if (Wire.PassesAttempt)
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -256,8 +256,8 @@
   S.Stream.expires_after(std::chrono::microseconds(S.Context.ReadMicros));
   co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
                                           into(Error));
-  if (!Error && beast::iequals(Parser.get()[beast::http::field::expect],
-                               "100-continue"))
+  if (!Error &&
+      beast::iequals(Parser.get()[beast::http::field::expect], "100-continue"))
     co_await sendContinue(S);
   if (!Error)
     co_await beast::http::async_read(S.Stream, S.Input, Parser, into(Error));
--- a/currantgauge/http/dialect.h
+++ b/currantgauge/http/dialect.h
@@ -30,11 +30,13 @@
   std::string NotRunField;    // proof that the server did not run the request
   std::string SignatureField; // without it a success is not the server's
   std::string ServerField;    // names the server that answered
-  bool EchoesAttempt = false; // answers without AttemptField's value are others'
-  bool UnframedIsWhole = false; // an orderly close ends an answer without length
+  bool EchoesAttempt =
+      false; // answers without AttemptField's value are others'
+  bool UnframedIsWhole =
+      false; // an orderly close ends an answer without length
 
   // In answers to callers.
-  bool MarksAnswers = true;      // verdict, reason, request id and server
+  bool MarksAnswers = true;         // verdict, reason, request id and server
   bool NotRunIsUnavailable = false; // each refusal with proof is 503 or 429
   bool FractionalRetryAfter = false;
   bool IssuesActionIds = true;
--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -130,8 +130,8 @@
     bool Known = Table.Written;
     Table.Written = true;
     if (!Done)
-      Table.NextWrite = std::min(
-          Table.NextWrite, Node.Now + (Known ? WriteRetry : EagerRetry));
+      Table.NextWrite = std::min(Table.NextWrite,
+                                 Node.Now + (Known ? WriteRetry : EagerRetry));
     if (!Known && !Node.Stopping)
       scanRows(Node, Effects);
     return true;
--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -220,12 +220,11 @@
     std::lock_guard<std::mutex> Guard(Client.Open->Lock);
     auto &Waits = Client.Open->Waits;
     auto Now = std::chrono::system_clock::now();
-    while (!Waits.empty() &&
-           (Waits.front().Call->Phase != CallPhase::Asking ||
-            Waits.front().Due <= Now)) {
+    while (!Waits.empty() && (Waits.front().Call->Phase != CallPhase::Asking ||
+                              Waits.front().Due <= Now)) {
       CallPhase Asking = CallPhase::Asking;
-      if (Waits.front().Call->Phase.compare_exchange_strong(
-              Asking, CallPhase::GivenUp))
+      if (Waits.front().Call->Phase.compare_exchange_strong(Asking,
+                                                            CallPhase::GivenUp))
         Silent.push_back(Waits.front());
       Waits.pop_front();
     }
--- a/currantgauge/routing/breaker.h
+++ b/currantgauge/routing/breaker.h
@@ -39,8 +39,8 @@
 // time has passed; a trial that is admitted counts as running.
 bool admits(Breaker &State, bool Idempotent, base::TimePoint Now);
 
-// noteEnd() takes the end of an exchange, whether or not it was a trial. Returns
-// true when the breaker opened or closed.
+// noteEnd() takes the end of an exchange, whether or not it was a trial.
+// Returns true when the breaker opened or closed.
 bool noteEnd(Breaker &State, bool Failed, base::TimePoint Now);
 
 // noteNothing() takes the end of an exchange that says nothing of the server.
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr std::size_t SampleSize = 3;
-// Up to so many servers all are compared: that takes less than the hop it saves.
+// Up to so many servers all are compared: that takes less than the hop it
+// saves.
 constexpr std::size_t WholeSize = 64;
 // Costs are in loads: 1 is as much work as a server has slots.
 // Only proven sickness costs: less would starve the test of evidence.
@@ -99,9 +100,8 @@
 double costOf(const RoutingState &State, const ChoiceQuery &Query,
               const Candidate &One) {
   const BackendServer &Server = *One.Server;
-  double Cost =
-      (workAt(Query, State, Server) + 1) /
-      effectiveSlots(Server, One.Place, Query.Now);
+  double Cost = (workAt(Query, State, Server) + 1) /
+                effectiveSlots(Server, One.Place, Query.Now);
   Cost += queueCost(Query, Server);
   if (Server.Record.Suspicion >= 1)
     Cost += SickCost;
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -22,8 +22,7 @@
 
 bool holdsAddress(const RoutingState &State, const BackendServer &Server,
                   const Announcement &Word) {
-  return Server.Record.Name != Word.Name &&
-         Server.Record.Owner == State.Self &&
+  return Server.Record.Name != Word.Name && Server.Record.Owner == State.Self &&
          Server.Record.Address == Word.Address &&
          Server.Record.Phase != BackendPhase::Gone;
 }
@@ -80,8 +79,8 @@
   BackendServer &Server = State.Servers[Word.Name];
   bool Known = !Server.Record.Name.empty();
   bool Owned = Known && Server.Record.Owner == State.Self;
-  if (Known && (Owned ? isOldWord(Server, Word)
-                      : Word.Life < Server.Record.Life))
+  if (Known &&
+      (Owned ? isOldWord(Server, Word) : Word.Life < Server.Record.Life))
     return false;
   bool NewLife = !Known || Server.Record.Life != Word.Life;
   Server.LeaseEnds = Now + State.Lease;
--- a/currantgauge/routing/tell.cc
+++ b/currantgauge/routing/tell.cc
@@ -18,7 +18,10 @@
 // Up to here a late share is no news.
 constexpr double UsualLateShare = 0.1;
 constexpr base::Duration LowerAfter = base::seconds(1);
-constexpr base::Duration TimesInterval = base::seconds(5);
+// Shares that moved without a change of suspicion serve as a measure for peers,
+// which a rumour to every node each second would not repay.
+constexpr base::Duration SharesInterval = base::seconds(10);
+constexpr base::Duration TimesInterval = base::seconds(15);
 constexpr double TimesTolerance = 0.25;
 constexpr std::size_t ToldKinds = 4;
 
@@ -97,10 +100,12 @@
                 double Level, base::TimePoint Now) {
   if (Level > Record.Suspicion)
     return true;
-  bool Later = Level < Record.Suspicion ||
-               hasMoved(Record.FailShare, Evidence.FailShare) ||
-               hasMoved(Record.LateShare, lateShare(Record, Evidence));
-  return Later && Now - Evidence.PublishedAt >= LowerAfter;
+  base::Duration Age = Now - Evidence.PublishedAt;
+  if (Level < Record.Suspicion)
+    return Age >= LowerAfter;
+  return Age >= SharesInterval &&
+         (hasMoved(Record.FailShare, Evidence.FailShare) ||
+          hasMoved(Record.LateShare, lateShare(Record, Evidence)));
 }
 
 } // namespace
--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -198,7 +198,7 @@
     return;
   }
   store::callStore(*Self.Store, Self.Traffic.Threads.front()->Io,
-                      What.Operation, What.TimeLimit, Answer);
+                   What.Operation, What.TimeLimit, Answer);
 }
 
 void carryOut(Node &Self, core::ParseConfig &What) {
@@ -207,10 +207,9 @@
         What.Request.Announced.empty()
             ? config::assembleConfig(What.Request)
             : config::assembleAnnounced(What.Request, Self.Spoken.ReadConfig);
-    post(Self, inputOf(core::ConfigParsed{What.Call, std::move(Done.Config),
-                                          std::move(Done.Parts),
-                                          std::move(Done.Error),
-                                          Done.Version}));
+    post(Self, inputOf(core::ConfigParsed{
+                   What.Call, std::move(Done.Config), std::move(Done.Parts),
+                   std::move(Done.Error), Done.Version}));
   });
 }
 
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -26,8 +26,7 @@
               "\n"};
 }
 
-http::ServiceAnswer takeAnnouncement(Node &Self,
-                                     const AnnouncementRead &Read) {
+http::ServiceAnswer takeAnnouncement(Node &Self, const AnnouncementRead &Read) {
   if (!Read.Word) {
     telemetry::writeLog({core::LogLevel::Warn,
                          "announcement_refused",
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -15,11 +15,11 @@
 #include "currantgauge/http/caller_session.h"
 #include "currantgauge/peer/client.h"
 #include "currantgauge/peer/server.h"
-#include "currantgauge/store/store_client.h"
 #include "currantgauge/runtime/adapter.h"
 #include "currantgauge/runtime/control.h"
 #include "currantgauge/runtime/journal.h"
 #include "currantgauge/runtime/traffic.h"
+#include "currantgauge/store/store_client.h"
 #include "currantgauge/telemetry/metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -17,8 +17,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <optional>
+#include <random>
 #include <sstream>
 #include <tuple>
 #include <utility>
@@ -50,6 +50,7 @@
   Self.Backend = Settings.Backend;
   Self.BackendLease = Settings.BackendLease;
   Self.ActionIdle = Settings.ActionIdle;
+  Self.StopLimit = Settings.StopLimit;
   Self.StopLinger = Settings.StopLinger;
   // The margin is for nodes that count the members differently.
   Self.Retry = {RetryMargin * Settings.RetryRatio,
@@ -259,8 +260,8 @@
   post(Self, ControlInput{core::Started{}, {}, {}, {}, {}});
   pushFolder(Self);
   Main.run();
-  // Threads of libraries may wait for other nodes' calls to end; nothing of ours
-  // is in flight any more.
+  // Threads of libraries may wait for other nodes' calls to end; nothing of
+  // ours is in flight any more.
   telemetry::writeLog({core::LogLevel::Info,
                        "stopped",
                        {{"exit_code", std::to_string(Latch.ExitCode)}}});
--- a/currantgauge/store/store_client.cc
+++ b/currantgauge/store/store_client.cc
@@ -172,13 +172,13 @@
     Clock::time_point Now = Clock::now();
     // A watch waits for its answer on purpose and is asked again by its user.
     bool Watch = std::holds_alternative<base::WatchRows>(Operation);
-    Last = co_await exchange(Client, Operation, Request,
-                             Write || Watch
-                                 ? Deadline
-                                 : Now + (Deadline - Now) / ReadTryShare);
+    Last = co_await exchange(
+        Client, Operation, Request,
+        Write || Watch ? Deadline : Now + (Deadline - Now) / ReadTryShare);
     bool Again =
-        !Watch && (Last.Limited || (!Write && Last.Result.Status ==
-                                                  base::StoreStatus::Unavailable));
+        !Watch &&
+        (Last.Limited ||
+         (!Write && Last.Result.Status == base::StoreStatus::Unavailable));
     Clock::time_point Next = backoff(Client, Try);
     if (!Again || Next >= Deadline)
       co_return Last.Result;
@@ -203,8 +203,8 @@
 
 StoreClient::StoreClient(base::NetAddress Address, StoreLimits Limits,
                          Encoding Wire)
-    : Address(std::move(Address)),
-      Limits(Limits), Wire(Wire), Reads{Limits.ReadsPerSecond, Limits.ReadsPerSecond, {}},
+    : Address(std::move(Address)), Limits(Limits),
+      Wire(Wire), Reads{Limits.ReadsPerSecond, Limits.ReadsPerSecond, {}},
       Writes{Limits.WritesPerSecond, Limits.WritesPerSecond, {}},
       Jitter(std::random_device{}()) {}
 
