--- a/currantgauge/core/owner_evidence.cc
+++ b/currantgauge/core/owner_evidence.cc
@@ -27,6 +27,7 @@
                              {"reason", std::string(base::reasonName(Why))}}});
 }
 
+// Silence is left to the evidence of times, which needs exchanges to go on.
 // BreakerWord is what the end of an exchange says to the server's breaker.
 enum class BreakerWord { Well, Failed, Nothing };
 
@@ -38,8 +39,6 @@
     return BreakerWord::Well;
   case base::Reason::BackendError:
   case base::Reason::BackendReset:
-  case base::Reason::BackendSilent:
-  case base::Reason::BackendTimeout:
   case base::Reason::AnswerCutShort:
     return BreakerWord::Failed;
   default:
