--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -20,11 +20,10 @@
          (Word.Sequence != 0 && Word.Sequence <= Server.Sequence);
 }
 
-bool holdsAddress(const RoutingState &State, const BackendServer &Server,
-                  const Announcement &Word) {
+bool sharesAddress(const RoutingState &State, const BackendServer &Server,
+                   const Announcement &Word) {
   return Server.Record.Name != Word.Name && Server.Record.Owner == State.Self &&
-         Server.Record.Address == Word.Address &&
-         Server.Record.Phase != BackendPhase::Gone;
+         Server.Record.Address == Word.Address;
 }
 
 void markGone(RoutingState &State, BackendServer &Server) {
@@ -113,7 +112,9 @@
     return Gone;
   for (const base::BackendName &Name : State.Owned) {
     BackendServer &Server = State.Servers.at(Name);
-    if (!holdsAddress(State, Server, Word) || Server.Record.Life >= Word.Life)
+    if (!sharesAddress(State, Server, Word) ||
+        Server.Record.Phase == BackendPhase::Gone ||
+        Server.Record.Life >= Word.Life)
       continue;
     markGone(State, Server);
     Server.SaidFarewell = true;
@@ -127,9 +128,7 @@
     return false;
   for (const base::BackendName &Name : State.Owned) {
     const BackendServer &Server = State.Servers.at(Name);
-    bool SameAddress = Name != Word.Name && Server.Record.Owner == State.Self &&
-                       Server.Record.Address == Word.Address;
-    if (SameAddress && Word.Life < Server.Record.Life)
+    if (sharesAddress(State, Server, Word) && Word.Life < Server.Record.Life)
       return true;
   }
   return false;
