The whole path in the protocol of the machines' platform is tested with real processes

Settings come from the deploy template, the store's stand-in speaks rows, transactions and the feed, the backend server's heartbeats and proofs; no kit needed.

--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -111,24 +111,14 @@
                      const std::string &Region, const std::string &Domain,
                      PeerPath Path, const std::string &More,
                      const std::vector<std::string> &Flags) {
-  NodeProcess Node;
-  Node.Name = Name;
-  std::string Host = Some.Host + std::to_string(Some.Nodes.size() + 1);
-  std::string PeerListener = Host + ":18081";
-  Node.Callers = Host + ":18080";
-  Node.Peers = PeerListener;
-  Node.Operators = Host + ":18082";
-  Node.Announcements = Host + ":18083";
-  Node.SettingsPath = Some.Folder + "/" + Name + ".yaml";
+  NodeProcess Node = addressesOf(Some, Name);
+  std::string PeerListener = Node.Peers;
   if (Path == PeerPath::Proxied) {
     Node.Between = startProxy(PeerListener);
     Node.Peers = Node.Between.Address;
   }
-  std::ofstream(Node.SettingsPath)
-      << settingsOf(Some, Node, PeerListener, Region, Domain) << More;
-  launchNode(Some, Node, Flags);
-  Some.Nodes.push_back(std::move(Node));
-  return Some.Nodes.back();
+  std::string Settings = settingsOf(Some, Node, PeerListener, Region, Domain);
+  return startNodeFrom(Some, std::move(Node), Settings + More, Flags);
 }
 
 // readyServers() counts the rows of a node's table of servers.
@@ -228,9 +218,11 @@
   return true;
 }
 
-void startPlatform(Fleet &Some) {
+void startPlatform(Fleet &Some, const std::vector<std::string> &Flags) {
+  std::vector<std::string> Arguments = {"--port=0"};
+  Arguments.insert(Arguments.end(), Flags.begin(), Flags.end());
   Some.PlatformProcess =
-      start("platform", {"--port=0"}, Some.Folder + "/platform.log");
+      start("platform", Arguments, Some.Folder + "/platform.log");
   Some.Platform =
       "127.0.0.1:" + std::to_string(readPort(*Some.PlatformProcess));
 }
@@ -249,6 +241,27 @@
   return addNode(Some, Name, Region, Domain, PeerPath::Proxied, More, {});
 }
 
+NodeProcess addressesOf(const Fleet &Some, const std::string &Name) {
+  NodeProcess Node;
+  Node.Name = Name;
+  std::string Host = Some.Host + std::to_string(Some.Nodes.size() + 1);
+  Node.Callers = Host + ":18080";
+  Node.Peers = Host + ":18081";
+  Node.Operators = Host + ":18082";
+  Node.Announcements = Host + ":18083";
+  Node.SettingsPath = Some.Folder + "/" + Name + ".yaml";
+  return Node;
+}
+
+NodeProcess &startNodeFrom(Fleet &Some, NodeProcess Node,
+                           const std::string &Settings,
+                           const std::vector<std::string> &Flags) {
+  std::ofstream(Node.SettingsPath) << Settings;
+  launchNode(Some, Node, Flags);
+  Some.Nodes.push_back(std::move(Node));
+  return Some.Nodes.back();
+}
+
 void restartNode(Fleet &Some, NodeProcess &Node) {
   endProcess(Node.Process);
   launchNode(Some, Node, {});
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -35,6 +35,7 @@
   std::string Peers;
   std::string Operators;
   std::string Announcements;
+  std::string Ready; // of a machine's node alone
   std::string SettingsPath;
   Proxy Between;
   ChildPtr Process;
@@ -84,7 +85,7 @@
                std::chrono::milliseconds Limit = std::chrono::seconds(20));
 
 // startPlatform() starts the platform's stand-in; later nodes use it.
-void startPlatform(Fleet &Some);
+void startPlatform(Fleet &Some, const std::vector<std::string> &Flags = {});
 
 // startNode() starts a node and waits until it serves; More is appended to its
 // settings file, Flags to its command line.
@@ -100,6 +101,14 @@
                               const std::string &Domain,
                               const std::string &More = "");
 
+// addressesOf() returns the addresses of the fleet's next node.
+NodeProcess addressesOf(const Fleet &Some, const std::string &Name);
+
+// startNodeFrom() starts a node from the text of its settings file.
+NodeProcess &startNodeFrom(Fleet &Some, NodeProcess Node,
+                           const std::string &Settings,
+                           const std::vector<std::string> &Flags = {});
+
 // restartNode() starts a node that was ended once more, as it was.
 void restartNode(Fleet &Some, NodeProcess &Node);
 
--- a/tests/integration/health_test.cc
+++ b/tests/integration/health_test.cc
@@ -84,6 +84,7 @@
   int Bad = Asking.Bad;
   int Good = Asking.Good;
   REQUIRE(waitUntil([&] { return Asking.Good > Good + 200; }));
+  INFO("asks that failed:" << badOnes(Asking));
   CHECK(Asking.Bad == Bad);
   for (int I = 2; I <= 4; ++I)
     CHECK_FALSE(wasEjected(Some, "cutlist-" + std::to_string(I)));
--- /dev/null
+++ b/tests/integration/machines.h
@@ -0,0 +1,106 @@
+// The machines' platform around real nodes: settings filled into the template
+// of the deploy file, the store's stand-in, backend servers and callers that
+// speak its protocol.
+//
+//   Machines Some;
+//   Machine &First = addMachine(Some, "north", "north-a", "cutlist");
+//   writeOperatorsConfig(Some, configOf("r1", Routes));
+#ifndef CURRANTGAUGE_TESTS_INTEGRATION_MACHINES_H
+#define CURRANTGAUGE_TESTS_INTEGRATION_MACHINES_H
+
+#include "tests/integration/fleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace currantgauge::integration {
+
+// Machine is one node and the backend server beside it, by their places in the
+// fleet.
+struct Machine {
+  std::size_t Node = 0;
+  std::size_t Server = 0;
+  std::string Service;
+};
+
+// Machines is the fleet on the platform.
+struct Machines {
+  Machines();
+
+  Fleet Some;
+  std::vector<Machine> Each;
+};
+
+// addMachine() starts a node and its backend server; Flags are the server's.
+Machine &addMachine(Machines &All, const std::string &Region,
+                    const std::string &Zone, const std::string &Service,
+                    const std::vector<std::string> &Flags = {});
+
+NodeProcess &nodeOf(Machines &All, const Machine &One);
+ServerProcess &serverOf(Machines &All, const Machine &One);
+
+// routeOf() is one route of the operator's document, by host and prefix.
+nlohmann::json routeOf(const std::string &Prefix, const std::string &Service,
+                       const std::string &Kind);
+
+// writeConfig() writes the operator's document; its acknowledgement is the
+// store's.
+void writeOperatorsConfig(Machines &All, const std::string &Version,
+                          const nlohmann::json &Routes);
+
+// isReady() asks as the platform does.
+bool isReady(const NodeProcess &Node);
+
+// Sent is what a caller got; Id is of its attempt.
+struct Sent {
+  std::string Id;
+  std::optional<Answer> Got;
+};
+
+// send() sends a request as a caller on the node's machine, on a connection of
+// its own.
+Sent send(const NodeProcess &Node, const std::string &Method,
+          const std::string &Target, const std::string &Body = "",
+          std::uint32_t DeadlineMillis = 4000);
+
+// isWhole() is true for a success that is the server's own answer to Asked.
+bool isWhole(const Sent &Asked, const std::string &Method,
+             const std::string &Target);
+
+// statsOf() asks a backend server what it has seen.
+nlohmann::json statsOf(const ServerProcess &Server);
+
+// runsById() counts the runs of each attempt over all backend servers.
+std::map<std::string, std::uint64_t> runsById(const Machines &All);
+
+// Traffic sends requests from threads until it is ended, as callers that stay
+// on one node each.
+struct Traffic {
+  Traffic(Machines &All, const std::string &Method, const std::string &Target,
+          std::size_t CallersPerNode);
+  ~Traffic();
+  Traffic(const Traffic &) = delete;
+  Traffic &operator=(const Traffic &) = delete;
+
+  std::atomic<bool> Stop{false};
+  std::atomic<int> Good{0};
+  std::mutex Lock;
+  std::vector<Sent> Bad;
+  std::vector<std::thread> Threads;
+};
+
+// endTraffic() stops and joins.
+void endTraffic(Traffic &Some);
+
+} // namespace currantgauge::integration
+
+#endif // CURRANTGAUGE_TESTS_INTEGRATION_MACHINES_H
--- a/tests/stand_ins/announcer.cc
+++ b/tests/stand_ins/announcer.cc
@@ -29,17 +29,44 @@
           static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
 }
 
-std::string bodyOf(const Announcer &Word) {
-  return nlohmann::json{{"service", Word.Service},
-                        {"address", Word.Address},
-                        {"incarnation", Word.Incarnation},
-                        {"slots", Word.Slots},
-                        {"state", Word.State},
-                        {"cold_start_ms", Word.ColdStartMillis}}
-      .dump();
+using Request = beast::http::request<beast::http::string_body>;
+
+Request nativeRequest(const Announcer &Word) {
+  Request Built(beast::http::verb::put, "/v1/servers/" + Word.Name, 11);
+  Built.body() = nlohmann::json{{"service", Word.Service},
+                                {"address", Word.Address},
+                                {"incarnation", Word.Incarnation},
+                                {"slots", Word.Slots},
+                                {"state", Word.State},
+                                {"cold_start_ms", Word.ColdStartMillis}}
+                     .dump();
+  return Built;
 }
 
-asio::awaitable<bool> tryAnnounce(const Announcer &Word) {
+// The native states are ready, leaving and gone.
+Request machineRequest(Announcer &Word) {
+  bool Gone = Word.State == "gone";
+  Request Built(beast::http::verb::post,
+                std::string("/api/rpc?call=instances.") +
+                    (Gone ? "deregister" : "heartbeat") + "&of=" + Word.Name,
+                11);
+  nlohmann::json Body{{"born", Word.Incarnation / 1000000}};
+  if (!Gone) {
+    Body["address"] = Word.Address;
+    Body["information"] = {{"service", Word.Service},
+                           {"version", "v1"},
+                           {"zone", "north-a"},
+                           {"slots", Word.Slots}};
+    Body["status"] = {{"state", Word.State == "ready" ? "ready" : "draining"},
+                      {"sequence", ++Word.Sequence},
+                      {"coldRemainingMs", Word.ColdStartMillis}};
+  }
+  Built.set(beast::http::field::content_type, "application/json");
+  Built.body() = Body.dump();
+  return Built;
+}
+
+asio::awaitable<bool> tryAnnounce(Announcer &Word) {
   boost::system::error_code Error;
   auto Into = asio::redirect_error(asio::use_awaitable, Error);
   beast::tcp_stream Stream(co_await asio::this_coro::executor);
@@ -47,24 +74,28 @@
   co_await Stream.async_connect(endpointOf(Word.Node), Into);
   if (Error)
     co_return false;
-  beast::http::request<beast::http::string_body> Request(
-      beast::http::verb::put, "/v1/servers/" + Word.Name, 11, bodyOf(Word));
-  Request.prepare_payload();
-  co_await beast::http::async_write(Stream, Request, Into);
+  std::string State = Word.State;
+  Request Built =
+      Word.SpeaksMachines ? machineRequest(Word) : nativeRequest(Word);
+  Built.prepare_payload();
+  co_await beast::http::async_write(Stream, Built, Into);
   beast::flat_buffer Input;
   beast::http::response<beast::http::string_body> Answer;
   if (!Error)
     co_await beast::http::async_read(Stream, Input, Answer, Into);
-  co_return !Error && Answer.result_int() == 200;
+  if (Error || Answer.result_int() != 200)
+    co_return false;
+  Word.Acknowledged = State;
+  co_return true;
 }
 
 } // namespace
 
-asio::awaitable<void> announceOnce(const Announcer &Word) {
+asio::awaitable<void> announceOnce(Announcer &Word) {
   co_await tryAnnounce(Word);
 }
 
-asio::awaitable<void> announceLoop(const Announcer &Word) {
+asio::awaitable<void> announceLoop(Announcer &Word) {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   while (true) {
     bool Told = !Word.Silent && co_await tryAnnounce(Word);
--- a/tests/stand_ins/announcer.h
+++ b/tests/stand_ins/announcer.h
@@ -25,13 +25,16 @@
   int Slots = 1;
   int ColdStartMillis = 0;
   bool Silent = false;
+  bool SpeaksMachines = false; // the protocol of the machines' platform
+  std::uint64_t Sequence = 0;  // of heartbeats, with SpeaksMachines
+  std::string Acknowledged;    // the last State that a node took
 };
 
 // announceOnce() sends one announcement; a failure is left to the next one.
-boost::asio::awaitable<void> announceOnce(const Announcer &Word);
+boost::asio::awaitable<void> announceOnce(Announcer &Word);
 
 // announceLoop() renews every second, for ever.
-boost::asio::awaitable<void> announceLoop(const Announcer &Word);
+boost::asio::awaitable<void> announceLoop(Announcer &Word);
 
 } // namespace currantgauge::stand_ins
 
--- a/tests/stand_ins/backend_server_main.cc
+++ b/tests/stand_ins/backend_server_main.cc
@@ -5,8 +5,14 @@
 //
 // It prints {"port": N} on standard output. Control by HTTP:
 //   POST /.control {"mode": "ok|stall|fail|slow|shed|reset|cut", "share": 1.0,
-//                   "work_ms": 5, "announce": true}
-//   GET /.stats    {"runs": N, "running": N, "by_key": {"key": runs}}
+//                   "work_ms": 5, "announce": true,
+//                   "state": "ready|leaving|gone"}
+//   GET /.stats    {"runs": N, "running": N, "by_key": {"key": runs},
+//                   "by_caller": {"service": runs}, "misdirected": N,
+//                   "acknowledged": "the last state that a node took"}
+// The same is printed on standard error when it ends by SIGTERM.
+// With --machines it speaks the protocol of the machines' platform, and the key
+// is the id of the caller's attempt.
 #include "tests/stand_ins/announcer.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,6 +35,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -41,6 +48,7 @@
 DEFINE_int32(slots, 4, "requests that it runs at a time");
 DEFINE_int32(work_ms, 5, "time to run a request, in milliseconds");
 DEFINE_int32(cold_start_ms, 0, "announced cold start, in milliseconds");
+DEFINE_bool(machines, false, "speak the protocol of the machines' platform");
 DEFINE_int32(answer_bytes, 0, "bytes added to each answer");
 
 namespace {
@@ -64,7 +72,9 @@
   int WorkMillis = 5;
   std::uint64_t Runs = 0;
   std::uint64_t Running = 0;
+  std::uint64_t Misdirected = 0; // meant for another server
   std::map<std::string, std::uint64_t> ByKey;
+  std::map<std::string, std::uint64_t> ByCaller;
   std::minstd_rand Source{1};
 };
 
@@ -91,22 +101,65 @@
   Self.Share = Body.value("share", 1.0);
   Self.WorkMillis = Body.value("work_ms", Self.WorkMillis);
   Word.Silent = !Body.value("announce", true);
+  Word.State = Body.value("state", Word.State);
   return answer(Asked, 200, "{}\n");
 }
 
-Response stats(const Server &Self, const Request &Asked) {
-  Json Body = {
-      {"runs", Self.Runs}, {"running", Self.Running}, {"by_key", Self.ByKey}};
-  return answer(Asked, 200, Body.dump() + "\n");
+std::string stats(const Server &Self, const stand_ins::Announcer &Word) {
+  Json Body = {{"runs", Self.Runs},
+               {"running", Self.Running},
+               {"by_key", Self.ByKey},
+               {"by_caller", Self.ByCaller},
+               {"misdirected", Self.Misdirected},
+               {"acknowledged", Word.Acknowledged}};
+  return Body.dump() + "\n";
+}
+
+constexpr char HealthPath[] = "/health";
+constexpr char AttemptField[] = "Currantgauge-Attempt-Id";
+constexpr char ExpectedField[] = "Currantgauge-Expected-Instance";
+
+// refusal() is the answer of a server of the machines' platform that does not
+// run a request; none when it does.
+std::optional<Response> refusal(Server &Self, const Request &Asked) {
+  unsigned Status = 0;
+  auto Expected = Asked.find(ExpectedField);
+  if (Asked[AttemptField].empty())
+    Status = 400;
+  else if (Expected != Asked.end() && Expected->value() != FLAGS_name)
+    Status = 421;
+  else if (Self.Running >= 2 * static_cast<std::uint64_t>(FLAGS_slots))
+    Status = 503;
+  if (Status == 0)
+    return std::nullopt;
+  if (Status == 421)
+    ++Self.Misdirected;
+  Response Refused = answer(Asked, Status, "not executed\n");
+  Refused.set("Currantgauge-Not-Executed", "1");
+  return Refused;
+}
+
+Response health(const Request &Asked) {
+  Response Healthy = answer(Asked, 200, "");
+  Healthy.set("Currantgauge-Instance-Id", FLAGS_name);
+  return Healthy;
+}
+
+void sign(const Request &Asked, Response &Answer) {
+  std::string Id(Asked[AttemptField]);
+  Answer.set(AttemptField, Id);
+  Answer.set("Currantgauge-Response-Signature", "of " + Id);
 }
 
 // A request counts as run when its work starts.
 asio::awaitable<Response> work(Server &Self, const Request &Asked) {
   ++Self.Runs;
   ++Self.Running;
-  std::string Key(Asked["Idempotency-Key"]);
+  std::string Key(Asked[FLAGS_machines ? AttemptField : "Idempotency-Key"]);
   if (!Key.empty())
     ++Self.ByKey[Key];
+  if (FLAGS_machines)
+    ++Self.ByCaller[std::string(Asked["Currantgauge-Caller-Service"])];
   if (Asked.body().find("CRASH") != std::string::npos)
     std::_Exit(3);
   bool Hit = Self.Mode != "ok" && isHit(Self);
@@ -166,13 +219,24 @@
       break;
     if (Asked.target() == "/.control" || Asked.target() == "/.stats") {
       Response Answer = Asked.target() == "/.stats"
-                            ? stats(Self, Asked)
+                            ? answer(Asked, 200, stats(Self, Word))
                             : control(Self, Word, Asked);
       co_await beast::http::async_write(Stream, Answer, into(Error));
       More = !Error && Answer.keep_alive();
       continue;
     }
+    std::optional<Response> Refused;
+    if (FLAGS_machines)
+      Refused =
+          Asked.target() == HealthPath ? health(Asked) : refusal(Self, Asked);
+    if (Refused) {
+      co_await beast::http::async_write(Stream, *Refused, into(Error));
+      More = !Error && Refused->keep_alive();
+      continue;
+    }
     Response Answer = co_await work(Self, Asked);
+    if (FLAGS_machines)
+      sign(Asked, Answer);
     More = co_await send(Self, Stream, Answer);
   }
 }
@@ -206,6 +270,11 @@
     Pause.expires_after(std::chrono::milliseconds(20));
     co_await Pause.async_wait(into(Error));
   }
+  if (Word.SpeaksMachines) {
+    Word.State = "gone";
+    co_await stand_ins::announceOnce(Word);
+  }
+  std::cerr << stats(Self, Word);
   Io.stop();
 }
 
@@ -227,6 +296,7 @@
   Word.Address = FLAGS_advertise.empty() ? "127.0.0.1:" + std::to_string(Port)
                                          : FLAGS_advertise;
   Word.Slots = FLAGS_slots;
+  Word.SpeaksMachines = FLAGS_machines;
   Word.ColdStartMillis = FLAGS_cold_start_ms;
   Word.Incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
--- a/tests/stand_ins/platform.cc
+++ b/tests/stand_ins/platform.cc
@@ -1,12 +1,11 @@
 #include "tests/stand_ins/platform.h"
 
-#include <boost/utility/string_view.hpp>
+#include "tests/stand_ins/target.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
-#include <map>
 #include <optional>
-#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -17,49 +16,8 @@
 using nlohmann::json;
 
 constexpr std::uint64_t LoseShareScale = 1000;
-
-std::string decodePercent(std::string_view Text) {
-  std::string Plain;
-  for (std::size_t At = 0; At < Text.size(); ++At) {
-    if (Text[At] != '%' || At + 2 >= Text.size()) {
-      Plain += Text[At];
-      continue;
-    }
-    std::string Hex(Text.substr(At + 1, 2));
-    Plain += static_cast<char>(std::strtol(Hex.c_str(), nullptr, 16));
-    At += 2;
-  }
-  return Plain;
-}
-
-// Target is a path split at "/" and its query, both decoded.
-struct Target {
-  std::vector<std::string> Parts;
-  std::map<std::string, std::string> Query;
-};
-
-Target parseTarget(boost::beast::string_view Raw) {
-  std::string_view Text(Raw.data(), Raw.size());
-  Target Parsed;
-  std::string_view Path = Text.substr(0, Text.find('?'));
-  std::string_view Query =
-      Path.size() < Text.size() ? Text.substr(Path.size() + 1) : "";
-  while (!Path.empty()) {
-    Path.remove_prefix(1);
-    std::string_view Part = Path.substr(0, Path.find('/'));
-    Parsed.Parts.push_back(decodePercent(Part));
-    Path.remove_prefix(Part.size());
-  }
-  while (!Query.empty()) {
-    std::string_view Pair = Query.substr(0, Query.find('&'));
-    std::size_t Equals = std::min(Pair.find('='), Pair.size());
-    std::string_view Value =
-        Equals < Pair.size() ? Pair.substr(Equals + 1) : "";
-    Parsed.Query[decodePercent(Pair.substr(0, Equals))] = decodePercent(Value);
-    Query.remove_prefix(std::min(Pair.size() + 1, Query.size()));
-  }
-  return Parsed;
-}
+// Where tests write as the operator.
+constexpr char ConfigPath[] = "/control/config";
 
 json rowsOf(const base::StoreResult &Result) {
   json Rows = json::array();
@@ -215,8 +173,14 @@
 }
 
 HttpResponse control(Platform &Service, const HttpRequest &Request) {
+  if (Request.target() == ConfigPath) {
+    writeAsOperator(Service.Tables, "config", Request.body());
+    return plain(http::status::ok);
+  }
   if (Request.method() == http::verb::put) {
     json Body = json::parse(Request.body());
+    if (Body.value("forget", false))
+      forgetHistory(Service.Tables);
     PlatformFaults &Faults = Service.Faults;
     Faults.Outage = Body.value("outage", "");
     Faults.DelayMillis = Body.value("delay_ms", 0U);
@@ -255,10 +219,29 @@
   return {encode(Operation, Result), AnswerFate::Send};
 }
 
+PlatformAnswer answerInTables(Platform &Service, const HttpRequest &Request,
+                              std::chrono::steady_clock::time_point Now) {
+  bool Write = Request.method() != http::verb::get;
+  if (overRate(Write ? Service.WriteRate : Service.ReadRate,
+               Write ? Service.Faults.WritesPerSecond
+                     : Service.Faults.ReadsPerSecond,
+               Now))
+    return {tooMany(Service), AnswerFate::Send};
+  ++(Write ? Service.Writes : Service.Reads);
+  auto Answer = answerTables(Service.Tables, Request);
+  if (!Answer)
+    return {{}, AnswerFate::Wait};
+  if (Write && losesAnswer(Service)) {
+    ++Service.Lost;
+    return {{}, AnswerFate::Close};
+  }
+  return {std::move(*Answer), AnswerFate::Send};
+}
+
 } // namespace
 
 bool isControl(const HttpRequest &Request) {
-  return Request.target() == "/control";
+  return Request.target().starts_with("/control");
 }
 
 PlatformAnswer answerPlatform(Platform &Service, const HttpRequest &Request,
@@ -270,6 +253,8 @@
       return {{}, AnswerFate::Silence};
     if (!Service.Faults.Outage.empty())
       return {plain(http::status::service_unavailable), AnswerFate::Send};
+    if (Service.SpeaksTables)
+      return answerInTables(Service, Request, Now);
     auto Operation = operationOf(Request);
     if (!Operation)
       return {plain(http::status::bad_request), AnswerFate::Send};
--- a/tests/stand_ins/platform.h
+++ b/tests/stand_ins/platform.h
@@ -7,6 +7,7 @@
 #define CURRANTGAUGE_TESTS_STAND_INS_PLATFORM_H
 
 #include "currantgauge/base/memory_store.h"
+#include "tests/stand_ins/tables.h"
 
 #include <boost/beast/http.hpp>
 
@@ -21,7 +22,8 @@
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-// PlatformFaults is set by PUT /control and read by GET /control.
+// PlatformFaults is set by PUT /control and read by GET /control. PUT
+// /control/config writes the operator's document.
 struct PlatformFaults {
   std::string Outage;            // "", "refuse" (503) or "silent" (no answer)
   std::uint32_t DelayMillis = 0; // before each answer
@@ -39,7 +41,10 @@
 
 // Platform is the service's state.
 struct Platform {
+  bool SpeaksTables = false; // the machines' protocol, and Tables in place of
+                             // Store
   base::MemoryStore Store;
+  TableStore Tables;
   PlatformFaults Faults;
   RateCount ReadRate;
   RateCount WriteRate;
@@ -52,7 +57,12 @@
 };
 
 // AnswerFate says what becomes of an answer.
-enum class AnswerFate { Send, Close, Silence };
+enum class AnswerFate {
+  Send,
+  Close,
+  Silence,
+  Wait, // of a feed: there is none yet
+};
 
 // PlatformAnswer is an answer and its fate.
 struct PlatformAnswer {
--- a/tests/stand_ins/platform_main.cc
+++ b/tests/stand_ins/platform_main.cc
@@ -11,12 +11,14 @@
 #include <iostream>
 
 DEFINE_int32(port, 0, "port on 127.0.0.1; 0: any free one");
+DEFINE_bool(tables, false, "speak the protocol of the machines' platform");
 
 int main(int Argc, char **Argv) {
   using namespace currantgauge::stand_ins;
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   boost::asio::io_context Io;
   Platform Service;
+  Service.SpeaksTables = FLAGS_tables;
   unsigned short Port =
       servePlatform(Io, Service, static_cast<unsigned short>(FLAGS_port));
   std::cout << nlohmann::json{{"port", Port}} << std::endl;
--- a/tests/stand_ins/platform_server.cc
+++ b/tests/stand_ins/platform_server.cc
@@ -18,12 +18,26 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+// A feed without changes is answered after this long, empty.
+constexpr std::chrono::milliseconds FeedWait{5000};
+constexpr std::chrono::milliseconds FeedStep{10};
+
 asio::awaitable<void> pause(std::uint32_t Millis) {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_after(std::chrono::milliseconds(Millis));
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<HttpResponse> feedAnswer(Platform &Service,
+                                         const HttpRequest &Request) {
+  for (auto Left = FeedWait; Left.count() > 0; Left -= FeedStep) {
+    co_await pause(static_cast<std::uint32_t>(FeedStep.count()));
+    if (auto Answer = answerTables(Service.Tables, Request))
+      co_return std::move(*Answer);
+  }
+  co_return emptyFeed(Service.Tables);
+}
+
 asio::awaitable<void> serve(Platform &Service, tcp::socket Socket) {
   boost::beast::flat_buffer Buffer;
   try {
@@ -32,6 +46,8 @@
       co_await http::async_read(Socket, Buffer, Request, asio::use_awaitable);
       PlatformAnswer Answer =
           answerPlatform(Service, Request, std::chrono::steady_clock::now());
+      if (Answer.Fate == AnswerFate::Wait)
+        Answer.Response = co_await feedAnswer(Service, Request);
       std::uint32_t Delay = Service.Faults.DelayMillis;
       if (Delay > 0 && !isControl(Request))
         co_await pause(Delay);
