Dead fields gone, the acknowledged lease is the one in force, a settings file is read once

FeedState::Since, BackendOutcome::Answered with its field of the dialect and telemetry::stopLog() were written and never read. noteOwnersWord() names what it takes. A native acknowledgement told 3 s whatever backend.lease said. After a SIGHUP that changed the log level the same file was logged again as changed.

--- a/currantgauge/config/feed.cc
+++ b/currantgauge/config/feed.cc
@@ -23,7 +23,6 @@
   FeedState &Feed = Node.Config.Feed;
   Feed.Phase = Phase;
   Feed.Call = core::nextCall(Node);
-  Feed.Since = Node.Now;
   Effects.push_back(core::CallStore{Feed.Call, std::move(Operation), Limit});
 }
 
--- a/currantgauge/config/state.h
+++ b/currantgauge/config/state.h
@@ -134,7 +134,6 @@
 struct FeedState {
   FeedPhase Phase = FeedPhase::Idle;
   base::CallId Call;
-  base::TimePoint Since;      // when Call was made
   std::uint64_t Revision = 0; // of the store, as last told
   bool Positioned = false;    // Revision holds; else the row must be read
   std::uint32_t Failures = 0; // in a row
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -308,8 +308,8 @@
   const AttemptOutcome &Outcome = Ended.Outcome;
   routing::onAttemptOutcome(Node.Routing, Request->CurrentServer, Ended.Attempt,
                             Outcome, Node.Now);
-  routing::noteOwnersBreaker(Node.Routing, Request->CurrentServer, Outcome,
-                             Node.Now);
+  routing::noteOwnersWord(Node.Routing, Request->CurrentServer, Outcome,
+                          Node.Now);
   noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now);
   noteEnd(Node, *Request, Outcome, Effects);
   endCurrentAttempt(Node, *Request);
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -77,7 +77,6 @@
   base::ByteCount AnswerBytes;
   bool ProcessDied = false;   // reset or refusal that hints at a crash
   bool ProvedNotRun = false;  // the server's answer says that it did not run it
-  base::BackendName Answered; // the server that answered; empty: not told
 };
 
 // AttemptOutcome is how an attempt ended, as the entry learns it.
--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -48,9 +48,6 @@
 
 void readProofs(const AnswerFields &Head, const Dialect &Wire,
                 core::BackendOutcome &Outcome) {
-  if (!Wire.ServerField.empty())
-    Outcome.Answered =
-        base::BackendName(std::string(Head[view(Wire.ServerField)]));
   if (!Wire.NotRunField.empty())
     Outcome.ProvedNotRun =
         Head.count(view(Wire.NotRunField)) > 0 ||
--- a/currantgauge/http/dialect.h
+++ b/currantgauge/http/dialect.h
@@ -29,7 +29,6 @@
   // In answers of backend servers.
   std::string NotRunField;    // proof that the server did not run the request
   std::string SignatureField; // without it a success is not the server's
-  std::string ServerField;    // names the server that answered
   bool EchoesAttempt =
       false; // answers without AttemptField's value are others'
   bool UnframedIsWhole =
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -279,9 +279,8 @@
     endTrial(State, *Known, Attempt, TrialEnd::Open);
 }
 
-void noteOwnersBreaker(RoutingState &State, const base::BackendName &Server,
-                       const core::AttemptOutcome &Outcome,
-                       base::TimePoint Now) {
+void noteOwnersWord(RoutingState &State, const base::BackendName &Server,
+                    const core::AttemptOutcome &Outcome, base::TimePoint Now) {
   auto Found = State.Servers.find(Server);
   if (Found == State.Servers.end())
     return;
--- a/currantgauge/routing/health.h
+++ b/currantgauge/routing/health.h
@@ -66,11 +66,10 @@
 void onAttemptOver(RoutingState &State, const base::BackendName &Server,
                    base::AttemptId Attempt);
 
-// noteOwnersBreaker() takes what an attempt's end says of the breaker at the
+// noteOwnersWord() takes what an attempt's end says of the breaker at the
 // server's owner.
-void noteOwnersBreaker(RoutingState &State, const base::BackendName &Server,
-                       const core::AttemptOutcome &Outcome,
-                       base::TimePoint Now);
+void noteOwnersWord(RoutingState &State, const base::BackendName &Server,
+                    const core::AttemptOutcome &Outcome, base::TimePoint Now);
 
 // onOwnerHeard() forgets failures on the path to an owner; empty: no effect.
 void onOwnerHeard(RoutingState &State, const base::NodeName &Owner);
--- a/currantgauge/runtime/adapter.cc
+++ b/currantgauge/runtime/adapter.cc
@@ -1,7 +1,6 @@
 #include "currantgauge/runtime/adapter.h"
 
 #include "currantgauge/http/announce_codec.h"
-#include "currantgauge/routing/state.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,7 +11,8 @@
 
 constexpr std::string_view ServersPath = "/v1/servers/";
 
-AnnouncementRead readAnnouncement(const http::ServiceRequest &Request) {
+AnnouncementRead readAnnouncement(const http::ServiceRequest &Request,
+                                  base::Duration Lease) {
   AnnouncementRead Read;
   std::string Target(Request.target());
   Read.Matched =
@@ -21,7 +21,7 @@
     return Read;
   Read.Word = http::parseAnnouncement(Target.substr(ServersPath.size()),
                                       Request.body(), Read.Error);
-  nlohmann::json Answer = {{"lease_ms", base::toMillis(routing::LeaseTime)}};
+  nlohmann::json Answer = {{"lease_ms", base::toMillis(Lease)}};
   Read.Answer = Answer.dump() + "\n";
   return Read;
 }
--- a/currantgauge/runtime/adapter.h
+++ b/currantgauge/runtime/adapter.h
@@ -31,7 +31,9 @@
   http::Dialect Http;
   store::Encoding Store;
   config::ReadAnnounced ReadConfig = nullptr;
-  AnnouncementRead (*ReadAnnouncement)(const http::ServiceRequest &) = nullptr;
+  // Lease is how long the announced server lives without another word.
+  AnnouncementRead (*ReadAnnouncement)(const http::ServiceRequest &,
+                                       base::Duration Lease) = nullptr;
   std::string ReadinessPath; // beside /readyz; empty: none
 };
 
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -4,6 +4,7 @@
 #include "currantgauge/http/operator_codec.h"
 #include "currantgauge/http/service.h"
 #include "currantgauge/http/tls.h"
+#include "currantgauge/routing/state.h"
 #include "currantgauge/telemetry/log.h"
 
 #include <boost/asio/post.hpp>
@@ -40,7 +41,10 @@
 http::ServiceAnswer localService(Node &Self,
                                  const http::ServiceRequest &Request) {
   std::string Target(Request.target());
-  AnnouncementRead Read = Self.Spoken.ReadAnnouncement(Request);
+  base::Duration Lease = Self.Settings.BackendLease;
+  if (Lease == base::Duration{})
+    Lease = routing::LeaseTime;
+  AnnouncementRead Read = Self.Spoken.ReadAnnouncement(Request, Lease);
   if (Read.Matched)
     return takeAnnouncement(Self, Read);
   if (Target == "/metrics")
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -185,17 +185,15 @@
   return Fixed(Old) != Fixed(New);
 }
 
-void reload(Reloader &Reload, const char *Why) {
-  std::optional<config::NodeSettings> Fresh = Reload.Reread();
-  if (!Fresh)
-    return;
-  Node &Self = Reload.Self;
-  bool Restart = needsRestart(Self.Settings, *Fresh);
-  telemetry::setLogLevel(Fresh->LogLevel);
+// The level is kept, so that the same file is not news again.
+void takeOver(Node &Self, const config::NodeSettings &Fresh, const char *Why) {
+  bool Restart = needsRestart(Self.Settings, Fresh);
+  Self.Settings.LogLevel = Fresh.LogLevel;
+  telemetry::setLogLevel(Fresh.LogLevel);
   telemetry::writeLog({core::LogLevel::Info,
                        "settings_read",
                        {{"why", Why},
-                        {"log_level", Fresh->LogLevel},
+                        {"log_level", Fresh.LogLevel},
                         {"needs_restart", Restart ? "true" : "false"}}});
 }
 
@@ -203,7 +201,8 @@
   Reload.HangUps.async_wait([&Reload](boost::system::error_code Error, int) {
     if (Error)
       return;
-    reload(Reload, "signal");
+    if (std::optional<config::NodeSettings> Fresh = Reload.Reread())
+      takeOver(Reload.Self, *Fresh, "signal");
     awaitHangUp(Reload);
   });
 }
@@ -214,10 +213,8 @@
     if (Error)
       return;
     std::optional<config::NodeSettings> Fresh = Reload.Reread();
-    if (Fresh && Fresh->LogLevel != Reload.Self.Settings.LogLevel) {
-      Reload.Self.Settings.LogLevel = Fresh->LogLevel;
-      reload(Reload, "file_changed");
-    }
+    if (Fresh && Fresh->LogLevel != Reload.Self.Settings.LogLevel)
+      takeOver(Reload.Self, *Fresh, "file_changed");
     awaitRereading(Reload);
   });
 }
--- a/currantgauge/telemetry/log.cc
+++ b/currantgauge/telemetry/log.cc
@@ -97,6 +97,4 @@
                               nlohmann::json::error_handler_t::replace));
 }
 
-void stopLog() { log4cplus::deinitialize(); }
-
 } // namespace currantgauge::telemetry
--- a/currantgauge/telemetry/log.h
+++ b/currantgauge/telemetry/log.h
@@ -20,9 +20,6 @@
 // writeLog() writes one line; any thread may call it.
 void writeLog(const core::LogLine &Line);
 
-// stopLog() flushes and closes.
-void stopLog();
-
 } // namespace currantgauge::telemetry
 
 #endif // CURRANTGAUGE_TELEMETRY_LOG_H
