--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -6,6 +6,7 @@
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
 
+#include <utility>
 #include <vector>
 
 namespace currantgauge::core {
@@ -18,6 +19,10 @@
 constexpr base::Duration HopAllowance = base::milliseconds(5);
 constexpr base::Duration LinkAllowance = base::milliseconds(20);
 
+// Of the time left, what a trial may use: a server that is still sick must not
+// cost the request that tries it.
+constexpr double TrialShare = 0.5;
+
 bool isNear(const State &Node, const base::BackendName &Server) {
   auto Found = Node.Routing.Servers.find(Server);
   return Found == Node.Routing.Servers.end() ||
@@ -177,8 +182,11 @@
   }
   if (Request.Permitted)
     actions::notePlaced(Node, Request.Facts, Server->Record.Owner);
-  Effects.push_back(StartAttempt{factsOf(Node, Request, Server->Record.Name),
-                                 Server->Record.Owner, Address});
+  AttemptFacts Facts = factsOf(Node, Request, Server->Record.Name);
+  if (Chosen.Why == routing::ChoiceWhy::Trial)
+    Facts.TimeLeft = base::scaled(Facts.TimeLeft, TrialShare);
+  Effects.push_back(
+      StartAttempt{std::move(Facts), Server->Record.Owner, Address});
 }
 
 } // namespace currantgauge::core
--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -122,6 +122,38 @@
   CHECK(Own < Requests);
 }
 
+TEST_CASE("a trial leaves its request time for another server") {
+  State Node = fleetOfTwo("north");
+  base::BackendName Sick("cutlist-1");
+  EffectList Effects;
+  reduce(Node, Event{Now, {}, sampleRequest(1)}, Effects);
+  routing::RoutingSet &Set = Node.Routing.Sets.at(Service);
+  Set.Servers[Sick].Where = routing::Standing::Trial;
+  Set.Servers[Sick].Since = Now;
+  Set.Out = {Sick};
+  std::erase(Set.Here, Sick);
+  Effects.clear();
+  reduce(Node, Event{Now, {}, sampleRequest(2)}, Effects);
+  const StartAttempt *Trial = find<StartAttempt>(Effects);
+  REQUIRE(Trial);
+  REQUIRE(Trial->Facts.Preferred == Sick);
+  CHECK(Trial->Facts.TimeLeft <= base::milliseconds(250));
+  // It hangs; its request goes on elsewhere.
+  AttemptEnded Ended{Trial->Facts.Attempt, {}};
+  Ended.Outcome.What = base::Verdict::MayHaveRun;
+  Ended.Outcome.Why = base::Reason::BackendTimeout;
+  base::TimePoint Later = Now + Trial->Facts.TimeLeft;
+  Effects.clear();
+  reduce(Node, Event{Later, {}, Ended}, Effects);
+  CHECK_FALSE(find<RefuseRequest>(Effects));
+  reduce(Node, Event{Later + base::milliseconds(10), {}, TimerFired{}},
+         Effects);
+  const StartAttempt *Next = find<StartAttempt>(Effects);
+  REQUIRE(Next);
+  CHECK(Next->Facts.Preferred == base::BackendName("cutlist-2"));
+  CHECK(Next->Facts.TimeLeft > base::milliseconds(200));
+}
+
 TEST_CASE("an answer over the link is charged to the budget and counted") {
   State Node = fleetOfTwo("south");
   auto *Config = new config::Configuration(*Node.Config.Current);
--- a/currantgauge/routing/health_test.cc
+++ b/currantgauge/routing/health_test.cc
@@ -55,4 +55,14 @@
   CHECK(Made.record().FailShare == 0);
 }
 
+// Peers that were silent on their times for 15 s left a server that stalled
+// early without a measure.
+TEST_CASE("usual times are told as soon as they are known") {
+  Owner Made = makeOwner();
+  for (int I = 0; I < 100; ++I)
+    Made.run(base::milliseconds(5), base::Reason::None);
+  REQUIRE(Made.record().Times.size() == 1);
+  CHECK(Made.record().Times[0].Kind == base::KindName("lookup"));
+}
+
 } // namespace currantgauge::routing
--- a/currantgauge/routing/tell.cc
+++ b/currantgauge/routing/tell.cc
@@ -60,6 +60,22 @@
   return false;
 }
 
+// Without the times of its peers a server that stalls has no measure: the first
+// ones of a kind don't wait.
+bool knowsNewTimes(const BackendRecord &Record,
+                   const ServerEvidence &Evidence) {
+  if (Record.Times.size() >= ToldKinds)
+    return false;
+  return std::any_of(
+      Evidence.Kinds.begin(), Evidence.Kinds.end(), [&](const auto &Own) {
+        return isKnown(Own.second.Histogram) &&
+               std::none_of(Record.Times.begin(), Record.Times.end(),
+                            [&](const KindTime &Told) {
+                              return Told.Kind == Own.first;
+                            });
+      });
+}
+
 // The entries that sent work lately hear at once, the others by gossip.
 void tellEntries(const RoutingState &State,
                  const membership::MembershipState &Peers,
@@ -129,7 +145,8 @@
     Record.LateShare = toldShare(lateShare(Record, Evidence));
     Evidence.PublishedAt = Now;
   }
-  if (Now - Evidence.TimesPublishedAt >= TimesInterval) {
+  if (Now - Evidence.TimesPublishedAt >= TimesInterval ||
+      knowsNewTimes(Record, Evidence)) {
     Evidence.TimesPublishedAt = Now;
     std::vector<KindTime> Times = timesToTell(Evidence);
     if (haveMoved(Record.Times, Times)) {
--- a/currantgauge/routing/time_profile.cc
+++ b/currantgauge/routing/time_profile.cc
@@ -69,8 +69,12 @@
   }
 }
 
+bool isKnown(const TimeHistogram &Histogram) {
+  return Histogram.Total >= SamplesToKnow;
+}
+
 TimeProfile profileOf(const TimeHistogram &Histogram) {
-  if (Histogram.Total < SamplesToKnow)
+  if (!isKnown(Histogram))
     return {};
   return {quantile(Histogram, 0.5), quantile(Histogram, 0.9),
           quantile(Histogram, 0.99)};
--- a/currantgauge/routing/time_profile.h
+++ b/currantgauge/routing/time_profile.h
@@ -45,6 +45,9 @@
 // learn() adds one duration and halves old counts when the window is full.
 void learn(TimeHistogram &Histogram, base::Duration Took);
 
+// isKnown() says that there are samples enough for a profile.
+bool isKnown(const TimeHistogram &Histogram);
+
 // profileOf() returns the quantiles; unknown while samples are too few.
 TimeProfile profileOf(const TimeHistogram &Histogram);
 
