News of a server's health rides on what is sent anyway

Such news now goes with pings; where a server stands and whether it takes work stays urgent.

Ruled out: usual times in the records (1% of the bytes), anti-entropy (45 of 400 KB between regions).

--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -331,6 +331,41 @@
         }) == 12);
 }
 
+// Servers that waver made a flood of messages of every node, which answers and
+// the owner's word to its entries made needless.
+TEST_CASE("news of a server's health rides on what is sent anyway") {
+  FakeNetwork Net;
+  addNodes(Net, 24);
+  announce(Net, 3, "cutlist-1");
+  run(Net, base::seconds(30));
+  auto CountMessages = [&] {
+    std::uint64_t Sum = 0;
+    for (const auto &Item : Net.Nodes)
+      Sum += Item->Messages;
+    return Sum;
+  };
+  constexpr int Changes = 40;
+  constexpr base::Duration Gap = base::milliseconds(500);
+  std::uint64_t Before = CountMessages();
+  run(Net, Gap * Changes);
+  std::uint64_t Quiet = CountMessages() - Before;
+  core::State &Owner = Net.Nodes[3]->Node;
+  const base::BackendName Name("cutlist-1");
+  routing::BackendRecord &Record = Owner.Routing.Servers.at(Name).Record;
+  for (int Change = 1; Change <= Changes; ++Change) {
+    Record.Suspicion = Change % 2 == 0 ? 1 : 0;
+    ++Record.Revision;
+    Owner.Routing.News[Name] = true;
+    run(Net, Gap);
+  }
+  std::uint64_t Wavering = CountMessages() - Before - Quiet;
+  CHECK(Wavering < Quiet * 5 / 4);
+  run(Net, base::seconds(6));
+  CHECK(countNodes(Net, [&](const core::State &Node) {
+          return Node.Routing.Servers.at(Name).Record.Suspicion == 1;
+        }) == 24);
+}
+
 TEST_CASE("the version in force at each node becomes known") {
   FakeNetwork Net;
   addNodes(Net, 12);
--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -106,12 +106,12 @@
 
 // Takes over what routing has changed of own servers.
 void collectNews(core::State &Node) {
-  for (const auto &[Name, Urgent] : std::exchange(Node.Routing.News, {})) {
+  for (const auto &[Name, Moved] : std::exchange(Node.Routing.News, {})) {
     auto Found = Node.Routing.Servers.find(Name);
     if (Found == Node.Routing.Servers.end())
       continue;
-    if (Urgent)
-      queueRumour(Node.Membership, Found->second.Record);
+    if (Moved)
+      queueRumour(Node.Membership, Found->second.Record, Spread::Patient);
     else
       queueSlowRumour(Node.Membership, Name);
   }
--- a/currantgauge/membership/servers.cc
+++ b/currantgauge/membership/servers.cc
@@ -34,6 +34,14 @@
   return A.Life == B.Life && A.Revision == B.Revision && A.Owner == B.Owner;
 }
 
+// Where a server stands and whether it takes work must be known at once. Its
+// health comes with its answers and by its owner's word to those that use it.
+bool isOnlyHealth(const routing::BackendRecord &A,
+                  const routing::BackendRecord &B) {
+  return A.Life == B.Life && A.Phase == B.Phase && A.Owner == B.Owner &&
+         A.Address == B.Address && A.Slots == B.Slots;
+}
+
 bool endsQuarantine(const QuarantineRecord &Cleared,
                     const QuarantineRecord &Open) {
   return Cleared.Cleared && !Open.Cleared && Cleared.Since >= Open.Since;
@@ -56,9 +64,12 @@
     hearAgain(State, keyOf(Record));
     return false;
   }
+  bool OnlyHealth = Known && isOnlyHealth(Known->Record, Record);
   if (!routing::mergeRecord(Node.Routing, Record, Node.Now))
     return false;
-  if (Known)
+  if (OnlyHealth)
+    How = Spread::Patient;
+  else if (Known)
     How = std::min(How, Spread::Patient);
   if (!Owner)
     State.UnknownOwners.try_emplace(Record.Owner, Node.Now + StrangerKept);
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -54,8 +54,8 @@
   std::map<base::BackendName, Breaker> Breakers;        // at the owner
   std::map<base::ServiceName, RoutingSet> Sets;         // at the entry
   std::map<base::NodeName, PathEvidence> Paths;         // at the entry
-  // Own records that changed since membership looked, and whether the change is
-  // one that entries must hear at once.
+  // Own records that changed since membership looked, and whether their
+  // suspicion moved: that goes with the next messages, the rest in its turn.
   std::map<base::BackendName, bool> News;
   bool RoundArmed = false; // a timer for the next health round is set
 };
