--- a/currantgauge/config/build.cc
+++ b/currantgauge/config/build.cc
@@ -143,8 +143,13 @@
   readValue(Map, "link_bytes_per_second", Config.Link.BytesPerSecond);
   readValue(Map, "other_node_cost", Config.Placement.OtherNode);
   readValue(Map, "other_domain_cost", Config.Placement.OtherDomain);
-  if (Config.Placement.OtherNode < 0 || Config.Placement.OtherDomain < 0)
-    noteField(Map, "other_domain_cost", ": costs must not be below 0");
+  readValue(Map, "other_region_cost", Config.Placement.OtherRegion);
+  for (const auto &[Key, Cost] :
+       {std::pair("other_node_cost", Config.Placement.OtherNode),
+        std::pair("other_domain_cost", Config.Placement.OtherDomain),
+        std::pair("other_region_cost", Config.Placement.OtherRegion)})
+    if (Cost < 0)
+      noteField(Map, Key, ": costs must not be below 0");
   readValue(Map, "header_limit", Config.Callers.Header);
   readValue(Map, "body_limit", Config.Callers.Body);
   readValue(Map, "header_time", Config.Callers.Read);
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -93,6 +93,8 @@
 struct PlacementSettings {
   double OtherNode = 0;      // a hop to another VM
   double OtherDomain = 0.25; // and into another failure domain
+  double OtherRegion = 1;    // of work of worth 1, into another region; work of
+                             // worth 10 goes at a tenth of it
 };
 
 // Configuration is one accepted version of it all.
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -75,8 +75,8 @@
   std::uint32_t Status = 0;  // HTTP status, 0 when none arrived
   base::Duration RetryAfter; // zero: none given
   base::ByteCount AnswerBytes;
-  bool ProcessDied = false;   // reset or refusal that hints at a crash
-  bool ProvedNotRun = false;  // the server's answer says that it did not run it
+  bool ProcessDied = false;  // reset or refusal that hints at a crash
+  bool ProvedNotRun = false; // the server's answer says that it did not run it
 };
 
 // AttemptOutcome is how an attempt ended, as the entry learns it.
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -17,9 +17,6 @@
 // Costs are in loads: 1 is as much work as a server has slots.
 // Only proven sickness costs: less would starve the test of evidence.
 constexpr double SickCost = 2;
-// Work of worth 1 leaves the region when every server sampled there costs this
-// much more than its slots; work of worth 10 when they are a tenth over.
-constexpr double LinkCost = 1;
 // About the time of a request: what ran then has ended.
 constexpr base::Duration BusyHalfLife = base::milliseconds(300);
 constexpr double SlowStartFloor = 0.1; // of the slots
@@ -149,10 +146,13 @@
   return Found;
 }
 
-const BackendServer *findTrial(const Search &For) {
+// A far server is left to the trials of its own region while near ones serve.
+const BackendServer *findTrial(const Search &For, bool NearServes) {
   for (const base::BackendName &Name : For.Set.Out) {
     Candidate One = lookUp(For, Name);
-    if (One.Server && wantsTrial(For.Query, *One.Place))
+    if (!One.Server || !wantsTrial(For.Query, *One.Place))
+      continue;
+    if (!NearServes || One.Server->Record.Region == For.State.Region)
       return One.Server;
   }
   return nullptr;
@@ -169,7 +169,7 @@
 
 bool isWorthTheLink(const ChoiceQuery &Query, const Best &Here,
                     const Best &There) {
-  double Price = LinkCost / std::max(Query.Worth, 1e-3);
+  double Price = Query.Placement.OtherRegion / std::max(Query.Worth, 1e-3);
   return There.Server && Here.Cost >= 1 + Query.Placement.OtherDomain + Price &&
          Here.Cost > There.Cost;
 }
@@ -208,9 +208,9 @@
   if (Set == State.Sets.end())
     return {};
   Search For{State, Set->second, Query};
-  if (const BackendServer *Trial = findTrial(For))
-    return {Trial, ChoiceWhy::Trial};
   Best Here = sampleBest(For, Set->second.Here, Source);
+  if (const BackendServer *Trial = findTrial(For, Here.Server != nullptr))
+    return {Trial, ChoiceWhy::Trial};
   Best There;
   if (!Here.Server || Here.Cost > 1)
     There = sampleBest(For, Set->second.There, Source);
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -102,6 +102,33 @@
   CHECK(choose(State, query(), Source).Why == ChoiceWhy::Local);
 }
 
+// Half of the trials crossed the link for a server that nobody here needed.
+TEST_CASE("a far server gets a trial only where no near one serves") {
+  RoutingState State = twoRegions();
+  base::Random Source(1);
+  ServerStanding &Place = State.Sets[Cutlist].Servers[base::BackendName("s1")];
+  Place.Where = Standing::Trial;
+  Place.Since = query().Now;
+  CHECK(choose(State, query(), Source).Why == ChoiceWhy::Local);
+  for (auto &[Name, Server] : State.Servers)
+    if (Server.Record.Region == State.Region)
+      Server.AvoidUntil = base::Never;
+  CHECK(choose(State, query(), Source).Why == ChoiceWhy::Trial);
+}
+
+TEST_CASE("a dearer link keeps work in its region for longer") {
+  RoutingState State = twoRegions();
+  base::Random Source(1);
+  for (const char *Name : {"n1", "n2", "n3"})
+    State.Servers[base::BackendName(Name)].Running = 9;
+  ChoiceQuery Query = query();
+  CHECK(choose(State, Query, Source).Why == ChoiceWhy::Spill);
+  Query.Placement.OtherRegion = 2.5;
+  CHECK(choose(State, Query, Source).Why == ChoiceWhy::Local);
+  Query.Worth = 10;
+  CHECK(choose(State, Query, Source).Why == ChoiceWhy::Spill);
+}
+
 TEST_CASE("one lost attempt is a dead connection, two are a bad path") {
   std::map<base::NodeName, PathEvidence> Paths;
   base::NodeName Owner("b");
