No bandwidth probes between nodes

gRPC sends a ping and its answer after data to size its windows; our messages are far smaller than the smallest window.

--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -180,6 +180,8 @@
   Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, FirstReconnectMillis);
   Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, LongestReconnectMillis);
   Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestReconnectMillis);
+  // Messages are far smaller than the windows that such probes would widen.
+  Arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -178,6 +178,7 @@
   Builder.AddListeningPort(Address.Value, grpc::InsecureServerCredentials(),
                            &Port);
   Builder.SetMaxReceiveMessageSize(MessageLimit);
+  Builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMillis);
   Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
