--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -106,14 +106,16 @@
 
 // Takes over what routing has changed of own servers.
 void collectNews(core::State &Node) {
-  for (const auto &[Name, Moved] : std::exchange(Node.Routing.News, {})) {
+  for (const auto &[Name, Haste] : std::exchange(Node.Routing.News, {})) {
     auto Found = Node.Routing.Servers.find(Name);
     if (Found == Node.Routing.Servers.end())
       continue;
-    if (Moved)
-      queueRumour(Node.Membership, Found->second.Record, Spread::Patient);
-    else
+    if (Haste == routing::NewsHaste::InTurn)
       queueSlowRumour(Node.Membership, Name);
+    else
+      queueRumour(Node.Membership, Found->second.Record,
+                  Haste == routing::NewsHaste::AtOnce ? Spread::Urgent
+                                                      : Spread::Patient);
   }
 }
 
--- a/currantgauge/membership/servers.cc
+++ b/currantgauge/membership/servers.cc
@@ -34,12 +34,15 @@
   return A.Life == B.Life && A.Revision == B.Revision && A.Owner == B.Owner;
 }
 
-// Where a server stands and whether it takes work must be known at once. Its
-// health comes with its answers and by its owner's word to those that use it.
-bool isOnlyHealth(const routing::BackendRecord &A,
-                  const routing::BackendRecord &B) {
-  return A.Life == B.Life && A.Phase == B.Phase && A.Owner == B.Owner &&
-         A.Address == B.Address && A.Slots == B.Slots;
+// Where a server stands, whether it takes work and that it is sick must be
+// known at once. What else is told of its health comes with its answers and by
+// its owner's word to those that use it.
+bool canWait(const routing::BackendRecord &Old,
+             const routing::BackendRecord &New) {
+  bool Sickens = New.Suspicion >= 1 && Old.Suspicion < 1;
+  return !Sickens && Old.Life == New.Life && Old.Phase == New.Phase &&
+         Old.Owner == New.Owner && Old.Address == New.Address &&
+         Old.Slots == New.Slots;
 }
 
 bool endsQuarantine(const QuarantineRecord &Cleared,
@@ -64,10 +67,10 @@
     hearAgain(State, keyOf(Record));
     return false;
   }
-  bool OnlyHealth = Known && isOnlyHealth(Known->Record, Record);
+  bool Waits = Known && canWait(Known->Record, Record);
   if (!routing::mergeRecord(Node.Routing, Record, Node.Now))
     return false;
-  if (OnlyHealth)
+  if (Waits)
     How = Spread::Patient;
   else if (Known)
     How = std::min(How, Spread::Patient);
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -41,6 +41,13 @@
   base::TimePoint BusyAt;
 };
 
+// NewsHaste says how a changed record of an own server goes to other nodes.
+enum class NewsHaste {
+  InTurn, // may wait, at a bounded rate
+  Next,   // with the next messages
+  AtOnce, // in messages of its own
+};
+
 // RoutingState holds every known backend server, indexed by service.
 struct RoutingState {
   base::Duration Lease = LeaseTime;
@@ -54,9 +61,8 @@
   std::map<base::BackendName, Breaker> Breakers;        // at the owner
   std::map<base::ServiceName, RoutingSet> Sets;         // at the entry
   std::map<base::NodeName, PathEvidence> Paths;         // at the entry
-  // Own records that changed since membership looked, and whether their
-  // suspicion moved: that goes with the next messages, the rest in its turn.
-  std::map<base::BackendName, bool> News;
+  // Own records that changed since membership looked.
+  std::map<base::BackendName, NewsHaste> News;
   bool RoundArmed = false; // a timer for the next health round is set
 };
 
--- a/currantgauge/routing/tell.cc
+++ b/currantgauge/routing/tell.cc
@@ -156,8 +156,13 @@
   }
   if (Tell)
     ++Record.Revision;
-  if (Tell)
-    State.News[Record.Name] |= Moves;
+  if (Tell) {
+    NewsHaste Haste = Rises && Level >= 1 ? NewsHaste::AtOnce
+                      : Moves             ? NewsHaste::Next
+                                          : NewsHaste::InTurn;
+    NewsHaste &Kept = State.News[Record.Name];
+    Kept = std::max(Kept, Haste);
+  }
   if (Rises)
     tellEntries(State, Peers, Evidence, Record, Effects);
 }
