--- a/currantgauge/base/verdict.cc
+++ b/currantgauge/base/verdict.cc
@@ -87,6 +87,8 @@
     ReasonRow{Reason::CallerGone, "caller_gone", "the caller went away"},
     ReasonRow{Reason::CallerTimeout, "caller_timeout",
               "the caller took too long to send the request"},
+    ReasonRow{Reason::BadAnnouncement, "bad_announcement",
+              "the announcement names nothing to use"},
 };
 
 static_assert(ReasonRows.size() == static_cast<std::size_t>(LastReason) + 1);
--- a/currantgauge/base/verdict.h
+++ b/currantgauge/base/verdict.h
@@ -67,10 +67,13 @@
   // The caller.
   CallerGone,
   CallerTimeout,
+
+  // A backend server's word of itself.
+  BadAnnouncement,
 };
 
 // LastReason is the highest value of Reason, for tables indexed by it.
-constexpr Reason LastReason = Reason::CallerTimeout;
+constexpr Reason LastReason = Reason::BadAnnouncement;
 
 // verdictName() returns the snake_case name used in headers and metrics.
 std::string_view verdictName(Verdict What);
--- a/currantgauge/config/node_settings.cc
+++ b/currantgauge/config/node_settings.cc
@@ -37,6 +37,7 @@
   readValue(Listen, "operators", Settings.OperatorAddress);
   readValue(Listen, "announcements", Settings.AnnounceAddress);
   readValue(Listen, "health", Settings.HealthAddress);
+  readValue(Listen, "metrics", Settings.MetricsAddress);
   closeMap(Listen);
 }
 
--- a/currantgauge/config/node_settings.h
+++ b/currantgauge/config/node_settings.h
@@ -43,6 +43,7 @@
   base::NetAddress AnnounceAddress{"127.0.0.1:8083"};
   // Health, readiness and metrics also have a listener of their own when set.
   base::NetAddress HealthAddress;
+  base::NetAddress MetricsAddress; // metrics alone, when set
   // Where other nodes reach this one; PeerAddress unless set.
   base::NetAddress AdvertisedPeerAddress{"127.0.0.1:8081"};
   std::vector<base::NetAddress> Seeds;
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -11,11 +11,17 @@
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
+#include <cstddef>
+#include <string>
 #include <utility>
 
 namespace currantgauge::runtime {
 namespace {
 
+// Errors name fields, of which there are few.
+constexpr std::size_t MostRefusedWords = 100;
+constexpr char MetricsPath[] = "/metrics";
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using Status = boost::beast::http::status;
@@ -27,17 +33,34 @@
               "\n"};
 }
 
+// A server repeats its word every second: each error is counted and, the first
+// time, logged.
+void noteRefused(Node &Self, const std::string &Error) {
+  post(Self,
+       ControlInput{
+           core::InputRefused{base::Reason::BadAnnouncement}, {}, {}, {}, {}});
+  // Runs on the services' thread alone.
+  bool IsNew = Self.RefusedWords.size() < MostRefusedWords &&
+               Self.RefusedWords.insert(Error).second;
+  if (IsNew)
+    telemetry::writeLog(
+        {core::LogLevel::Warn, "announcement_refused", {{"error", Error}}});
+}
+
 http::ServiceAnswer takeAnnouncement(Node &Self, const AnnouncementRead &Read) {
   if (!Read.Word) {
-    telemetry::writeLog({core::LogLevel::Warn,
-                         "announcement_refused",
-                         {{"error", Read.Error}}});
+    noteRefused(Self, Read.Error);
     return errorAnswer(Status::bad_request, Read.Error);
   }
   post(Self, ControlInput{core::BackendAnnounced{*Read.Word}, {}, {}, {}, {}});
   return {Status::ok, "application/json", Read.Answer};
 }
 
+http::ServiceAnswer metricsAnswer(Node &Self) {
+  return {Status::ok, "text/plain; version=0.0.4",
+          telemetry::metricsText(Self.Metrics)};
+}
+
 http::ServiceAnswer localService(Node &Self,
                                  const http::ServiceRequest &Request) {
   std::string Target(Request.target());
@@ -47,9 +70,8 @@
   AnnouncementRead Read = Self.Spoken.ReadAnnouncement(Request, Lease);
   if (Read.Matched)
     return takeAnnouncement(Self, Read);
-  if (Target == "/metrics")
-    return {Status::ok, "text/plain; version=0.0.4",
-            telemetry::metricsText(Self.Metrics)};
+  if (Target == MetricsPath)
+    return metricsAnswer(Self);
   if (Target == "/healthz")
     return {Status::ok, "text/plain", "ok\n"};
   if (Target == "/readyz" || Target == Self.Spoken.ReadinessPath)
@@ -150,6 +172,15 @@
              Failed, Tls) != 0;
 }
 
+auto metricsService(Node &Self) {
+  return
+      [&Self](const http::ServiceRequest &Request, http::ServiceReply Reply) {
+        Reply(Request.target() == MetricsPath
+                  ? metricsAnswer(Self)
+                  : errorAnswer(Status::not_found, "no such path"));
+      };
+}
+
 bool openServices(Node &Self, boost::system::error_code &Failed) {
   asio::io_context &Io = Self.Traffic.Threads.back()->Io;
   auto Local = [&Self](const http::ServiceRequest &Request,
@@ -159,9 +190,15 @@
   auto Open = [&](const base::NetAddress &Address) {
     return http::listenService(Io, Address, Local, Failed) != 0;
   };
+  auto OpenMetrics = [&](const base::NetAddress &Address) {
+    return http::listenService(Io, Address, metricsService(Self), Failed) != 0;
+  };
   const base::NetAddress &Health = Self.Settings.HealthAddress;
+  const base::NetAddress &Metrics = Self.Settings.MetricsAddress;
   return Open(Self.Settings.AnnounceAddress) &&
-         (Health.empty() || Open(Health)) && openOperators(Self, Io, Failed);
+         (Health.empty() || Open(Health)) &&
+         (Metrics.empty() || OpenMetrics(Metrics)) &&
+         openOperators(Self, Io, Failed);
 }
 
 } // namespace
--- a/currantgauge/runtime/node.h
+++ b/currantgauge/runtime/node.h
@@ -31,6 +31,8 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -87,7 +89,8 @@
   // Read by other threads.
   std::atomic<bool> Ready{false};
   std::mutex ServedLock;
-  config::ConfigServer Served; // to peers
+  config::ConfigServer Served;        // to peers
+  std::set<std::string> RefusedWords; // errors of announcements, logged once
   std::function<void(int)> OnStop;
 };
 
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -179,8 +179,8 @@
   auto Fixed = [](const config::NodeSettings &Of) {
     return std::tie(Of.Name, Of.Region, Of.Domain, Of.CallerAddress,
                     Of.PeerAddress, Of.AnnounceAddress, Of.HealthAddress,
-                    Of.Platform, Of.Service, Of.Backend, Of.FeedTable,
-                    Of.FeedKey);
+                    Of.MetricsAddress, Of.Platform, Of.Service, Of.Backend,
+                    Of.FeedTable, Of.FeedKey);
   };
   return Fixed(Old) != Fixed(New);
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -35,7 +35,8 @@
   std::string Peers;
   std::string Operators;
   std::string Announcements;
-  std::string Ready; // of a machine's node alone
+  std::string Ready;   // of a machine's node alone
+  std::string Metrics; // of a machine's node alone
   std::string SettingsPath;
   Proxy Between;
   ChildPtr Process;
--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -13,7 +13,7 @@
 namespace currantgauge::integration {
 namespace {
 
-const std::string Host = "lists.example";
+const std::string ListsHost = "lists.example";
 constexpr std::chrono::milliseconds CallerPause{20};
 
 // An open port of the machine for the operators' listener, which the template
@@ -66,7 +66,9 @@
   NodeProcess Node = addressesOf(Some, "machine-" + Number);
   std::string OperatorsPort = freePort();
   Node.Operators = "127.0.0.1:" + OperatorsPort;
-  Node.Ready = Node.Callers.substr(0, Node.Callers.find(':')) + ":18084";
+  std::string Host = Node.Callers.substr(0, Node.Callers.find(':'));
+  Node.Ready = Host + ":18084";
+  Node.Metrics = Host + ":9464"; // of the deploy file
   // The server's port is known once it listens, before it announces itself.
   std::vector<std::string> ServerFlags = {"--machines"};
   ServerFlags.insert(ServerFlags.end(), Flags.begin(), Flags.end());
@@ -82,6 +84,7 @@
                                  {"listen.inbound", Node.Peers},
                                  {"listen.control", Node.Announcements},
                                  {"listen.ready", Node.Ready},
+                                 {"ipAddress", Host},
                                  {"internalPortRange.0", OperatorsPort},
                                  {"platform.address", Some.Platform},
                                  {"bounds.retryBudgetRatio", "0.2"},
@@ -103,9 +106,9 @@
 
 nlohmann::json routeOf(const std::string &Prefix, const std::string &Service,
                        const std::string &Kind) {
-  return {{"host", Host},  {"pathPrefix", Prefix}, {"service", Service},
-          {"kind", Kind},  {"attempts", 3},        {"timeoutMs", 4000},
-          {"aimMs", 1200}, {"priority", 0}};
+  return {{"host", ListsHost}, {"pathPrefix", Prefix}, {"service", Service},
+          {"kind", Kind},      {"attempts", 3},        {"timeoutMs", 4000},
+          {"aimMs", 1200},     {"priority", 0}};
 }
 
 void writeOperatorsConfig(Machines &All, const std::string &Version,
@@ -139,7 +142,7 @@
   Sent One{newId(), {}};
   One.Got = ask(
       Node.Callers, Method, Target, Body,
-      {{"Host", Host},
+      {{"Host", ListsHost},
        {"Currantgauge-Attempt-Id", One.Id},
        {"Currantgauge-Caller-Service", "somebody-else"},
        {"Currantgauge-Deadline-Milliseconds", std::to_string(DeadlineMillis)}},
--- a/tests/integration/machines_test.cc
+++ b/tests/integration/machines_test.cc
@@ -220,6 +220,9 @@
   }
   CHECK(waitForServers(All.Some, 3));
   CHECK(isWhole(send(Node, "GET", "/lists/7"), "GET", "/lists/7"));
+  auto Metrics = ask(Node.Metrics, "GET", "/metrics");
+  REQUIRE(Metrics);
+  CHECK(Metrics->Body.find("reason=\"bad_announcement\"") != std::string::npos);
 }
 
 } // namespace currantgauge::integration
