A node reads the table of nodes before it writes its own row

Each wrote its row first and read after the answer; writes to one part are done one after another, 22 of them at 0.2 s and more.

Test failed first: 24 row writes for 12.

--- a/currantgauge/membership/fake_network_test.h
+++ b/currantgauge/membership/fake_network_test.h
@@ -57,6 +57,7 @@
   std::set<std::pair<std::size_t, std::size_t>> Cuts; // from, to
   bool StoreUp = true;
   std::map<std::string, std::string> Rows;
+  std::uint64_t RowWrites = 0;
   std::size_t LargestMessage = 0; // of all but Sync
   std::size_t LargestSync = 0;
   std::uint64_t (*Clock)() = nullptr; // nanoseconds; null: not measured
@@ -101,6 +102,7 @@
   Result.Status = base::StoreStatus::Done;
   if (const auto *Write = std::get_if<base::WriteRows>(&Operation))
     for (const base::RowWrite &Row : Write->Rows) {
+      ++Net.RowWrites;
       Net.Rows.erase(Row.Key);
       if (!Row.Remove)
         Net.Rows[Row.Key] = Row.Value;
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -199,6 +199,41 @@
   CHECK(knownEverywhere(Net));
 }
 
+// Writes to one part of a slow store are done one after another: 22 nodes that
+// were killed together met each other only after two seconds.
+TEST_CASE("nodes that were killed together meet by the rows they left") {
+  FakeNetwork Net;
+  addNodes(Net, 12);
+  run(Net, base::seconds(10));
+  std::uint64_t Writes = Net.RowWrites;
+  CHECK(Writes == 12);
+  for (std::size_t Index = 0; Index < 12; ++Index)
+    Net.Nodes[Index]->Up = false;
+  run(Net, base::seconds(1));
+  for (std::size_t Index = 0; Index < 12; ++Index)
+    startNode(Net, Index, {}, 2000);
+  run(Net, base::seconds(3));
+  CHECK(knownEverywhere(Net));
+  CHECK(Net.RowWrites == Writes);
+}
+
+TEST_CASE("a node whose row is missing or tells another address writes it") {
+  FakeNetwork Net;
+  addNodes(Net, 3);
+  run(Net, base::seconds(10));
+  Net.Nodes[2]->Up = false;
+  Net.Rows["node-2"] = "10.9.9.9:8081";
+  startNode(Net, 2, {}, 2000);
+  run(Net, base::seconds(2));
+  CHECK(Net.Rows["node-2"] == Net.Nodes[2]->Node.Self.PeerAddress.Value);
+  Net.Nodes[2]->Up = false;
+  Net.Rows.erase("node-2");
+  startNode(Net, 2, {}, 3000);
+  run(Net, base::seconds(2));
+  CHECK(Net.Rows["node-2"] == Net.Nodes[2]->Node.Self.PeerAddress.Value);
+  CHECK(knownEverywhere(Net));
+}
+
 TEST_CASE("a node that leaves is forgotten at once, without suspicion") {
   FakeNetwork Net;
   addNodes(Net, 24);
--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -13,6 +13,8 @@
 
 constexpr std::size_t FewMembers = 2;
 constexpr base::Duration CallLimit = base::seconds(5);
+// A store that has not answered by then is written to all the same.
+constexpr base::Duration FirstLookLimit = base::seconds(1);
 constexpr base::Duration WriteInterval = base::minutes(10);
 // A node that nobody can find yet has no time to lose; one that is known can
 // wait for the store.
@@ -27,10 +29,11 @@
 constexpr std::size_t StrangersAtOnce = 5;
 
 void callStore(core::State &Node, std::set<base::CallId> &Pending,
-               base::StoreOperation Operation, core::EffectList &Effects) {
+               base::StoreOperation Operation, core::EffectList &Effects,
+               base::Duration Limit = CallLimit) {
   base::CallId Call = core::nextCall(Node);
   Pending.insert(Call);
-  Effects.push_back(core::CallStore{Call, std::move(Operation), CallLimit});
+  Effects.push_back(core::CallStore{Call, std::move(Operation), Limit});
 }
 
 bool knowsAddress(const MembershipState &State,
@@ -60,7 +63,7 @@
 
 void writeRow(core::State &Node, core::EffectList &Effects) {
   MembershipState &State = Node.Membership;
-  if (Node.Now < State.Table.NextWrite)
+  if (!State.Table.Looked || Node.Now < State.Table.NextWrite)
     return;
   State.Table.NextWrite = Node.Now + WriteInterval;
   base::RowWrite Row{NodesTable, State.Self.Name.Value,
@@ -73,9 +76,10 @@
 void scanRows(core::State &Node, core::EffectList &Effects) {
   MembershipState &State = Node.Membership;
   // Whoever reads the table after its own row is in it knows every node that
-  // came before, and is found by those that come later.
-  if (Node.Now < State.Table.NextScan || !State.Table.Scans.empty() ||
-      !State.Table.Written)
+  // came before, and is found by those that come later. The first look shows
+  // whether an earlier process has left the row.
+  bool MayRead = State.Table.Written || !State.Table.Looked;
+  if (Node.Now < State.Table.NextScan || !State.Table.Scans.empty() || !MayRead)
     return;
   base::Duration Shared =
       ScanInterval * static_cast<std::int64_t>(State.LiveMembers);
@@ -83,7 +87,28 @@
                                          ? EagerScan
                                          : std::max(Shared, ScanIntervalLeast));
   callStore(Node, State.Table.Scans,
-            base::ScanRows{NodesTable, State.Table.After, ScanLimit}, Effects);
+            base::ScanRows{NodesTable, State.Table.After, ScanLimit}, Effects,
+            State.Table.Looked ? CallLimit : FirstLookLimit);
+}
+
+// A row that stands needs no write, which a store does one after another when
+// the whole fleet starts.
+void noteFirstLook(core::State &Node, const std::vector<base::StoreRow> &Rows,
+                   core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  State.Table.Looked = true;
+  State.Table.Written =
+      std::any_of(Rows.begin(), Rows.end(), [&](const base::StoreRow &Row) {
+        return Row.Key == State.Self.Name.Value &&
+               Row.Value == State.Self.PeerAddress.Value;
+      });
+  if (State.Table.Written) {
+    State.Table.NextWrite = Node.Now + WriteInterval;
+    return;
+  }
+  State.Table.NextScan = Node.Now;
+  if (!Node.Stopping)
+    writeRow(Node, Effects);
 }
 
 void askStrangers(core::State &Node, const std::vector<base::StoreRow> &Rows,
@@ -139,6 +164,8 @@
   if (Table.Scans.erase(Answered.Call) == 0)
     return false;
   const std::vector<base::StoreRow> &Rows = Answered.Result.Rows;
+  if (!Table.Looked)
+    noteFirstLook(Node, Rows, Effects);
   if (!Done)
     return true;
   Table.After = Rows.size() < ScanLimit ? "" : Rows.back().Key;
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -122,6 +122,7 @@
   base::TimePoint NextWrite;
   base::TimePoint NextScan;
   std::string After;    // key of the last row read
+  bool Looked = false;  // the table was read, or can't be for now
   bool Written = false; // the own row is in the table, or can't be for now
 };
 
