--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -96,6 +96,8 @@
   std::vector<StoreRow> Rows;
   std::string Bytes;          // of GetObject
   std::uint64_t Revision = 0; // of the whole store as read, 0: not told
+  // What is wrong with the first row that was left out; empty: all were read.
+  std::string Unreadable;
 };
 
 } // namespace currantgauge::base
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -55,6 +55,7 @@
   // A call belongs to one component: each knows its own.
   void operator()(const StoreAnswered &E) {
     noteStoreAnswer(Node, E);
+    tellUnreadable(Node, E, Effects);
     if (!config::onFeedAnswered(Node, E, Effects) &&
         !actions::onStoreAnswered(Node, E, Effects) &&
         !config::onStoreAnswered(Node, E, Effects))
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -97,6 +97,7 @@
   std::uint64_t Refused = 0; // or not reached
   std::uint64_t Lost = 0;    // may have been applied
   std::uint64_t FailuresInRow = 0;
+  std::string Unreadable; // the last error of a row that was logged
 };
 
 // State is a node.
--- a/currantgauge/core/status.cc
+++ b/currantgauge/core/status.cc
@@ -116,6 +116,17 @@
     Seen.LastAnswer = Node.Now;
 }
 
+void tellUnreadable(State &Node, const StoreAnswered &Answer,
+                    EffectList &Effects) {
+  const std::string &Wrong = Answer.Result.Unreadable;
+  if (Wrong.empty())
+    return;
+  Effects.push_back(Measure{Metric::Refusals, "bad_row", "", 1});
+  if (std::exchange(Node.Store.Unreadable, Wrong) != Wrong)
+    Effects.push_back(
+        LogLine{LogLevel::Warn, "row_unreadable", {{"error", Wrong}}});
+}
+
 OperatorReply statusOf(const State &Node) {
   OperatorReply Reply;
   Reply.Fields = {
--- a/currantgauge/core/status_test.cc
+++ b/currantgauge/core/status_test.cc
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace currantgauge::core {
@@ -55,6 +57,25 @@
   CHECK(storeField(Node) == "reachable");
 }
 
+TEST_CASE("a row that names nothing is counted each time and logged once") {
+  State Node = nodeAt(1000000);
+  StoreAnswered Spoilt{base::CallId(1), {base::StoreStatus::Done, {}, {}}};
+  Spoilt.Result.Unreadable = "a: value must be base64";
+  EffectList Effects;
+  for (int Time = 0; Time < 3; ++Time)
+    tellUnreadable(Node, Spoilt, Effects);
+  int Counted = 0;
+  std::vector<std::string> Logged;
+  for (const Effect &Item : Effects) {
+    if (const auto *Line = std::get_if<LogLine>(&Item))
+      Logged.push_back(Line->Fields.at(0).second);
+    else if (const auto *Count = std::get_if<Measure>(&Item))
+      Counted += Count->LabelA == "bad_row" ? 1 : 0;
+  }
+  CHECK(Counted == 3);
+  CHECK(Logged == std::vector<std::string>{"a: value must be base64"});
+}
+
 TEST_CASE("status shows each rank's queue and pressure") {
   State Node = nodeAt(1000000);
   auto *Config = new config::Configuration;
--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -58,9 +58,9 @@
 
 Machines::Machines() { startPlatform(this->Some, {"--tables"}); }
 
-Machine &addMachine(Machines &All, const std::string &Region,
-                    const std::string &Zone, const std::string &Service,
-                    const std::vector<std::string> &Flags) {
+Machine addMachine(Machines &All, const std::string &Region,
+                   const std::string &Zone, const std::string &Service,
+                   const std::vector<std::string> &Flags) {
   Fleet &Some = All.Some;
   std::string Number = std::to_string(All.Each.size() + 1);
   NodeProcess Node = addressesOf(Some, "machine-" + Number);
--- a/tests/integration/machines.h
+++ b/tests/integration/machines.h
@@ -3,7 +3,7 @@
 // speak its protocol.
 //
 //   Machines Some;
-//   Machine &First = addMachine(Some, "north", "north-a", "cutlist");
+//   Machine First = addMachine(Some, "north", "north-a", "cutlist");
 //   writeOperatorsConfig(Some, configOf("r1", Routes));
 #ifndef CURRANTGAUGE_TESTS_INTEGRATION_MACHINES_H
 #define CURRANTGAUGE_TESTS_INTEGRATION_MACHINES_H
@@ -41,9 +41,9 @@
 };
 
 // addMachine() starts a node and its backend server; Flags are the server's.
-Machine &addMachine(Machines &All, const std::string &Region,
-                    const std::string &Zone, const std::string &Service,
-                    const std::vector<std::string> &Flags = {});
+Machine addMachine(Machines &All, const std::string &Region,
+                   const std::string &Zone, const std::string &Service,
+                   const std::vector<std::string> &Flags = {});
 
 NodeProcess &nodeOf(Machines &All, const Machine &One);
 ServerProcess &serverOf(Machines &All, const Machine &One);
