--- a/tests/integration/machines_test.cc
+++ b/tests/integration/machines_test.cc
@@ -110,7 +110,7 @@
           "while the store was away, or that history forgot") {
   Machines All;
   startThree(All, listRoutes());
-  auto ranBy = [&](std::size_t Which, const std::string &Target) {
+  auto RanBy = [&](std::size_t Which, const std::string &Target) {
     Sent One = send(nodeOf(All, All.Each[1]), "GET", Target);
     return isWhole(One, "GET", Target) &&
            One.Got->Body.starts_with("i-" + std::to_string(Which) + " ");
@@ -119,15 +119,15 @@
   Routes["view"]["service"] = "stocktally";
   Routes.erase("commit");
   writeOperatorsConfig(All, "r8", Routes);
-  CHECK(waitUntil([&] { return ranBy(3, "/lists/7"); }));
+  CHECK(waitUntil([&] { return RanBy(3, "/lists/7"); }));
   CHECK(send(nodeOf(All, All.Each[0]), "POST", "/commits/9").Got->Status ==
         404);
   ask(All.Some.Platform, "PUT", "/control", R"({"outage":"refuse"})");
   Routes["tally"] = routeOf("/tally/", "stocktally", "idempotent");
   writeOperatorsConfig(All, "r11", Routes);
-  CHECK(ranBy(3, "/lists/7"));
+  CHECK(RanBy(3, "/lists/7"));
   ask(All.Some.Platform, "PUT", "/control", R"({"forget":true})");
-  CHECK(waitUntil([&] { return ranBy(3, "/tally/7"); }));
+  CHECK(waitUntil([&] { return RanBy(3, "/tally/7"); }));
 }
 
 TEST_CASE("machines: a server that drains or has left gets no new work") {
