--- /dev/null
+++ b/currantgauge/base/text.h
@@ -0,0 +1,23 @@
+// Texts that compare without regard to case.
+//
+//   std::string Host = lowered("Lists.Example"); // "lists.example"
+#ifndef CURRANTGAUGE_BASE_TEXT_H
+#define CURRANTGAUGE_BASE_TEXT_H
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+namespace currantgauge::base {
+
+// lowered() returns Text with its ASCII letters small.
+inline std::string lowered(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Text;
+}
+
+} // namespace currantgauge::base
+
+#endif // CURRANTGAUGE_BASE_TEXT_H
--- a/currantgauge/http/caller_request.cc
+++ b/currantgauge/http/caller_request.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/http/caller_request.h"
 
+#include "currantgauge/base/text.h"
 #include "currantgauge/http/fields.h"
 
 #define XXH_INLINE_ALL
@@ -8,11 +9,10 @@
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
-#include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 
 namespace currantgauge::http {
 namespace {
@@ -34,10 +34,7 @@
   std::size_t Colon = Host.rfind(':');
   if (Colon != std::string::npos && Host.find(']', Colon) == std::string::npos)
     Host.resize(Colon);
-  std::transform(Host.begin(), Host.end(), Host.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Host;
+  return base::lowered(std::move(Host));
 }
 
 // A field that the sender names in Connection ends at this hop as well.
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -1,5 +1,7 @@
 #include "tests/integration/fleet.h"
 
+#include "currantgauge/base/text.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,7 +14,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cctype>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -198,10 +199,7 @@
     return std::nullopt;
   Answer Result{Got.result_int(), {}, Got.body()};
   for (const auto &Field : Got) {
-    std::string Name(Field.name_string());
-    std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
-      return static_cast<char>(std::tolower(C));
-    });
+    std::string Name = base::lowered(std::string(Field.name_string()));
     Result.Fields[Name] = std::string(Field.value());
   }
   return Result;
