--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -202,10 +202,13 @@
   runtime::pushPart(*E.Pipe, std::move(Head));
 }
 
-asio::awaitable<bool> readBody(Exchange &E, AnswerParser &Parser) {
+// BodyUse is what becomes of a body: a stray answer's is read away.
+enum class BodyUse { Pass, Skip };
+
+asio::awaitable<bool> readBody(Exchange &E, AnswerParser &Parser, BodyUse Use) {
   ErrorCode Error;
   while (!Parser.is_done()) {
-    while (!runtime::hasRoom(*E.Pipe) &&
+    while (Use == BodyUse::Pass && !runtime::hasRoom(*E.Pipe) &&
            E.Handle->CancelWhy == base::Reason::None)
       co_await waitFor(*E.Room);
     std::string Chunk(ChunkBytes, '\0');
@@ -216,28 +219,10 @@
     if (Error == beast::http::error::need_buffer)
       Error = {};
     Chunk.resize(ChunkBytes - Parser.get().body().size);
-    E.Outcome.AnswerBytes.Bytes += Chunk.size();
-    if (!Chunk.empty())
+    if (Use == BodyUse::Pass && !Chunk.empty()) {
+      E.Outcome.AnswerBytes.Bytes += Chunk.size();
       runtime::pushPart(*E.Pipe, runtime::AnswerChunk{std::move(Chunk)});
-    if (Error) {
-      fail(E, Error, true);
-      co_return false;
     }
-  }
-  co_return true;
-}
-
-// Reads a stray answer's body away.
-asio::awaitable<bool> skipBody(Exchange &E, AnswerParser &Parser) {
-  ErrorCode Error;
-  std::string Chunk(ChunkBytes, '\0');
-  while (!Parser.is_done()) {
-    Parser.get().body().data = Chunk.data();
-    Parser.get().body().size = Chunk.size();
-    co_await beast::http::async_read_some(
-        E.Connection->Stream, E.Connection->Input, Parser, into(Error));
-    if (Error == beast::http::error::need_buffer)
-      Error = {};
     if (Error) {
       fail(E, Error, true);
       co_return false;
@@ -268,7 +253,7 @@
     if (isStray(Parser.get(), *E.What.Wire, *E.What.Message)) {
       bool Skipped = ++Strays <= StrayLimit && !Parser.need_eof();
       if (Skipped)
-        Skipped = co_await skipBody(E, Parser);
+        Skipped = co_await readBody(E, Parser, BodyUse::Skip);
       if (Skipped)
         continue;
       E.Outcome.Why = base::Reason::AnswerCutShort;
@@ -283,7 +268,7 @@
       co_return;
     }
     pushHead(E, Parser);
-    bool Whole = co_await readBody(E, Parser);
+    bool Whole = co_await readBody(E, Parser, BodyUse::Pass);
     if (!Whole)
       co_return;
     E.Outcome.AnswerWhole = Framed || E.What.Wire->UnframedIsWhole;
