A refused attempt's wait is worked out once; one opener for the services' listeners

queueAttempt() returns the refusal itself, in place of a reason from which its caller asked the servers again. One condition in place of two alike in publish(). No behaviour changed.

--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -11,6 +11,7 @@
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/slots.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -77,31 +78,25 @@
   return Query;
 }
 
-// How long the entry should keep away after a refusal for that reason.
-base::Duration retryAfterOf(const State &Node,
-                            const admission::QueuedAttempt &Attempt,
-                            base::Reason Why) {
-  base::Duration Wait = base::seconds(1);
-  if (Why == base::Reason::BackendSuspect)
-    routing::isTakenByOwn(Node.Routing, ownQuery(Node, Attempt), Wait);
-  return Wait;
-}
-
-base::Reason queueAttempt(State &Node, admission::QueuedAttempt &Attempt,
-                          EffectList &Effects) {
+// queueAttempt() returns the refusal of an attempt that gets no place.
+std::optional<AttemptOutcome> queueAttempt(State &Node,
+                                           admission::QueuedAttempt &Attempt,
+                                           EffectList &Effects) {
   routing::OwnSlots Slots =
       routing::ownSlots(Node.Routing, Attempt.Facts.Service, Node.Now);
   if (Slots.Servers == 0)
-    return base::Reason::NoBackend;
+    return refusal(base::Reason::NoBackend, base::seconds(1));
   base::Duration Wait;
   if (!routing::isTakenByOwn(Node.Routing, ownQuery(Node, Attempt), Wait))
-    return base::Reason::BackendSuspect;
+    return refusal(base::Reason::BackendSuspect, Wait);
   admission::EnqueueResult Queued = admission::enqueue(
       Node.Admission, *Node.Config.Current, Attempt, Slots.Open, Node.Now);
   for (base::AttemptId Victim : Queued.Victims)
     endAttempt(Node, Victim, refusal(base::Reason::QueueFull, base::seconds(1)),
                Effects);
-  return Queued.Why;
+  if (Queued.Why == base::Reason::None)
+    return std::nullopt;
+  return refusal(Queued.Why, base::seconds(1));
 }
 
 // What waits for servers that are all leaving or gone can run elsewhere.
@@ -180,10 +175,8 @@
   auto Entry = Node.Membership.Members.find(Arrival.Facts.Entry);
   Attempt->CrossedLink = Entry != Node.Membership.Members.end() &&
                          Entry->second.Record.Region != Node.Self.Region;
-  base::Reason Why = queueAttempt(Node, *Attempt, Effects);
-  if (Why != base::Reason::None)
-    return endAttempt(Node, Arrival.Facts.Attempt,
-                      refusal(Why, retryAfterOf(Node, *Attempt, Why)), Effects);
+  if (auto Refused = queueAttempt(Node, *Attempt, Effects))
+    return endAttempt(Node, Arrival.Facts.Attempt, *Refused, Effects);
   runQueued(Node, Arrival.Facts.Service, Effects);
   if (Attempt->Server.empty())
     setTimer(Node.Timers, Attempt->StartBy,
--- a/currantgauge/core/owner_evidence.cc
+++ b/currantgauge/core/owner_evidence.cc
@@ -27,10 +27,10 @@
                              {"reason", std::string(base::reasonName(Why))}}});
 }
 
-// Silence is left to the evidence of times, which needs exchanges to go on.
 // BreakerWord is what the end of an exchange says to the server's breaker.
 enum class BreakerWord { Well, Failed, Nothing };
 
+// Silence is left to the evidence of times, which needs exchanges to go on.
 BreakerWord breakerWord(const AttemptOutcome &Outcome) {
   if (Outcome.RequestAtFault)
     return BreakerWord::Nothing;
--- a/currantgauge/routing/tell.cc
+++ b/currantgauge/routing/tell.cc
@@ -154,9 +154,8 @@
       Tell = true;
     }
   }
-  if (Tell)
-    ++Record.Revision;
   if (Tell) {
+    ++Record.Revision;
     NewsHaste Haste = Rises && Level >= 1 ? NewsHaste::AtOnce
                       : Moves             ? NewsHaste::Next
                                           : NewsHaste::InTurn;
--- a/currantgauge/runtime/listeners.cc
+++ b/currantgauge/runtime/listeners.cc
@@ -172,32 +172,27 @@
              Failed, Tls) != 0;
 }
 
-auto metricsService(Node &Self) {
-  return
-      [&Self](const http::ServiceRequest &Request, http::ServiceReply Reply) {
-        Reply(Request.target() == MetricsPath
-                  ? metricsAnswer(Self)
-                  : errorAnswer(Status::not_found, "no such path"));
-      };
-}
-
 bool openServices(Node &Self, boost::system::error_code &Failed) {
   asio::io_context &Io = Self.Traffic.Threads.back()->Io;
   auto Local = [&Self](const http::ServiceRequest &Request,
                        http::ServiceReply Reply) {
     Reply(localService(Self, Request));
   };
-  auto Open = [&](const base::NetAddress &Address) {
-    return http::listenService(Io, Address, Local, Failed) != 0;
+  auto Metrics = [&Self](const http::ServiceRequest &Request,
+                         http::ServiceReply Reply) {
+    Reply(Request.target() == MetricsPath
+              ? metricsAnswer(Self)
+              : errorAnswer(Status::not_found, "no such path"));
   };
-  auto OpenMetrics = [&](const base::NetAddress &Address) {
-    return http::listenService(Io, Address, metricsService(Self), Failed) != 0;
+  auto Open = [&](const base::NetAddress &Address, const auto &Service) {
+    return http::listenService(Io, Address, Service, Failed) != 0;
   };
-  const base::NetAddress &Health = Self.Settings.HealthAddress;
-  const base::NetAddress &Metrics = Self.Settings.MetricsAddress;
-  return Open(Self.Settings.AnnounceAddress) &&
-         (Health.empty() || Open(Health)) &&
-         (Metrics.empty() || OpenMetrics(Metrics)) &&
+  const config::NodeSettings &Settings = Self.Settings;
+  return Open(Settings.AnnounceAddress, Local) &&
+         (Settings.HealthAddress.empty() ||
+          Open(Settings.HealthAddress, Local)) &&
+         (Settings.MetricsAddress.empty() ||
+          Open(Settings.MetricsAddress, Metrics)) &&
          openOperators(Self, Io, Failed);
 }
 
