--- a/tests/integration/machines.h
+++ b/tests/integration/machines.h
@@ -52,8 +52,8 @@
 nlohmann::json routeOf(const std::string &Prefix, const std::string &Service,
                        const std::string &Kind);
 
-// writeConfig() writes the operator's document; its acknowledgement is the
-// store's.
+// writeOperatorsConfig() writes the operator's document; its acknowledgement is
+// the store's.
 void writeOperatorsConfig(Machines &All, const std::string &Version,
                           const nlohmann::json &Routes);
 
--- a/tests/stand_ins/platform.cc
+++ b/tests/stand_ins/platform.cc
@@ -149,12 +149,15 @@
 // A fixed sequence stands for chance, so that a run can be repeated.
 bool losesAnswer(Platform &Service) {
   PlatformFaults &Faults = Service.Faults;
-  if (Faults.LoseAnswers > 0) {
+  bool Loses = Faults.LoseAnswers > 0;
+  if (Loses) {
     --Faults.LoseAnswers;
-    return true;
+  } else {
+    std::uint64_t Draw = (++Service.Draws * 7919) % LoseShareScale;
+    Loses = static_cast<double>(Draw) < Faults.LoseShare * LoseShareScale;
   }
-  std::uint64_t Draw = (++Service.Draws * 7919) % LoseShareScale;
-  return static_cast<double>(Draw) < Faults.LoseShare * LoseShareScale;
+  Service.Lost += Loses ? 1 : 0;
+  return Loses;
 }
 
 json faultsJson(const Platform &Service) {
@@ -199,42 +202,42 @@
   return Response;
 }
 
-PlatformAnswer answerOperation(Platform &Service,
-                               const base::StoreOperation &Operation,
-                               std::chrono::steady_clock::time_point Now) {
-  bool Write = isWrite(Operation);
+// count() counts a call; false when it is one too many.
+bool count(Platform &Service, bool Write,
+           std::chrono::steady_clock::time_point Now) {
   if (overRate(Write ? Service.WriteRate : Service.ReadRate,
                Write ? Service.Faults.WritesPerSecond
                      : Service.Faults.ReadsPerSecond,
                Now))
-    return {tooMany(Service), AnswerFate::Send};
+    return false;
   ++(Write ? Service.Writes : Service.Reads);
+  return true;
+}
+
+PlatformAnswer answerOperation(Platform &Service,
+                               const base::StoreOperation &Operation,
+                               std::chrono::steady_clock::time_point Now) {
+  bool Write = isWrite(Operation);
+  if (!count(Service, Write, Now))
+    return {tooMany(Service), AnswerFate::Send};
   if (const auto *Rows = std::get_if<base::WriteRows>(&Operation))
     Service.Rows += Rows->Rows.size();
   base::StoreResult Result = base::applyOperation(Service.Store, Operation);
-  if (Write && losesAnswer(Service)) {
-    ++Service.Lost;
+  if (Write && losesAnswer(Service))
     return {{}, AnswerFate::Close};
-  }
   return {encode(Operation, Result), AnswerFate::Send};
 }
 
 PlatformAnswer answerInTables(Platform &Service, const HttpRequest &Request,
                               std::chrono::steady_clock::time_point Now) {
   bool Write = Request.method() != http::verb::get;
-  if (overRate(Write ? Service.WriteRate : Service.ReadRate,
-               Write ? Service.Faults.WritesPerSecond
-                     : Service.Faults.ReadsPerSecond,
-               Now))
+  if (!count(Service, Write, Now))
     return {tooMany(Service), AnswerFate::Send};
-  ++(Write ? Service.Writes : Service.Reads);
   auto Answer = answerTables(Service.Tables, Request);
   if (!Answer)
     return {{}, AnswerFate::Wait};
-  if (Write && losesAnswer(Service)) {
-    ++Service.Lost;
+  if (Write && losesAnswer(Service))
     return {{}, AnswerFate::Close};
-  }
   return {std::move(*Answer), AnswerFate::Send};
 }
 
