--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -333,6 +333,31 @@
          Effects);
 }
 
+// A trial is given up for another attempt alone: where none is permitted, the
+// server's answer may still come. A stopping node breaks off nothing.
+void onTrialDue(State &Node, const TrialDue &Due, EffectList &Effects) {
+  EntryRequest *Request = findRequest(Node, Due.Request);
+  if (!Request || Request->Current != Due.Attempt || Request->Committed ||
+      Node.Stopping)
+    return;
+  AttemptOutcome Silence;
+  Silence.What = base::Verdict::MayHaveRun;
+  Silence.Why = base::Reason::BackendTimeout;
+  Silence.Server = Request->CurrentServer;
+  ++Request->Sends;
+  if (!scheduleRetry(Node, *Request, Silence, Effects)) {
+    --Request->Sends;
+    return;
+  }
+  noteAttemptEnd(Request->Trace, Due.Attempt, Silence, Node.Now);
+  routing::onAttemptOutcome(Node.Routing, Request->CurrentServer, Due.Attempt,
+                            Silence, Node.Now);
+  giveUpAttempt(Node, *Request, Effects);
+  if (Request->CurrentRefused)
+    --Request->Sends;
+  endCurrentAttempt(Node, *Request);
+}
+
 void answerBeforeStop(State &Node, EffectList &Effects) {
   std::vector<base::RequestId> Left;
   for (const auto &[Id, Request] : Node.Entry.Requests)
--- a/currantgauge/core/entry.h
+++ b/currantgauge/core/entry.h
@@ -22,6 +22,7 @@
                     EffectList &Effects);
 void onRequestDeadline(State &Node, const RequestDeadline &Due,
                        EffectList &Effects);
+void onTrialDue(State &Node, const TrialDue &Due, EffectList &Effects);
 void onRetryDue(State &Node, const RetryDue &Due, EffectList &Effects);
 
 // answerBeforeStop() ends what still waits for an answer: the process is about
--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -20,8 +20,8 @@
 constexpr base::Duration HopAllowance = base::milliseconds(5);
 constexpr base::Duration LinkAllowance = base::milliseconds(20);
 
-// Of the time left, what a trial may use: a server that is still sick must not
-// cost the request that tries it.
+// Of the time left, what a trial may use before another server is asked: one
+// that is still sick must not cost the request that tries it.
 constexpr double TrialShare = 0.5;
 
 bool isNear(const State &Node, const base::BackendName &Server) {
@@ -184,11 +184,12 @@
   }
   if (Request.Permitted)
     actions::notePlaced(Node, Request.Facts, Server->Record.Owner);
-  AttemptFacts Facts = factsOf(Node, Request, Server->Record.Name);
   if (Chosen.Why == routing::ChoiceWhy::Trial)
-    Facts.TimeLeft = base::scaled(Facts.TimeLeft, TrialShare);
-  Effects.push_back(
-      StartAttempt{std::move(Facts), Server->Record.Owner, Address});
+    setTimer(Node.Timers,
+             Node.Now + base::scaled(Request.Deadline - Node.Now, TrialShare),
+             TrialDue{Request.Facts.Request, Request.Current});
+  Effects.push_back(StartAttempt{factsOf(Node, Request, Server->Record.Name),
+                                 Server->Record.Owner, Address});
 }
 
 } // namespace currantgauge::core
--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -97,6 +97,27 @@
   return Own;
 }
 
+// startTrial() sends a request to a server that was out of traffic.
+AttemptFacts startTrial(State &Node) {
+  base::BackendName Sick("cutlist-1");
+  EffectList Effects;
+  reduce(Node, Event{Now, {}, sampleRequest(1)}, Effects);
+  routing::RoutingSet &Set = Node.Routing.Sets.at(Service);
+  Set.Servers[Sick].Where = routing::Standing::Trial;
+  Set.Servers[Sick].Since = Now;
+  Set.Out = {Sick};
+  std::erase(Set.Here, Sick);
+  Effects.clear();
+  reduce(Node, Event{Now, {}, sampleRequest(2)}, Effects);
+  const StartAttempt *Trial = find<StartAttempt>(Effects);
+  REQUIRE(Trial);
+  REQUIRE(Trial->Facts.Preferred == Sick);
+  return Trial->Facts;
+}
+
+// Of the request's 500 ms.
+constexpr base::TimePoint HalfTime = Now + base::milliseconds(250);
+
 } // namespace
 
 TEST_CASE("an owner that refuses part of the rank is passed over") {
@@ -122,31 +143,16 @@
   CHECK(Own < Requests);
 }
 
-TEST_CASE("a trial leaves its request time for another server") {
+TEST_CASE("a trial that hangs leaves its request time for another server") {
   State Node = fleetOfTwo("north");
-  base::BackendName Sick("cutlist-1");
+  AttemptFacts Trial = startTrial(Node);
   EffectList Effects;
-  reduce(Node, Event{Now, {}, sampleRequest(1)}, Effects);
-  routing::RoutingSet &Set = Node.Routing.Sets.at(Service);
-  Set.Servers[Sick].Where = routing::Standing::Trial;
-  Set.Servers[Sick].Since = Now;
-  Set.Out = {Sick};
-  std::erase(Set.Here, Sick);
-  Effects.clear();
-  reduce(Node, Event{Now, {}, sampleRequest(2)}, Effects);
-  const StartAttempt *Trial = find<StartAttempt>(Effects);
-  REQUIRE(Trial);
-  REQUIRE(Trial->Facts.Preferred == Sick);
-  CHECK(Trial->Facts.TimeLeft <= base::milliseconds(250));
-  // It hangs; its request goes on elsewhere.
-  AttemptEnded Ended{Trial->Facts.Attempt, {}};
-  Ended.Outcome.What = base::Verdict::MayHaveRun;
-  Ended.Outcome.Why = base::Reason::BackendTimeout;
-  base::TimePoint Later = Now + Trial->Facts.TimeLeft;
-  Effects.clear();
-  reduce(Node, Event{Later, {}, Ended}, Effects);
+  reduce(Node, Event{HalfTime, {}, TimerFired{}}, Effects);
+  const CancelAttempt *Cancelled = find<CancelAttempt>(Effects);
+  REQUIRE(Cancelled);
+  CHECK(Cancelled->Attempt == Trial.Attempt);
   CHECK_FALSE(find<RefuseRequest>(Effects));
-  reduce(Node, Event{Later + base::milliseconds(10), {}, TimerFired{}},
+  reduce(Node, Event{HalfTime + base::milliseconds(10), {}, TimerFired{}},
          Effects);
   const StartAttempt *Next = find<StartAttempt>(Effects);
   REQUIRE(Next);
@@ -154,6 +160,31 @@
   CHECK(Next->Facts.TimeLeft > base::milliseconds(200));
 }
 
+TEST_CASE("a trial is not broken off where no other attempt may follow") {
+  State Node = fleetOfTwo("north");
+  AttemptFacts Trial = startTrial(Node);
+  Node.Entry.Requests.at(base::RequestId{1, 2}).Kind.Attempts = 1;
+  EffectList Effects;
+  reduce(Node, Event{HalfTime, {}, TimerFired{}}, Effects);
+  CHECK_FALSE(find<CancelAttempt>(Effects));
+  CHECK(Trial.TimeLeft > base::milliseconds(450));
+  // Its answer still counts.
+  AttemptEnded Ended{Trial.Attempt, {}};
+  Ended.Outcome.What = base::Verdict::Ran;
+  reduce(Node, Event{HalfTime + base::milliseconds(100), {}, Ended}, Effects);
+  CHECK(find<DeliverAnswer>(Effects));
+}
+
+TEST_CASE("a stopping node breaks off no trial") {
+  State Node = fleetOfTwo("north");
+  startTrial(Node);
+  Node.Self.StopLimit = base::seconds(5);
+  EffectList Effects;
+  reduce(Node, Event{Now, {}, StopRequested{}}, Effects);
+  reduce(Node, Event{HalfTime, {}, TimerFired{}}, Effects);
+  CHECK_FALSE(find<CancelAttempt>(Effects));
+}
+
 TEST_CASE("an answer over the link is charged to the budget and counted") {
   State Node = fleetOfTwo("south");
   auto *Config = new config::Configuration(*Node.Config.Current);
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -66,8 +66,14 @@
     setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
 }
 
+void onTimer(State &Node, const LeaveDue &, EffectList &Effects) {
+  membership::announceLeaving(Node, Effects);
+}
+
 // The node ends when nothing is left, which reduce() looks at.
-void onTimer(State &, const StopDue &, EffectList &) {}
+void onTimer(State &Node, const StopDue &, EffectList &Effects) {
+  refuseWaitingOfPeers(Node, Effects);
+}
 
 void onTimer(State &Node, const StopAnswersDue &, EffectList &Effects) {
   answerBeforeStop(Node, Effects);
@@ -93,6 +99,10 @@
   onRetryDue(Node, Due, Effects);
 }
 
+void onTimer(State &Node, const TrialDue &Due, EffectList &Effects) {
+  onTrialDue(Node, Due, Effects);
+}
+
 void onTimer(State &Node, const AttemptDeadline &Due, EffectList &Effects) {
   onAttemptDeadline(Node, Due, Effects);
 }
@@ -189,7 +199,10 @@
   if (Node.Self.StopLimit > StopAllowance)
     setTimer(Node.Timers, Node.Now + Node.Self.StopLimit - StopAllowance,
              StopAnswersDue{});
-  membership::announceLeaving(Node, Effects);
+  if (takesPeersUntil(Node) > Node.Now)
+    setTimer(Node.Timers, takesPeersUntil(Node), LeaveDue{});
+  else
+    membership::announceLeaving(Node, Effects);
   Effects.push_back(BecomeReady{false});
   Effects.push_back(LogLine{LogLevel::Info, "stopping", {}});
 }
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -15,10 +15,14 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::core {
 namespace {
 
+// Of the time in which a stopping node serves its callers. What it takes then
+// has to end within the rest of the limit.
+constexpr double PeersLingerShare = 0.4;
 constexpr std::uint32_t HttpMisdirected = 421;
 constexpr std::uint32_t HttpTooManyRequests = 429;
 constexpr std::uint32_t HttpServerErrors = 500;
@@ -169,7 +173,8 @@
   Node.Owner.Attempts[Arrival.Facts.Attempt] = Attempt;
   if (auto Known = actions::recallAttempt(Node, Arrival.Facts, Effects))
     return endAttempt(Node, Arrival.Facts.Attempt, *Known, Effects);
-  if (Node.Stopping && Arrival.Facts.Entry != Node.Self.Name)
+  if (Node.Stopping && Arrival.Facts.Entry != Node.Self.Name &&
+      Node.Now >= takesPeersUntil(Node))
     return endAttempt(Node, Arrival.Facts.Attempt,
                       refusal(base::Reason::NodeStopping, base::Duration{}),
                       Effects);
@@ -294,6 +299,20 @@
   Effects.push_back(EndAttempt{Id, Outcome});
 }
 
+base::TimePoint takesPeersUntil(const State &Node) {
+  return Node.StopSince + base::scaled(Node.Self.StopLinger, PeersLingerShare);
+}
+
+void refuseWaitingOfPeers(State &Node, EffectList &Effects) {
+  std::vector<base::AttemptId> Waiting;
+  for (const auto &[Id, Attempt] : Node.Owner.Attempts)
+    if (Attempt->Server.empty() && Attempt->Facts.Entry != Node.Self.Name)
+      Waiting.push_back(Id);
+  for (base::AttemptId Id : Waiting)
+    endAttempt(Node, Id, refusal(base::Reason::NodeStopping, base::Duration{}),
+               Effects);
+}
+
 void withdrawWaiting(State &Node, base::AttemptId Id, EffectList &Effects) {
   auto Found = Node.Owner.Attempts.find(Id);
   if (Found != Node.Owner.Attempts.end() && Found->second->Server.empty())
--- a/currantgauge/core/owner.h
+++ b/currantgauge/core/owner.h
@@ -20,6 +20,15 @@
 void onAttemptDeadline(State &Node, const AttemptDeadline &Due,
                        EffectList &Effects);
 
+// takesPeersUntil() returns when a stopping node takes no more attempts of
+// other nodes: while its own callers are still served, so is a part of theirs,
+// since its backend server may live on.
+base::TimePoint takesPeersUntil(const State &Node);
+
+// refuseWaitingOfPeers() refuses what other nodes' attempts still wait here:
+// they can run elsewhere.
+void refuseWaitingOfPeers(State &Node, EffectList &Effects);
+
 // withdrawWaiting() ends an attempt that still waits in this node's queue; no
 // effect on one that holds a slot or is not here.
 void withdrawWaiting(State &Node, base::AttemptId Attempt, EffectList &Effects);
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -84,6 +84,9 @@
   bool operator()(const RetryDue &Due) const {
     return !this->Node.Entry.Requests.contains(Due.Request);
   }
+  bool operator()(const TrialDue &Due) const {
+    return !this->Node.Entry.Requests.contains(Due.Request);
+  }
   bool operator()(const AttemptDeadline &Due) const {
     return !this->Node.Owner.Attempts.contains(Due.Attempt);
   }
--- a/currantgauge/core/reduce_test.cc
+++ b/currantgauge/core/reduce_test.cc
@@ -250,4 +250,50 @@
   CHECK(Node.Entry.Requests.empty());
 }
 
+TEST_CASE("a stopping node takes other nodes' work for a part of its linger") {
+  State Node = nodeWithServer();
+  Node.Self.StopLinger = base::milliseconds(100);
+  Node.Self.StopLimit = base::seconds(5);
+  EffectList Effects;
+  reduce(Node, Event{base::TimePoint{2000}, {}, StopRequested{}}, Effects);
+  auto Arrives = [&](std::uint64_t Sequence, std::int64_t Millis) {
+    AttemptArrived Arrival;
+    Arrival.Facts.Attempt = base::AttemptId{9, Sequence};
+    Arrival.Facts.Entry = base::NodeName("b");
+    Arrival.Facts.Service = base::ServiceName("cutlist");
+    Arrival.Facts.TimeLeft = base::milliseconds(400);
+    Effects.clear();
+    reduce(Node, Event{base::TimePoint{Millis * 1000}, {}, Arrival}, Effects);
+  };
+  Arrives(1, 30);
+  CHECK(find<SendToBackend>(Effects));
+  Arrives(2, 60);
+  CHECK_FALSE(find<SendToBackend>(Effects));
+  REQUIRE(find<EndAttempt>(Effects));
+  CHECK(find<EndAttempt>(Effects)->Outcome.Why == base::Reason::NodeStopping);
+  CHECK(find<EndAttempt>(Effects)->Outcome.What == base::Verdict::NotRun);
+}
+
+TEST_CASE("what waits at a stopping node for other nodes can run elsewhere") {
+  State Node = nodeWithServer();
+  Node.Self.StopLinger = base::milliseconds(100);
+  Node.Self.StopLimit = base::seconds(5);
+  EffectList Effects;
+  for (std::uint64_t Sequence = 1; Sequence <= 20; ++Sequence) {
+    AttemptArrived Arrival;
+    Arrival.Facts.Attempt = base::AttemptId{9, Sequence};
+    Arrival.Facts.Entry = base::NodeName("b");
+    Arrival.Facts.Service = base::ServiceName("cutlist");
+    Arrival.Facts.TimeLeft = base::seconds(4);
+    reduce(Node, Event{base::TimePoint{2000}, {}, Arrival}, Effects);
+  }
+  reduce(Node, Event{base::TimePoint{3000}, {}, StopRequested{}}, Effects);
+  Effects.clear();
+  reduce(Node, Event{base::TimePoint{110000}, {}, TimerFired{}}, Effects);
+  REQUIRE(find<EndAttempt>(Effects));
+  CHECK(find<EndAttempt>(Effects)->Outcome.What == base::Verdict::NotRun);
+  for (const auto &[Id, Attempt] : Node.Owner.Attempts)
+    CHECK_FALSE(Attempt->Server.empty());
+}
+
 } // namespace currantgauge::core
--- a/currantgauge/core/timer.h
+++ b/currantgauge/core/timer.h
@@ -41,6 +41,11 @@
 struct RetryDue {
   base::RequestId Request;
 };
+// TrialDue looks at a trial of a server that was out of traffic.
+struct TrialDue {
+  base::RequestId Request;
+  base::AttemptId Attempt;
+};
 // AttemptDeadline ends an attempt at its owner.
 struct AttemptDeadline {
   base::AttemptId Attempt;
@@ -50,6 +55,8 @@
   base::ServiceName Service;
 };
 
+// LeaveDue is when a stopping node takes no more work of other nodes.
+struct LeaveDue {};
 // StopDue is when a stopping node may end.
 struct StopDue {};
 // StopAnswersDue is when what still waits at a stopping node gets an answer.
@@ -57,10 +64,11 @@
 // FeedDue asks the store's change feed again.
 struct FeedDue {};
 
-using Timer = std::variant<FeedDue, StopDue, StopAnswersDue, LeaseCheck,
-                           GossipRound, HealthRound, ConfigRound, ActionRound,
-                           RumourFlush, SyncDue, ProbeTimeout, RequestDeadline,
-                           RetryDue, AttemptDeadline, SlotsReopen>;
+using Timer =
+    std::variant<FeedDue, LeaveDue, StopDue, StopAnswersDue, LeaseCheck,
+                 GossipRound, HealthRound, ConfigRound, ActionRound,
+                 RumourFlush, SyncDue, ProbeTimeout, RequestDeadline, RetryDue,
+                 TrialDue, AttemptDeadline, SlotsReopen>;
 
 // TimerQueue orders timers by time, then by the order in which they were set.
 struct TimerQueue {
--- a/currantgauge/membership/anti_entropy.cc
+++ b/currantgauge/membership/anti_entropy.cc
@@ -197,7 +197,7 @@
   bool Near = nearCount(State) > 0;
   if (!Near || base::uniformBelow(Node.Source, FarSyncs) == 0)
     if (auto Region = pickFarRegion(State, Node.Source))
-      return pickPeer(State, *Region, Node.Source);
+      return pickPartner(State, *Region, Node.Source);
   return pickPeer(State, State.Self.Region, Node.Source);
 }
 
--- a/currantgauge/membership/detector.cc
+++ b/currantgauge/membership/detector.cc
@@ -57,7 +57,7 @@
   bool Near = nearCount(State) > 0;
   if (!Near || base::uniformBelow(Node.Source, FarRounds) == 0)
     if (auto Region = pickFarRegion(State, Node.Source))
-      return nextInTurn(State, *Region, Node.Source);
+      return pickPartner(State, *Region, Node.Source);
   return nextInTurn(State, State.Self.Region, Node.Source);
 }
 
--- a/currantgauge/membership/fake_network_test.h
+++ b/currantgauge/membership/fake_network_test.h
@@ -34,7 +34,8 @@
   base::TimePoint Wake = base::Never;
   std::uint64_t Messages = 0;
   std::uint64_t Bytes = 0;
-  std::uint64_t FarBytes = 0; // of Bytes, those to other regions
+  std::uint64_t FarBytes = 0;    // of Bytes, those to other regions
+  std::uint64_t DomainBytes = 0; // of Bytes, those to other failure domains
   std::uint64_t ReduceNanos = 0;
 };
 
@@ -86,6 +87,8 @@
     return;
   bool Far = Net.Nodes[To->second]->Node.Self.Region != Sender.Node.Self.Region;
   Sender.FarBytes += Far ? Size : 0;
+  if (Net.Nodes[To->second]->Node.Self.Domain != Sender.Node.Self.Domain)
+    Sender.DomainBytes += Size;
   if (isLost(Net, From, To->second))
     return;
   base::Duration Delay = Far ? base::milliseconds(8) : base::microseconds(500);
@@ -168,7 +171,8 @@
   Self.Region = base::RegionName(Index % Net.Regions == 0 ? "north" : "south");
   if (Net.Regions > 2)
     Self.Region = base::RegionName("r" + std::to_string(Index % Net.Regions));
-  Self.Domain = base::DomainName(Self.Region.Value + "-a");
+  Self.Domain = base::DomainName(Self.Region.Value +
+                                 (Index / Net.Regions % 2 == 0 ? "-a" : "-b"));
   Self.PeerAddress =
       base::NetAddress("10.0." + std::to_string(Index / 250) + "." +
                        std::to_string(Index % 250) + ":8081");
--- a/currantgauge/membership/roster.cc
+++ b/currantgauge/membership/roster.cc
@@ -10,6 +10,12 @@
 namespace currantgauge::membership {
 namespace {
 
+// Draws for each peer that is wanted, before one of another failure domain is
+// taken.
+constexpr std::size_t DomainDraws = 4;
+// Of each other region. Three still meet when two of them fail.
+constexpr std::size_t FarPartners = 3;
+
 const Roster *findRoster(const MembershipState &State,
                          const base::RegionName &Region) {
   auto Found = State.Rosters.find(Region);
@@ -87,6 +93,45 @@
   return Picked;
 }
 
+// Bytes between failure domains are paid for. The first peer is any one, so
+// that news leaves the domain.
+std::vector<base::NodeName> pickNearPeers(const MembershipState &State,
+                                          std::size_t Count,
+                                          base::Random &Source) {
+  const Roster *List = findRoster(State, State.Self.Region);
+  if (!List || List->Names.size() <= Count)
+    return List ? List->Names : std::vector<base::NodeName>();
+  std::vector<base::NodeName> Picked;
+  for (std::size_t Draw = 0; Picked.size() < Count; ++Draw) {
+    const base::NodeName &Name =
+        List->Names[base::uniformBelow(Source, List->Names.size())];
+    bool Here = State.Members.at(Name).Record.Domain == State.Self.Domain;
+    bool Wanted = Here || Picked.empty() || Draw >= DomainDraws * Count;
+    if (Wanted && std::find(Picked.begin(), Picked.end(), Name) == Picked.end())
+      Picked.push_back(Name);
+  }
+  return Picked;
+}
+
+// Partners are those that follow this node's place on the other region's ring:
+// all nodes together reach all of that region.
+std::optional<base::NodeName> pickPartner(const MembershipState &State,
+                                          const base::RegionName &Region,
+                                          base::Random &Source) {
+  const Roster *List = findRoster(State, Region);
+  if (!List)
+    return std::nullopt;
+  auto Next = List->Ring.upper_bound(placeOf(State.Self.Name));
+  std::size_t Steps =
+      base::uniformBelow(Source, std::min(FarPartners, List->Ring.size()));
+  for (std::size_t Step = 0;; ++Step, ++Next) {
+    if (Next == List->Ring.end())
+      Next = List->Ring.begin();
+    if (Step == Steps)
+      return Next->second;
+  }
+}
+
 std::optional<base::RegionName> pickFarRegion(const MembershipState &State,
                                               base::Random &Source) {
   std::vector<base::RegionName> Far;
--- a/currantgauge/membership/roster.h
+++ b/currantgauge/membership/roster.h
@@ -30,6 +30,18 @@
                                       const base::RegionName &Region,
                                       std::size_t Count, base::Random &Source);
 
+// pickNearPeers() returns up to Count different live members of this region,
+// most of them of this failure domain.
+std::vector<base::NodeName> pickNearPeers(const MembershipState &State,
+                                          std::size_t Count,
+                                          base::Random &Source);
+
+// pickPartner() returns one of the few members of another region that this node
+// talks to, so that it keeps few connections over the link.
+std::optional<base::NodeName> pickPartner(const MembershipState &State,
+                                          const base::RegionName &Region,
+                                          base::Random &Source);
+
 // pickFarRegion() returns a random region other than this node's.
 std::optional<base::RegionName> pickFarRegion(const MembershipState &State,
                                               base::Random &Source);
--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -14,7 +14,9 @@
 namespace currantgauge::membership {
 namespace {
 
-constexpr double RetransmitFactor = 4;
+// Copies of a rumour that a node sends, by the logarithm of the fleet's size.
+// What they miss is found by the next comparison.
+constexpr double RetransmitFactor = 2;
 // Nodes that get an urgent rumour from each node that learns of it.
 constexpr std::size_t FlushPeers = 4;
 // Expected copies of a flushed rumour into each other region, all nodes of this
@@ -76,11 +78,11 @@
 std::vector<base::NodeName> flushPeers(core::State &Node) {
   const MembershipState &State = Node.Membership;
   std::vector<base::NodeName> Peers =
-      pickPeers(State, State.Self.Region, FlushPeers, Node.Source);
+      pickNearPeers(State, FlushPeers, Node.Source);
   double Chance = FarCopies / (static_cast<double>(nearCount(State)) + 1);
   for (const auto &[Region, List] : State.Rosters)
     if (Region != State.Self.Region && base::uniformUnit(Node.Source) < Chance)
-      Peers.push_back(*pickPeer(State, Region, Node.Source));
+      Peers.push_back(*pickPartner(State, Region, Node.Source));
   return Peers;
 }
 
--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -38,6 +38,8 @@
 // The owner ends an attempt at its deadline; this is for an owner that is gone.
 constexpr base::Duration ForwardAllowance = base::milliseconds(200);
 
+// The library takes times of day and turns them into spans at once, so that a
+// step of the clock later on changes nothing.
 std::chrono::system_clock::time_point after(base::Duration Span) {
   return std::chrono::system_clock::now() +
          std::chrono::microseconds(Span.Micros);
@@ -149,7 +151,7 @@
 
 // ArrivalWait is a call whose arrival was not acknowledged when last looked at.
 struct ArrivalWait {
-  std::chrono::system_clock::time_point Due;
+  std::chrono::steady_clock::time_point Due;
   base::NetAddress Address;
   boost::intrusive_ptr<ForwardCall> Call;
 };
@@ -221,7 +223,7 @@
   {
     std::lock_guard<std::mutex> Guard(Client.Open->Lock);
     auto &Waits = Client.Open->Waits;
-    auto Now = std::chrono::system_clock::now();
+    auto Now = std::chrono::steady_clock::now();
     while (!Waits.empty() && (Waits.front().Call->Phase != CallPhase::Asking ||
                               Waits.front().Due <= Now)) {
       CallPhase Asking = CallPhase::Asking;
@@ -245,7 +247,9 @@
   if (Open.Waits.empty())
     return;
   Open.Timer = std::make_unique<grpc::Alarm>();
-  Open.Timer->Set(Open.Waits.front().Due, [&Client](bool Due) {
+  auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
+      Open.Waits.front().Due - std::chrono::steady_clock::now());
+  Open.Timer->Set(after(base::microseconds(Left.count())), [&Client](bool Due) {
     if (Due)
       onArrivalTimer(Client);
   });
@@ -254,7 +258,10 @@
 void awaitArrival(PeerClient &Client, const base::NetAddress &Address,
                   boost::intrusive_ptr<ForwardCall> Call) {
   std::lock_guard<std::mutex> Guard(Client.Open->Lock);
-  Client.Open->Waits.push_back({after(ArrivalLimit), Address, std::move(Call)});
+  Client.Open->Waits.push_back(
+      {std::chrono::steady_clock::now() +
+           std::chrono::microseconds(ArrivalLimit.Micros),
+       Address, std::move(Call)});
   if (!Client.Open->Timer)
     setArrivalTimer(Client);
 }
