A refused attempt no longer forces a new connection on the next owner

Cause: an owner opens a new connection for an attempt that is not its request's first, since a pooled one may have gone silent under the first.

Now the number that travels counts attempts that reached a server.

--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -52,7 +52,7 @@
   Facts.Waited = Node.Now - Request.Arrived;
   Facts.Worth = Request.Kind.Worth;
   Facts.Idempotent = Request.Kind.Idempotent;
-  Facts.Number = Request.Attempts;
+  Facts.Number = Request.Sends + 1;
   return Facts;
 }
 
--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -185,6 +185,29 @@
   CHECK_FALSE(find<CancelAttempt>(Effects));
 }
 
+// An owner takes a new connection, which is dear, for what failed at a server.
+TEST_CASE("an attempt after a refusal counts as the first, one after a failure "
+          "does not") {
+  for (base::Verdict What :
+       {base::Verdict::NotRun, base::Verdict::MayHaveRun}) {
+    State Node = fleetOfTwo("north");
+    EffectList Effects;
+    reduce(Node, Event{Now, {}, sampleRequest(1)}, Effects);
+    AttemptEnded Ended{find<StartAttempt>(Effects)->Facts.Attempt, {}};
+    Ended.Outcome.What = What;
+    Ended.Outcome.Why = What == base::Verdict::NotRun
+                            ? base::Reason::BackendSuspect
+                            : base::Reason::BackendReset;
+    Effects.clear();
+    reduce(Node, Event{Now, {}, Ended}, Effects);
+    reduce(Node, Event{Now + base::milliseconds(10), {}, TimerFired{}},
+           Effects);
+    const StartAttempt *Next = find<StartAttempt>(Effects);
+    REQUIRE(Next);
+    CHECK(Next->Facts.Number == (What == base::Verdict::NotRun ? 1 : 2));
+  }
+}
+
 TEST_CASE("an answer over the link is charged to the budget and counted") {
   State Node = fleetOfTwo("south");
   auto *Config = new config::Configuration(*Node.Config.Current);
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -49,8 +49,9 @@
   base::Duration Waited; // since the request arrived at its entry
   double Worth = 1;
   bool Idempotent = true;
-  std::uint32_t Number = 1; // 1 for the first attempt of a request
-  bool Permitted = false;   // bears the one permission of its action id
+  // 1 until an attempt of the request has reached a backend server.
+  std::uint32_t Number = 1;
+  bool Permitted = false; // bears the one permission of its action id
 };
 
 // Pressure is what an owner tells an entry of a rank's queue, in each answer to
