Other entries leave an unproven server to its own while proven ones have room

A server that fails is idle and so the cheapest; when its pause ends all entries send to it, and its owner lets one trial through.

Left: an entry learns of an open breaker only by asking.

--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -17,6 +17,9 @@
 // Costs are in loads: 1 is as much work as a server has slots.
 // Only proven sickness costs: less would starve the test of evidence.
 constexpr double SickCost = 2;
+// A server whose owner refused work a moment ago takes single trials alone. It
+// looks idle, and every entry would send it work to be refused.
+constexpr double UnprovenCost = 0.5;
 // About the time of a request: what ran then has ended.
 constexpr base::Duration BusyHalfLife = base::milliseconds(300);
 constexpr double SlowStartFloor = 0.1; // of the slots
@@ -102,8 +105,10 @@
   Cost += queueCost(Query, Server);
   if (Server.Record.Suspicion >= 1)
     Cost += SickCost;
-  if (Server.Record.Owner != State.Self)
+  if (Server.Record.Owner != State.Self) {
     Cost += Query.Placement.OtherNode;
+    Cost += Query.Now < Server.TrialUntil ? UnprovenCost : 0;
+  }
   if (Server.Record.Domain != State.Domain)
     Cost += Query.Placement.OtherDomain;
   return Cost;
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -116,6 +116,24 @@
   CHECK(choose(State, query(), Source).Why == ChoiceWhy::Trial);
 }
 
+// Its owner lets one trial through at a time; its own callers bring those.
+TEST_CASE("other entries leave a server that refused a moment ago alone while "
+          "proven ones have room") {
+  RoutingState State = twoRegions();
+  base::Random Source(1);
+  base::BackendName Unproven("n1");
+  State.Servers[Unproven].TrialUntil = query().Now + base::seconds(1);
+  for (const char *Name : {"n2", "n3"})
+    State.Servers[base::BackendName(Name)].Running = 1;
+  CHECK(choose(State, query(), Source).Server->Record.Name != Unproven);
+  State.Servers[Unproven].Record.Owner = State.Self;
+  CHECK(choose(State, query(), Source).Server->Record.Name == Unproven);
+  State.Servers[Unproven].Record.Owner = base::NodeName("owner-n1");
+  for (const char *Name : {"n2", "n3"})
+    State.Servers[base::BackendName(Name)].Running = 4;
+  CHECK(choose(State, query(), Source).Server->Record.Name == Unproven);
+}
+
 TEST_CASE("a dearer link keeps work in its region for longer") {
   RoutingState State = twoRegions();
   base::Random Source(1);
