Rumours are sent three times as often as the logarithm of the fleet, not twice

membership_bench itself was wrong since a server that leaves stays so until its next life: it waited 30 s for a return in the same life. It now starts a new one.

--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -132,7 +132,11 @@
     Phase = Phase == routing::BackendPhase::Ready
                 ? routing::BackendPhase::Leaving
                 : routing::BackendPhase::Ready;
-    announce(Net, Owner, Name.Value, Phase);
+    // A server that left is ready again in its next life alone.
+    std::uint64_t Life =
+        Net.Nodes[Owner]->Node.Routing.Servers.at(Name).Record.Life.Value;
+    announce(Net, Owner, Name.Value, Phase,
+             Phase == routing::BackendPhase::Ready ? Life + 1 : Life);
     Millis.push_back(base::toSeconds(membership::timeUntil(
                          Net, base::seconds(30),
                          [&] {
--- a/currantgauge/membership/rumours.cc
+++ b/currantgauge/membership/rumours.cc
@@ -16,7 +16,7 @@
 
 // Copies of a rumour that a node sends, by the logarithm of the fleet's size.
 // What they miss is found by the next comparison.
-constexpr double RetransmitFactor = 2;
+constexpr double RetransmitFactor = 3;
 // Nodes that get an urgent rumour from each node that learns of it.
 constexpr std::size_t FlushPeers = 4;
 // Expected copies of a flushed rumour into each other region, all nodes of this
--- a/currantgauge/telemetry/log.cc
+++ b/currantgauge/telemetry/log.cc
@@ -55,7 +55,7 @@
 constexpr std::size_t QueueLimit = 1000;
 // Lines of so long a time are written together: a wake-up costs more than a
 // line.
-constexpr std::chrono::milliseconds BatchTime{50};
+constexpr std::chrono::milliseconds BatchTime{100};
 // Of a line, beside its fields: braces, time, level and node.
 constexpr std::uint64_t FrameBytes = 90;
 constexpr std::uint64_t FieldBytes = 6; // quotes, colon and comma
