Work with an aim waits no longer than its aim bears; owners hand back what may run elsewhere

Queues were bounded by the aim only after a rank had been refused in part; until then a wait could take the deadline, and what was served was late.

Now work with an aim is refused where its wait would pass what the aim leaves. An entry that knows of room elsewhere says so, and the owner hands the attempt back ("long_wait") where the wait would take half of that, or has. A refusal for load is tried again, also late, where a free slot is known.

--- a/bench/flood_scenario.h
+++ b/bench/flood_scenario.h
@@ -90,6 +90,7 @@
   std::uint64_t Seed = 1;
   double FloodFactor = 10; // times the capacity of the service
   double SickFactor = 8;   // service time of a sick server
+  base::Duration Aim;      // of all kinds; zero: none
   base::TimePoint FloodStarts{1000000};
   base::TimePoint MeasureFrom{3000000};
   base::TimePoint Ends{8000000};
@@ -170,8 +171,10 @@
   return Work;
 }
 
-// makeConfig() returns the configuration of a deployment.
-inline config::ConfigurationPtr makeConfig(const Deployment &Fleet) {
+// makeConfig() returns the configuration of a deployment, with an aim for all
+// kinds where one is given.
+inline config::ConfigurationPtr makeConfig(const Deployment &Fleet,
+                                           base::Duration Aim = {}) {
   auto *Config = new config::Configuration;
   for (std::size_t R = 0; R < RankCount; ++R) {
     base::RankName Rank(Ranks[R].Name);
@@ -190,6 +193,7 @@
       Kind.Service = Service;
       Kind.Rank = base::RankName(Rank.Name);
       Kind.Deadline = base::milliseconds(Rank.Deadline);
+      Kind.Aim = Aim;
       std::string Prefix = "/" + Plan.Name + "/" + Rank.Name;
       Config->Routes[Name.Value] =
           config::RouteSettings{Name.Value, "", Prefix, Name};
--- a/bench/flood_simulation.h
+++ b/bench/flood_simulation.h
@@ -303,7 +303,7 @@
   Run.Work = makeArrivals(Flood);
   for (const Arrival &Asked : Run.Work)
     Run.Records.push_back(Record{Asked});
-  config::ConfigurationPtr Config = makeConfig(Flood.Fleet);
+  config::ConfigurationPtr Config = makeConfig(Flood.Fleet, Flood.Aim);
   for (const ServicePlan &Plan : Flood.Fleet.Services)
     for (std::uint32_t Index = 0; Index < Plan.Servers; ++Index)
       detail::addNode(Run, Plan, Index, Config);
--- a/currantgauge/admission/flood_test.cc
+++ b/currantgauge/admission/flood_test.cc
@@ -58,4 +58,25 @@
   }
 }
 
+TEST_CASE("in an overload what is served is served within its aim") {
+  Deployment Fleet = waitaha();
+  Fleet.Services = {{"cutlist", 6, 4, base::milliseconds(20)}};
+  Scenario Flood = makeScenario(Fleet, FloodKind::MostUrgent, 4);
+  Flood.FloodFactor = 0.6; // of the capacity, beside the ordinary 0.7
+  Flood.Aim = base::milliseconds(150);
+  Simulation Run = makeSimulation(Flood);
+  runSimulation(Run);
+  std::size_t Answered = 0, InAim = 0;
+  for (const Record &One : Run.Records) {
+    if (One.Asked.At < Flood.FloodStarts || !One.Answered)
+      continue;
+    ++Answered;
+    InAim += One.Ended - One.Asked.At <= Flood.Aim ? 1 : 0;
+  }
+  CAPTURE(Answered);
+  CAPTURE(InAim);
+  CHECK(reportOf(Run).UsefulWork >= 95);
+  CHECK(static_cast<double>(InAim) >= 0.95 * static_cast<double>(Answered));
+}
+
 } // namespace currantgauge::bench
--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -16,6 +16,9 @@
 // Of what the aim leaves beside the service time; the rest is for the way back
 // and for times above the mean.
 constexpr double AimedShare = 0.7;
+// Of that, what an attempt may wait for that could run elsewhere: as much is
+// left for the wait there.
+constexpr double HandBackShare = 0.5;
 
 double weightOf(const config::Configuration &Config,
                 const base::WorkspaceName &Workspace) {
@@ -173,6 +176,13 @@
   return base::scaled(Attempt.Aim - Attempt.Expected, AimedShare);
 }
 
+// An attempt that may be served elsewhere leaves most of its aim for that.
+base::Duration handBackAfter(const QueuedAttempt &Attempt) {
+  base::Duration Whole =
+      base::scaled(std::max(PressedWait, aimedWait(Attempt)), HandBackShare);
+  return std::max(Whole - Attempt.Facts.Waited, base::Duration{});
+}
+
 // What a request has waited for before this attempt is part of its wait.
 base::Duration patienceOf(const QueuedAttempt &Attempt) {
   base::Duration Whole = std::max(
@@ -180,13 +190,24 @@
   return std::max(Whole - Attempt.Facts.Waited, base::Duration{});
 }
 
+// In a queue whose wait passes the aim of all that is in it, as much is served
+// as in a short one, and all of it late. A kind without an aim may wait for its
+// deadline until its rank is refused in part.
+bool isBounded(const RankQueue &Rank, const QueuedAttempt &Attempt,
+               base::TimePoint Now) {
+  return isPressed(Rank, Now) || Attempt.Aim > base::Duration{};
+}
+
 base::Reason refuseEarly(const ServiceQueue &Queue, const RankQueue &Rank,
                          const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Attempt.Deadline <= Now)
     return base::Reason::DeadlinePassed;
   base::Duration Wait = waitOf(Queue, Attempt);
+  if (Attempt.Facts.HandsBack && Wait > handBackAfter(Attempt))
+    return base::Reason::LongWait;
   base::Duration Bearable = std::max(PressedWait, aimedWait(Attempt));
-  if (isPressed(Rank, Now) && Wait > std::min(Bearable, patienceOf(Attempt)))
+  if (isBounded(Rank, Attempt, Now) &&
+      Wait > std::min(Bearable, patienceOf(Attempt)))
     return base::Reason::ShedByPressure;
   if (Wait > base::Duration{} &&
       Now + Wait + Attempt.Expected > Attempt.Deadline)
@@ -218,8 +239,10 @@
   if (Result.Why != base::Reason::None)
     return Result;
   Attempt.StartBy = startBy(Attempt, Now);
-  if (isPressed(Rank, Now))
+  if (isBounded(Rank, Attempt, Now))
     Attempt.StartBy = std::min(Attempt.StartBy, Now + patienceOf(Attempt));
+  if (Facts.HandsBack)
+    Attempt.StartBy = std::min(Attempt.StartBy, Now + handBackAfter(Attempt));
   insert(Queue, Rank, Attempt);
   return Result;
 }
@@ -305,6 +328,8 @@
 base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Now >= Attempt.Deadline)
     return base::Reason::DeadlinePassed;
+  if (Attempt.Facts.HandsBack && Now >= Attempt.StartBy)
+    return base::Reason::LongWait;
   bool Pressed = Attempt.StartBy < startBy(Attempt, Attempt.Arrived);
   return Pressed && Now >= Attempt.StartBy ? base::Reason::ShedByPressure
                                            : base::Reason::DeadlineTooShort;
--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -242,4 +242,50 @@
   CHECK_FALSE(isLate(Case.State, Short, Case.Now));
 }
 
+TEST_CASE("work with an aim is refused where its wait would pass the aim") {
+  Fleet Case = makeFleet(100000);
+  Case.Config.Ranks[base::RankName("normal")].Share = base::Percent{0};
+  config::KindSettings &Read = Case.Config.Kinds[base::KindName("read")];
+  Read.Aim = base::milliseconds(120);
+  put(Case, newAttempt(Case, "normal", "read", "a"));
+  serve(Case); // the time of the kind is known
+  std::uint32_t Taken = 0;
+  for (int I = 0; I < 200; ++I)
+    Taken += put(Case, newAttempt(Case, "normal", "read", "a")).Why ==
+                     base::Reason::None
+                 ? 1
+                 : 0;
+  // Four slots serve 24 in the 120 ms.
+  CHECK(Taken > 10);
+  CHECK(Taken <= 24);
+}
+
+TEST_CASE("an attempt that may run elsewhere is handed back where the wait "
+          "takes half of what the aim leaves") {
+  Fleet Case = makeFleet(100000);
+  config::KindSettings &Read = Case.Config.Kinds[base::KindName("read")];
+  Read.Aim = base::milliseconds(420);
+  put(Case, newAttempt(Case, "normal", "read", "a"));
+  serve(Case);
+  for (int I = 0; I < 40; ++I)
+    put(Case, newAttempt(Case, "normal", "read", "a"));
+  QueuedAttempt &Bound = newAttempt(Case, "normal", "read", "a");
+  CHECK(put(Case, Bound).Why == base::Reason::None);
+  QueuedAttempt &Mobile = newAttempt(Case, "normal", "read", "a");
+  Mobile.Facts.HandsBack = true;
+  CHECK(put(Case, Mobile).Why == base::Reason::LongWait);
+  CHECK_FALSE(isLoadRefusal(base::Reason::LongWait));
+}
+
+TEST_CASE("an attempt that may run elsewhere is handed back in time when its "
+          "wait was forecast too short") {
+  Fleet Case = makeFleet(100000);
+  Case.Config.Kinds[base::KindName("read")].Aim = base::milliseconds(420);
+  QueuedAttempt &Mobile = newAttempt(Case, "normal", "read", "a");
+  Mobile.Facts.HandsBack = true;
+  CHECK(put(Case, Mobile).Why == base::Reason::None);
+  CHECK(Mobile.StartBy - Case.Now < base::milliseconds(200));
+  CHECK(lateReason(Mobile, Mobile.StartBy) == base::Reason::LongWait);
+}
+
 } // namespace currantgauge::admission
--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -44,7 +44,7 @@
 
 // One owner that refuses for its load is an accident and another one may have
 // room; many mean that the rank is shed, and an early answer is worth more than
-// a second try, but for one that costs no time.
+// a second try, but for one that costs no time or is known to have room.
 bool mayRetry(const AdmissionState &State, const RetryQuery &Query) {
   const core::AttemptOutcome &Outcome = Query.Outcome;
   std::uint32_t Limit = Query.Bound.Ratio > 0 ? OwnerLimit : AttemptLimit;
@@ -53,7 +53,8 @@
     return false;
   if (Outcome.What != base::Verdict::NotRun)
     return Query.Kind.Idempotent;
-  if (!isLoadRefusal(Outcome.Why) || Query.Now - Query.Arrived < QuickRefusal)
+  if (!isLoadRefusal(Outcome.Why) || Query.RoomElsewhere ||
+      Query.Now - Query.Arrived < QuickRefusal)
     return true;
   auto Known = State.Budgets.find({Query.Kind.Service, Query.Kind.Rank});
   return Known == State.Budgets.end() ||
--- a/currantgauge/admission/retry.h
+++ b/currantgauge/admission/retry.h
@@ -37,8 +37,9 @@
   base::TimePoint Arrived;  // the request, at this entry
   base::TimePoint Deadline; // of the request
   base::TimePoint Now;
-  std::uint32_t Sends = 0; // attempts that reached a backend server
-  FleetRetryBound Bound;   // not set: the service's budget counts
+  std::uint32_t Sends = 0;    // attempts that reached a backend server
+  FleetRetryBound Bound;      // not set: the service's budget counts
+  bool RoomElsewhere = false; // a server not yet tried seems to have a slot
 };
 
 // RetryPlan is the next attempt, or why there is none: Denied is RetryBudget
--- a/currantgauge/admission/retry_test.cc
+++ b/currantgauge/admission/retry_test.cc
@@ -133,4 +133,23 @@
   CHECK_FALSE(planRetry(Case.State, Query, Case.Source).Retry);
 }
 
+TEST_CASE("a late refusal for load is tried again where room is known") {
+  AdmissionState State;
+  base::Random Source(7);
+  config::KindSettings Kind = sampleKind();
+  State.Budgets[{Kind.Service, Kind.Rank}].RefusedShare = 0.5;
+  State.Budgets[{Kind.Service, Kind.Rank}].Tokens = 5;
+  core::AttemptOutcome Shed =
+      outcome(base::Verdict::NotRun, base::Reason::ShedByPressure);
+  RetryQuery Query{.Kind = Kind,
+                   .Outcome = Shed,
+                   .Attempts = 1,
+                   .Arrived = Start,
+                   .Deadline = Start + base::seconds(1),
+                   .Now = Start + base::milliseconds(300)};
+  CHECK_FALSE(planRetry(State, Query, Source).Retry);
+  Query.RoomElsewhere = true;
+  CHECK(planRetry(State, Query, Source).Retry);
+}
+
 } // namespace currantgauge::admission
--- a/currantgauge/base/verdict.cc
+++ b/currantgauge/base/verdict.cc
@@ -89,6 +89,8 @@
               "the caller took too long to send the request"},
     ReasonRow{Reason::BadAnnouncement, "bad_announcement",
               "the announcement names nothing to use"},
+    ReasonRow{Reason::LongWait, "long_wait",
+              "the wait here is long and another backend server may have room"},
 };
 
 static_assert(ReasonRows.size() == static_cast<std::size_t>(LastReason) + 1);
--- a/currantgauge/base/verdict.h
+++ b/currantgauge/base/verdict.h
@@ -70,10 +70,13 @@
 
   // A backend server's word of itself.
   BadAnnouncement,
+
+  // Admission. Values travel by position: new ones stand last.
+  LongWait,
 };
 
 // LastReason is the highest value of Reason, for tables indexed by it.
-constexpr Reason LastReason = Reason::BadAnnouncement;
+constexpr Reason LastReason = Reason::LongWait;
 
 // verdictName() returns the snake_case name used in headers and metrics.
 std::string_view verdictName(Verdict What);
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -134,6 +134,19 @@
          startReferral(Node, Request, Outcome.Elsewhere, Effects);
 }
 
+// An attempt that was handed back is no failure: the request goes on at once,
+// by what its owners have told of their load. The server may be chosen again.
+void placeAgain(State &Node, EntryRequest &Request,
+                const AttemptOutcome &Outcome, EffectList &Effects) {
+  ++Request.HandBacks;
+  --Request.Attempts;
+  Request.Tried.pop_back();
+  Effects.push_back(Measure{Metric::Retries,
+                            std::string(base::reasonName(Outcome.Why)),
+                            Request.Kind.Service.Value, 1});
+  startNextAttempt(Node, Request, Effects);
+}
+
 bool isFailure(const AttemptOutcome &Outcome) {
   return Outcome.What != base::Verdict::Ran ||
          Outcome.Why != base::Reason::None;
@@ -149,18 +162,20 @@
                    const AttemptOutcome &Outcome, EffectList &Effects) {
   if (Request.Deaths >= DeathLimit)
     return false;
-  admission::RetryPlan Plan =
-      admission::planRetry(Node.Admission,
-                           {.Kind = Request.Kind,
-                            .Outcome = Outcome,
-                            .Committed = Request.Committed,
-                            .Attempts = Request.Attempts,
-                            .Arrived = Request.Arrived,
-                            .Deadline = Request.Deadline,
-                            .Now = Node.Now,
-                            .Sends = Request.Sends,
-                            .Bound = retryBound(Node)},
-                           Node.Source);
+  bool Refused = admission::isLoadRefusal(Outcome.Why);
+  admission::RetryPlan Plan = admission::planRetry(
+      Node.Admission,
+      {.Kind = Request.Kind,
+       .Outcome = Outcome,
+       .Committed = Request.Committed,
+       .Attempts = Request.Attempts,
+       .Arrived = Request.Arrived,
+       .Deadline = Request.Deadline,
+       .Now = Node.Now,
+       .Sends = Request.Sends,
+       .Bound = retryBound(Node),
+       .RoomElsewhere = Refused && hasRoomElsewhere(Node, Request, Effects)},
+      Node.Source);
   if (Plan.Denied != base::Reason::None)
     Effects.push_back(Measure{Metric::Refusals,
                               std::string(base::reasonName(Plan.Denied)),
@@ -300,9 +315,12 @@
                           Node.Now);
   noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now);
   measureHop(Node, *Request, Outcome, Effects);
-  noteEnd(Node, *Request, Outcome, Effects);
+  if (Outcome.Why != base::Reason::LongWait)
+    noteEnd(Node, *Request, Outcome, Effects);
   endCurrentAttempt(Node, *Request);
   Request->LastWhy = Outcome.Why;
+  if (Outcome.Why == base::Reason::LongWait)
+    return placeAgain(Node, *Request, Outcome, Effects);
   if (admission::reachedServer(Outcome))
     ++Request->Sends;
   else if (Request->Sends > 0 && Node.Self.Retry.Ratio > 0)
--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -15,6 +15,8 @@
 
 constexpr std::uint32_t ReferralLimit = 4; // of one request
 constexpr std::size_t ChoiceLimit = 4;     // servers weighed for an attempt
+// Of one request: each costs a hop, and tells the load of one more owner.
+constexpr std::uint32_t HandBackLimit = 2;
 // What an attempt's deadline is ahead of its request's, so that the owner's
 // answer arrives before the entry gives up: there and back.
 constexpr base::Duration HopAllowance = base::milliseconds(5);
@@ -97,6 +99,11 @@
 
 } // namespace
 
+bool hasRoomElsewhere(State &Node, const EntryRequest &Request,
+                      EffectList &Effects) {
+  return chooseFor(Node, Request, {}, Effects).HasRoom;
+}
+
 admission::AttemptPlan planOf(const State &Node, const EntryRequest &Request,
                               const routing::BackendServer &Server) {
   return {*Node.Config.Current,    Request.Kind, Server, Node.Self.Region,
@@ -188,8 +195,10 @@
     setTimer(Node.Timers,
              Node.Now + base::scaled(Request.Deadline - Node.Now, TrialShare),
              TrialDue{Request.Facts.Request, Request.Current});
-  Effects.push_back(StartAttempt{factsOf(Node, Request, Server->Record.Name),
-                                 Server->Record.Owner, Address});
+  AttemptFacts Facts = factsOf(Node, Request, Server->Record.Name);
+  Facts.HandsBack = Chosen.OtherHasRoom && Request.HandBacks < HandBackLimit;
+  Effects.push_back(
+      StartAttempt{std::move(Facts), Server->Record.Owner, Address});
 }
 
 } // namespace currantgauge::core
--- a/currantgauge/core/entry_attempts.h
+++ b/currantgauge/core/entry_attempts.h
@@ -24,6 +24,11 @@
 base::Reason placeAttempt(State &Node, const EntryRequest &Request,
                           routing::Choice &Chosen, EffectList &Effects);
 
+// hasRoomElsewhere() says whether the server that would be chosen next seems to
+// have a free slot.
+bool hasRoomElsewhere(State &Node, const EntryRequest &Request,
+                      EffectList &Effects);
+
 // startAttempt() sends an attempt to the owner of the server chosen.
 void startAttempt(State &Node, EntryRequest &Request,
                   const routing::Choice &Chosen, EffectList &Effects);
--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -237,4 +237,33 @@
   CHECK(Received == 70000);
 }
 
+TEST_CASE("an attempt that is handed back goes to the other server at once") {
+  State Node = fleetOfTwo("north");
+  EffectList Effects;
+  reduce(Node, Event{Now, {}, sampleRequest(1)}, Effects);
+  Node.Routing.Servers.at(base::BackendName("cutlist-1")).Running = 1;
+  Effects.clear();
+  reduce(Node, Event{Now, {}, sampleRequest(2)}, Effects);
+  const StartAttempt *First = find<StartAttempt>(Effects);
+  REQUIRE(First);
+  REQUIRE(First->Owner == Other);
+  CHECK(First->Facts.HandsBack);
+  base::BackendName Before = First->Facts.Preferred;
+  AttemptEnded Ended;
+  Ended.Attempt = First->Facts.Attempt;
+  Ended.Outcome.What = base::Verdict::NotRun;
+  Ended.Outcome.Why = base::Reason::LongWait;
+  Ended.Outcome.Load.Owner = First->Owner;
+  Ended.Outcome.Load.Service = Service;
+  Ended.Outcome.Load.Busy = 3;
+  Effects.clear();
+  reduce(Node, Event{Now + base::milliseconds(1), {}, Ended}, Effects);
+  const StartAttempt *Second = find<StartAttempt>(Effects);
+  REQUIRE(Second);
+  CHECK(Second->Facts.Preferred != Before);
+  // The first one is known to be full: there is nowhere else to go.
+  CHECK_FALSE(Second->Facts.HandsBack);
+  CHECK(Node.Entry.Requests.rbegin()->second.Attempts == 1);
+}
+
 } // namespace currantgauge::core
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -52,6 +52,9 @@
   // 1 until an attempt of the request has reached a backend server.
   std::uint32_t Number = 1;
   bool Permitted = false; // bears the one permission of its action id
+  // The entry knows of another server with room: it wants the attempt back
+  // where the wait would cost the aim.
+  bool HandsBack = false;
 };
 
 // Pressure is what an owner tells an entry of a rank's queue, in each answer to
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -63,7 +63,8 @@
   base::TimePoint Deadline;
   base::AttemptId Current; // Sequence 0: none is running
   std::uint32_t Attempts = 0;
-  std::uint32_t Sends = 0; // attempts that reached a backend server
+  std::uint32_t Sends = 0;     // attempts that reached a backend server
+  std::uint32_t HandBacks = 0; // by owners whose wait was too long
   std::vector<base::BackendName> Tried;
   base::BackendName CurrentServer;
   base::Fingerprint Print;
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -233,6 +233,7 @@
   To.set_number(From.Number);
   To.set_permitted(From.Permitted);
   To.set_waited_micros(From.Waited.Micros);
+  To.set_hands_back(From.HandsBack);
 }
 
 bool fromWire(const v1::AttemptFacts &From, core::AttemptFacts &To) {
@@ -256,6 +257,7 @@
   To.Number = From.number();
   To.Permitted = From.permitted();
   To.Waited.Micros = From.waited_micros();
+  To.HandsBack = From.hands_back();
   return true;
 }
 
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -30,10 +30,12 @@
   const ServerStanding *Place = nullptr;
 };
 
-// Best is the cheapest candidate seen.
+// Best is the cheapest candidate seen, and how many seem to have a free slot.
 struct Best {
   const BackendServer *Server = nullptr;
   double Cost = HUGE_VAL;
+  bool HasRoom = false;
+  std::uint32_t WithRoom = 0; // this one included
 };
 
 // Search is a choice on its way. Avoid: leave out tried servers and bad paths.
@@ -97,12 +99,17 @@
   return std::max(Own, Heard);
 }
 
+// Of a server's slots, with one more attempt; above 1 it would wait.
+double loadWith(const RoutingState &State, const ChoiceQuery &Query,
+                const Candidate &One) {
+  return (workAt(Query, State, *One.Server) + 1) /
+         effectiveSlots(*One.Server, One.Place, Query.Now);
+}
+
 double costOf(const RoutingState &State, const ChoiceQuery &Query,
-              const Candidate &One) {
+              const Candidate &One, double Load) {
   const BackendServer &Server = *One.Server;
-  double Cost = (workAt(Query, State, Server) + 1) /
-                effectiveSlots(Server, One.Place, Query.Now);
-  Cost += queueCost(Query, Server);
+  double Cost = Load + queueCost(Query, Server);
   if (Server.Record.Suspicion >= 1)
     Cost += SickCost;
   if (Server.Record.Owner != State.Self) {
@@ -133,9 +140,15 @@
   Candidate One = lookUp(For, Name);
   if (!One.Server)
     return;
-  double Cost = costOf(For.State, For.Query, One);
+  double Load = loadWith(For.State, For.Query, One);
+  double Cost = costOf(For.State, For.Query, One, Load);
+  Found.WithRoom += Load <= 1 ? 1 : 0;
   if (Cost < Found.Cost)
-    Found = Best{One.Server, Cost};
+    Found = Best{One.Server, Cost, Load <= 1, Found.WithRoom};
+}
+
+bool othersHaveRoom(const Best &Found) {
+  return Found.WithRoom > (Found.HasRoom ? 1 : 0);
 }
 
 // A few random ones are enough, all are looked at only if none of them serves.
@@ -220,9 +233,10 @@
   if (!Here.Server || Here.Cost > 1)
     There = sampleBest(For, Set->second.There, Source);
   if (Here.Server && !isWorthTheLink(Query, Here, There))
-    return {Here.Server, ChoiceWhy::Local};
+    return {Here.Server, ChoiceWhy::Local, Here.HasRoom, othersHaveRoom(Here)};
   if (There.Server)
-    return {There.Server, ChoiceWhy::Spill};
+    return {There.Server, ChoiceWhy::Spill, There.HasRoom,
+            othersHaveRoom(Here)};
   return lastResort(For, Source);
 }
 
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -43,6 +43,8 @@
 struct Choice {
   const BackendServer *Server = nullptr;
   ChoiceWhy Why = ChoiceWhy::Local;
+  bool HasRoom = false;      // a slot seems to be free there
+  bool OtherHasRoom = false; // and at another server of the own region
 };
 
 // chooseServer() returns the least loaded of a few servers of the routing set,
--- a/currantgauge/runtime/fields.h
+++ b/currantgauge/runtime/fields.h
@@ -23,7 +23,7 @@
   return requires { T{(static_cast<void>(I), AnyField{})...}; };
 }
 
-constexpr std::size_t MostFields = 20;
+constexpr std::size_t MostFields = 21;
 
 // countFields() is the largest number of initializers that T takes.
 template <typename T, std::size_t N = MostFields>
@@ -38,7 +38,7 @@
 
 } // namespace detail
 
-// forEachField() calls Call on each field of an aggregate of at most 19.
+// forEachField() calls Call on each field of an aggregate of at most 20.
 template <typename T, typename F> void forEachField(T &Value, F Call) {
   constexpr std::size_t N = detail::countFields<std::remove_const_t<T>>();
   static_assert(N < detail::MostFields, "too many fields for forEachField");
@@ -113,6 +113,11 @@
     Call(A), Call(B), Call(C), Call(D), Call(E), Call(G), Call(H), Call(I);
     Call(J), Call(K), Call(L), Call(M), Call(O), Call(P), Call(Q), Call(R);
     Call(S), Call(T0), Call(U);
+  } else if constexpr (N == 20) {
+    auto &[A, B, C, D, E, G, H, I, J, K, L, M, O, P, Q, R, S, T0, U, V] = Value;
+    Call(A), Call(B), Call(C), Call(D), Call(E), Call(G), Call(H), Call(I);
+    Call(J), Call(K), Call(L), Call(M), Call(O), Call(P), Call(Q), Call(R);
+    Call(S), Call(T0), Call(U), Call(V);
   }
 }
 
