--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -341,6 +341,9 @@
   toWire(Message, Call->Request);
   Call->Done = std::move(Done);
   Call->Context.set_deadline(after(DeliverLimit));
+  // Records repeat names and addresses. The library leaves a message as it is
+  // where that is smaller.
+  Call->Context.set_compression_algorithm(GRPC_COMPRESS_DEFLATE);
   channelTo(Client, Address)
       ->Stub->async()
       ->Deliver(&Call->Context, &Call->Request, &Call->Reply, Call);
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -142,6 +142,7 @@
   grpc::ServerUnaryReactor *FetchConfig(grpc::CallbackServerContext *Context,
                                         const v1::FetchConfigRequest *Request,
                                         v1::FetchConfigReply *Reply) override {
+    Context->set_compression_algorithm(GRPC_COMPRESS_DEFLATE);
     grpc::ServerUnaryReactor *Reactor = Context->DefaultReactor();
     auto Delta =
         this->Handlers.FetchConfig(base::ConfigVersion(Request->have()));
--- /dev/null
+++ b/currantgauge/peer/traffic_test.cc
@@ -0,0 +1,127 @@
+// What calls between nodes take on the wire, through a relay that counts.
+#include "currantgauge/membership/size.h"
+#include "currantgauge/peer/client.h"
+#include "currantgauge/peer/server.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <future>
+#include <string>
+#include <thread>
+
+namespace currantgauge::peer {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+tcp::endpoint loopback(unsigned short Port = 0) {
+  return tcp::endpoint(asio::ip::address_v4::loopback(), Port);
+}
+
+unsigned short freePort() {
+  asio::io_context Io;
+  return tcp::acceptor(Io, loopback()).local_endpoint().port();
+}
+
+// Relay passes one connection on and counts the bytes of the caller.
+struct Relay {
+  explicit Relay(unsigned short Port)
+      : Acceptor(Io, loopback()), Caller(Io), Server(Io), Target(Port) {}
+
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  tcp::socket Caller;
+  tcp::socket Server;
+  unsigned short Target;
+  std::atomic<std::size_t> Bytes{0};
+};
+
+void copy(tcp::socket &From, tcp::socket &To, std::atomic<std::size_t> *Count) {
+  std::array<char, 4096> Piece;
+  boost::system::error_code Error;
+  while (!Error) {
+    std::size_t Length = From.read_some(asio::buffer(Piece), Error);
+    if (Count)
+      *Count += Length;
+    if (!Error)
+      asio::write(To, asio::buffer(Piece, Length), Error);
+  }
+  To.shutdown(tcp::socket::shutdown_both, Error);
+}
+
+void run(Relay &Between) {
+  Between.Acceptor.accept(Between.Caller);
+  Between.Server.connect(loopback(Between.Target));
+  std::thread Back([&] { copy(Between.Server, Between.Caller, nullptr); });
+  copy(Between.Caller, Between.Server, &Between.Bytes);
+  Back.join();
+}
+
+membership::PeerMessage rumours(std::size_t Count) {
+  membership::PeerMessage Message;
+  Message.From = base::NodeName("sidecar-north-a-1");
+  Message.Kind = membership::MessageKind::Rumours;
+  for (std::size_t I = 0; I < Count; ++I) {
+    routing::BackendRecord &Record = Message.Backends.emplace_back();
+    Record.Name = base::BackendName("i-7f3a91c" + std::to_string(I));
+    Record.Service = base::ServiceName("cutlist");
+    Record.Owner = base::NodeName("sidecar-north-a-" + std::to_string(I));
+    Record.Region = base::RegionName("north");
+    Record.Domain = base::DomainName("north-a");
+    Record.Address = base::NetAddress("10.1.0." + std::to_string(I) + ":8145");
+    Record.Slots = 4;
+  }
+  return Message;
+}
+
+bool deliverOnce(PeerClient &Client, const base::NetAddress &To,
+                 const membership::PeerMessage &Message) {
+  std::promise<bool> Done;
+  deliver(Client, To, Message, [&](bool Good) { Done.set_value(Good); });
+  return Done.get_future().get();
+}
+
+} // namespace
+
+TEST_CASE("rumours take half of their size on the wire") {
+  unsigned short Port = freePort();
+  std::atomic<std::size_t> Records{0};
+  PeerHandlers Handlers;
+  Handlers.Deliver = [&](membership::PeerMessage Message) {
+    Records += Message.Backends.size();
+  };
+  std::error_code Error;
+  auto Server = startPeerServer(
+      base::NetAddress("127.0.0.1:" + std::to_string(Port)), Handlers, Error);
+  REQUIRE(Server);
+  Relay Between(Port);
+  base::NetAddress To("127.0.0.1:" +
+                      std::to_string(Between.Acceptor.local_endpoint().port()));
+  std::thread Running([&] { run(Between); });
+  constexpr std::size_t Count = 12;
+  constexpr std::size_t Calls = 10;
+  membership::PeerMessage Message = rumours(Count);
+  {
+    PeerClient Client;
+    REQUIRE(deliverOnce(Client, To, Message)); // opens the connection
+    std::size_t Before = Between.Bytes;
+    for (std::size_t I = 0; I < Calls; ++I)
+      REQUIRE(deliverOnce(Client, To, Message));
+    std::size_t Each = (Between.Bytes - Before) / Calls;
+    CAPTURE(Each);
+    CHECK(Each < membership::encodedSize(Message) / 2);
+  }
+  CHECK(Records == Count * (Calls + 1));
+  stopPeerServer(*Server, base::milliseconds(100));
+  Running.join();
+}
+
+} // namespace currantgauge::peer
