--- a/tests/integration/callers.cc
+++ b/tests/integration/callers.cc
@@ -1,6 +1,6 @@
 #include "tests/integration/callers.h"
 
-#include <doctest/doctest.h>
+#include <iostream>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -173,7 +173,7 @@
     std::ifstream Log(Some.Folder + "/" + Node.Name + ".log");
     for (std::string Line; std::getline(Log, Line);)
       if (Line.find("server_ejected") != std::string::npos)
-        MESSAGE(Line);
+        std::cerr << Line << "\n";
   }
   return Ejected;
 }
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -173,7 +173,8 @@
     endProcess(Node.Process);
   endProcess(this->PlatformProcess);
   std::error_code Ignored;
-  std::filesystem::remove_all(this->Folder, Ignored);
+  if (!this->KeepsFolder)
+    std::filesystem::remove_all(this->Folder, Ignored);
 }
 
 std::optional<Answer> ask(const std::string &Address, const std::string &Method,
@@ -276,7 +277,9 @@
   launchNode(Some, Node, {});
 }
 
-ServerProcess &startServer(Fleet &Some, const std::string &Name,
+namespace {
+
+ServerProcess launchServer(const Fleet &Some, const std::string &Name,
                            const std::string &Service, const NodeProcess &Node,
                            const std::vector<std::string> &Flags) {
   std::vector<std::string> Arguments = {
@@ -287,10 +290,26 @@
   Server.Process =
       start("backend_server", Arguments, Some.Folder + "/" + Name + ".log");
   Server.Address = "127.0.0.1:" + std::to_string(readPort(*Server.Process));
-  Some.Servers.push_back(std::move(Server));
+  return Server;
+}
+
+} // namespace
+
+ServerProcess &startServer(Fleet &Some, const std::string &Name,
+                           const std::string &Service, const NodeProcess &Node,
+                           const std::vector<std::string> &Flags) {
+  Some.Servers.push_back(launchServer(Some, Name, Service, Node, Flags));
   return Some.Servers.back();
 }
 
+void startServerAgain(Fleet &Some, ServerProcess &Server,
+                      const std::string &Name, const std::string &Service,
+                      const NodeProcess &Node,
+                      const std::vector<std::string> &Flags) {
+  endProcess(Server.Process);
+  Server = launchServer(Some, Name, Service, Node, Flags);
+}
+
 std::string writeConfig(const Fleet &Some, const std::string &Name,
                         const std::string &Text) {
   std::string Folder = Some.Folder + "/" + Name;
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -39,6 +39,7 @@
   std::string Metrics; // of a machine's node alone
   std::string SettingsPath;
   Proxy Between;
+  Proxy StorePath; // of a machine's node between two proxies alone
   ChildPtr Process;
 };
 
@@ -56,9 +57,10 @@
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
 
-  std::string Folder;   // of settings and logs
-  std::string Host;     // 127.x.y.; each node appends a number of its own
-  std::string Platform; // IP:port; empty: none was started
+  std::string Folder;       // of settings and logs
+  bool KeepsFolder = false; // else it goes with the fleet
+  std::string Host;         // 127.x.y.; each node appends a number of its own
+  std::string Platform;     // IP:port; empty: none was started
   ChildPtr PlatformProcess;
   std::vector<NodeProcess> Nodes;
   std::vector<ServerProcess> Servers;
@@ -128,6 +130,12 @@
                            const std::string &Service, const NodeProcess &Node,
                            const std::vector<std::string> &Flags = {});
 
+// startServerAgain() starts a new life of a stand-in that was ended.
+void startServerAgain(Fleet &Some, ServerProcess &Server,
+                      const std::string &Name, const std::string &Service,
+                      const NodeProcess &Node,
+                      const std::vector<std::string> &Flags);
+
 // writeConfig() writes a configuration of one file and returns its folder.
 std::string writeConfig(const Fleet &Some, const std::string &Name,
                         const std::string &Text);
--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -58,9 +58,13 @@
 
 Machines::Machines() { startPlatform(this->Some, {"--tables"}); }
 
-Machine addMachine(Machines &All, const std::string &Region,
-                   const std::string &Zone, const std::string &Service,
-                   const std::vector<std::string> &Flags) {
+namespace {
+
+enum class Paths { Direct, Proxied };
+
+Machine startMachine(Machines &All, const std::string &Region,
+                     const std::string &Zone, const std::string &Service,
+                     const std::vector<std::string> &Flags, Paths Way) {
   Fleet &Some = All.Some;
   std::string Number = std::to_string(All.Each.size() + 1);
   NodeProcess Node = addressesOf(Some, "machine-" + Number);
@@ -73,6 +77,16 @@
   std::vector<std::string> ServerFlags = {"--machines"};
   ServerFlags.insert(ServerFlags.end(), Flags.begin(), Flags.end());
   startServer(Some, "i-" + Number, Service, Node, ServerFlags);
+  std::string PeerListener = Node.Peers;
+  std::string Store = Some.Platform;
+  std::string Advertised;
+  if (Way == Paths::Proxied) {
+    Node.Between = startProxy(PeerListener);
+    Node.StorePath = startProxy(Some.Platform);
+    Node.Peers = Node.Between.Address;
+    Store = Node.StorePath.Address;
+    Advertised = "advertise: {peers: \"" + Node.Peers + "\"}\n";
+  }
   std::string Settings = fillIn(readFile(std::string(CURRANTGAUGE_SOURCE_DIR) +
                                          "/deploy/settings.yaml.tmpl"),
                                 {{"node", Node.Name},
@@ -81,21 +95,35 @@
                                  {"service", Service},
                                  {"application", Some.Servers.back().Address},
                                  {"listen.outbound", Node.Callers},
-                                 {"listen.inbound", Node.Peers},
+                                 {"listen.inbound", PeerListener},
                                  {"listen.control", Node.Announcements},
                                  {"listen.ready", Node.Ready},
                                  {"ipAddress", Host},
                                  {"internalPortRange.0", OperatorsPort},
-                                 {"platform.address", Some.Platform},
+                                 {"platform.address", Store},
                                  {"bounds.retryBudgetRatio", "0.2"},
                                  {"bounds.retryBudgetSlack", "56"},
                                  {"bounds.budgetWindowS", "10"}});
-  startNodeFrom(Some, std::move(Node), Settings);
+  startNodeFrom(Some, std::move(Node), Settings + Advertised);
   All.Each.push_back(
       Machine{Some.Nodes.size() - 1, Some.Servers.size() - 1, Service});
   return All.Each.back();
 }
 
+} // namespace
+
+Machine addMachine(Machines &All, const std::string &Region,
+                   const std::string &Zone, const std::string &Service,
+                   const std::vector<std::string> &Flags) {
+  return startMachine(All, Region, Zone, Service, Flags, Paths::Direct);
+}
+
+Machine addProxiedMachine(Machines &All, const std::string &Region,
+                          const std::string &Zone, const std::string &Service,
+                          const std::vector<std::string> &Flags) {
+  return startMachine(All, Region, Zone, Service, Flags, Paths::Proxied);
+}
+
 NodeProcess &nodeOf(Machines &All, const Machine &One) {
   return All.Some.Nodes[One.Node];
 }
--- a/tests/integration/machines.h
+++ b/tests/integration/machines.h
@@ -45,6 +45,12 @@
                    const std::string &Zone, const std::string &Service,
                    const std::vector<std::string> &Flags = {});
 
+// addProxiedMachine() does the same with fault proxies before the node's
+// listener of peers and between it and the store.
+Machine addProxiedMachine(Machines &All, const std::string &Region,
+                          const std::string &Zone, const std::string &Service,
+                          const std::vector<std::string> &Flags = {});
+
 NodeProcess &nodeOf(Machines &All, const Machine &One);
 ServerProcess &serverOf(Machines &All, const Machine &One);
 
--- a/tests/stand_ins/backend_server_main.cc
+++ b/tests/stand_ins/backend_server_main.cc
@@ -11,6 +11,8 @@
 //                   "by_caller": {"service": runs}, "misdirected": N,
 //                   "acknowledged": "the last state that a node took"}
 // The same is printed on standard error when it ends by SIGTERM.
+// With --record=FILE each request adds a line "run ID SECONDS" or "refuse ID
+// SECONDS" of the steady clock, which outlives the process.
 // With --machines it speaks the protocol of the machines' platform, and the key
 // is the id of the caller's attempt.
 #include "tests/stand_ins/announcer.h"
@@ -33,6 +35,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <optional>
@@ -50,6 +53,8 @@
 DEFINE_int32(cold_start_ms, 0, "announced cold start, in milliseconds");
 DEFINE_bool(machines, false, "speak the protocol of the machines' platform");
 DEFINE_int32(answer_bytes, 0, "bytes added to each answer");
+DEFINE_string(record, "",
+              "file that gets a line for each request; empty: none");
 
 namespace {
 
@@ -78,6 +83,16 @@
   std::minstd_rand Source{1};
 };
 
+void record(const char *What, const Request &Asked, const char *IdField) {
+  if (FLAGS_record.empty())
+    return;
+  std::ofstream File(FLAGS_record, std::ios::app);
+  std::chrono::duration<double> Time =
+      std::chrono::steady_clock::now().time_since_epoch();
+  File << What << ' ' << Asked[IdField] << ' ' << std::fixed << Time.count()
+       << std::endl;
+}
+
 bool isHit(Server &Self) {
   return std::uniform_real_distribution<>()(Self.Source) < Self.Share;
 }
@@ -134,6 +149,7 @@
     return std::nullopt;
   if (Status == 421)
     ++Self.Misdirected;
+  record("refuse", Asked, AttemptField);
   Response Refused = answer(Asked, Status, "not executed\n");
   Refused.set("Currantgauge-Not-Executed", "1");
   return Refused;
@@ -158,6 +174,7 @@
   std::string Key(Asked[FLAGS_machines ? AttemptField : "Idempotency-Key"]);
   if (!Key.empty())
     ++Self.ByKey[Key];
+  record("run", Asked, AttemptField);
   if (FLAGS_machines)
     ++Self.ByCaller[std::string(Asked["Currantgauge-Caller-Service"])];
   if (Asked.body().find("CRASH") != std::string::npos)
