--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -6,6 +6,7 @@
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/retry.h"
 #include "currantgauge/core/entry_attempts.h"
+#include "currantgauge/core/entry_metrics.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/request_log.h"
 #include "currantgauge/routing/choose.h"
@@ -34,37 +35,6 @@
                                              : findRequest(Node, Found->second);
 }
 
-void rememberEnd(State &Node, const EntryRequest &Request, base::Verdict What,
-                 base::Reason Why) {
-  RequestTrace Trace;
-  Trace.Request = Request.Facts.Request;
-  Trace.Kind = Request.Kind.Name;
-  Trace.Service = Request.Kind.Service;
-  Trace.Rank = Request.Kind.Rank;
-  Trace.Arrived = Request.Arrived;
-  Trace.Took = Node.Now - Request.Arrived;
-  Trace.Ended = true;
-  Trace.What = What;
-  Trace.Why = Why;
-  Trace.Attempts = Request.Trace;
-  remember(Node.Entry.Recent, std::move(Trace));
-}
-
-void countEnd(State &Node, const EntryRequest &Request, base::Verdict What,
-              base::Reason Why, EffectList &Effects) {
-  rememberEnd(Node, Request, What, Why);
-  logRequestEnd(Node, Request, What, Why, Effects);
-  Effects.push_back(Measure{Metric::Requests, Request.Kind.Name.Value,
-                            std::string(base::verdictName(What)), 1});
-  Effects.push_back(Measure{Metric::RequestSeconds, Request.Kind.Rank.Value,
-                            Request.Kind.Service.Value,
-                            base::toSeconds(Node.Now - Request.Arrived)});
-  if (Why != base::Reason::None)
-    Effects.push_back(Measure{Metric::Refusals,
-                              std::string(base::reasonName(Why)),
-                              Request.Kind.Rank.Value, 1});
-}
-
 void forget(State &Node, base::RequestId Id) {
   EntryRequest *Request = findRequest(Node, Id);
   if (Request && Request->Current.Sequence != 0)
@@ -215,17 +185,6 @@
   Request.MayHaveRun = true;
 }
 
-// Of an attempt at another node: what its way there and back took.
-void measureHop(const State &Node, const EntryRequest &Request,
-                const AttemptOutcome &Outcome, EffectList &Effects) {
-  if (Outcome.Held == base::Duration{} || Request.Trace.empty() ||
-      Request.Trace.back().Owner == Node.Self.Name)
-    return;
-  Effects.push_back(
-      Measure{Metric::PartSeconds, "hop", Request.Kind.Rank.Value,
-              base::toSeconds(Request.Trace.back().Took - Outcome.Held)});
-}
-
 base::Duration deadlineOf(const RequestFacts &Facts,
                           const config::KindSettings &Kind) {
   base::Duration Limit =
--- /dev/null
+++ b/tests/integration/ask.cc
@@ -0,0 +1,81 @@
+#include "tests/integration/ask.h"
+
+#include "currantgauge/base/text.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cstdint>
+#include <thread>
+
+namespace currantgauge::integration {
+namespace {
+
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds PollInterval{20};
+
+} // namespace
+
+tcp::endpoint endpointOf(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  return {asio::ip::make_address(Address.substr(0, Colon)),
+          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
+}
+
+std::optional<Answer> ask(const std::string &Address, const std::string &Method,
+                          const std::string &Target, const std::string &Body,
+                          const FieldMap &Fields,
+                          std::chrono::milliseconds Limit) {
+  asio::io_context Io;
+  beast::tcp_stream Stream(Io);
+  Stream.expires_after(Limit);
+  beast::http::request<beast::http::string_body> Request;
+  Request.version(11);
+  Request.method_string(Method);
+  Request.target(Target);
+  Request.set(beast::http::field::host, Address);
+  for (const auto &[Name, Value] : Fields)
+    Request.set(Name, Value);
+  Request.body() = Body;
+  Request.prepare_payload();
+  beast::flat_buffer Input;
+  beast::http::response<beast::http::string_body> Got;
+  bool Whole = false;
+  Stream.async_connect(endpointOf(Address), [&](auto Error) {
+    if (Error)
+      return;
+    beast::http::async_write(Stream, Request, [&](auto Failed, std::size_t) {
+      if (Failed)
+        return;
+      beast::http::async_read(Stream, Input, Got,
+                              [&](auto Bad, std::size_t) { Whole = !Bad; });
+    });
+  });
+  Io.run();
+  if (!Whole)
+    return std::nullopt;
+  Answer Result{Got.result_int(), {}, Got.body()};
+  for (const auto &Field : Got) {
+    std::string Name = base::lowered(std::string(Field.name_string()));
+    Result.Fields[Name] = std::string(Field.value());
+  }
+  return Result;
+}
+
+bool waitUntil(const std::function<bool()> &Check,
+               std::chrono::milliseconds Limit) {
+  auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Check()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return true;
+}
+
+} // namespace currantgauge::integration
--- /dev/null
+++ b/tests/integration/ask.h
@@ -0,0 +1,44 @@
+// One HTTP request on a connection of its own, and waiting for a condition.
+//
+//   auto Got = ask(Node.Ready, "GET", "/api/readiness");
+//   waitUntil([&] { return isReady(Node); });
+#ifndef CURRANTGAUGE_TESTS_INTEGRATION_ASK_H
+#define CURRANTGAUGE_TESTS_INTEGRATION_ASK_H
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace currantgauge::integration {
+
+// endpointOf() reads "IP:PORT".
+boost::asio::ip::tcp::endpoint endpointOf(const std::string &Address);
+
+// Answer is an HTTP answer.
+struct Answer {
+  unsigned Status = 0;
+  std::map<std::string, std::string> Fields; // names in lower case
+  std::string Body;
+};
+
+using FieldMap = std::map<std::string, std::string>;
+
+// ask() sends one HTTP request on a connection of its own; none when there was
+// no whole answer within Limit.
+std::optional<Answer>
+ask(const std::string &Address, const std::string &Method,
+    const std::string &Target, const std::string &Body = "",
+    const FieldMap &Fields = {},
+    std::chrono::milliseconds Limit = std::chrono::seconds(10));
+
+// waitUntil() repeats Check until it is true; false when Limit passed first.
+bool waitUntil(const std::function<bool()> &Check,
+               std::chrono::milliseconds Limit = std::chrono::seconds(20));
+
+} // namespace currantgauge::integration
+
+#endif // CURRANTGAUGE_TESTS_INTEGRATION_ASK_H
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -8,6 +8,7 @@
 #ifndef CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
 #define CURRANTGAUGE_TESTS_INTEGRATION_FLEET_H
 
+#include "tests/integration/ask.h"
 #include "tests/integration/proxy.h"
 
 #include <chrono>
@@ -66,27 +67,6 @@
   std::vector<ServerProcess> Servers;
 };
 
-// Answer is an HTTP answer.
-struct Answer {
-  unsigned Status = 0;
-  std::map<std::string, std::string> Fields; // names in lower case
-  std::string Body;
-};
-
-using FieldMap = std::map<std::string, std::string>;
-
-// ask() sends one HTTP request on a connection of its own; none when there was
-// no whole answer within Limit.
-std::optional<Answer>
-ask(const std::string &Address, const std::string &Method,
-    const std::string &Target, const std::string &Body = "",
-    const FieldMap &Fields = {},
-    std::chrono::milliseconds Limit = std::chrono::seconds(10));
-
-// waitUntil() repeats Check until it is true; false when Limit passed first.
-bool waitUntil(const std::function<bool()> &Check,
-               std::chrono::milliseconds Limit = std::chrono::seconds(20));
-
 // startPlatform() starts the platform's stand-in; later nodes use it.
 void startPlatform(Fleet &Some, const std::vector<std::string> &Flags = {});
 
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -1,7 +1,6 @@
 #include "tests/soak/callers.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -17,7 +16,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-using asio::ip::tcp;
 using Asked = beast::http::request<beast::http::string_body>;
 using Answer = beast::http::response<beast::http::string_body>;
 using ErrorCode = boost::system::error_code;
@@ -48,18 +46,12 @@
   return Result;
 }
 
-tcp::endpoint endpointOf(const std::string &Address) {
-  std::size_t Colon = Address.rfind(':');
-  return {asio::ip::make_address(Address.substr(0, Colon)),
-          static_cast<unsigned short>(std::stoi(Address.substr(Colon + 1)))};
-}
-
 bool open(Connection &Open, const std::string &Address) {
   Open.Stream = std::make_unique<beast::tcp_stream>(Open.Io);
   Open.Input.clear();
   constexpr std::chrono::milliseconds ConnectLimit{1000};
   ErrorCode Error = await(Open, ConnectLimit, [&](auto Done) {
-    Open.Stream->async_connect(endpointOf(Address), Done);
+    Open.Stream->async_connect(integration::endpointOf(Address), Done);
   });
   if (Error)
     Open.Stream.reset();
