A trial is broken off only where another server has room for its request

The rule that a stopping node breaks off nothing can't help a cut from before the signal: the request had nowhere to go.

Now the entry looks for a server with a free slot first, and else waits for the answer. Test: a case of the reducer, which failed before.

--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -310,12 +310,13 @@
          Effects);
 }
 
-// A trial is given up for another attempt alone: where none is permitted, the
-// server's answer may still come. A stopping node breaks off nothing.
+// A trial is given up for another attempt alone: where none is permitted, or no
+// other server has room for one, the server's answer may still come. A stopping
+// node breaks off nothing.
 void onTrialDue(State &Node, const TrialDue &Due, EffectList &Effects) {
   EntryRequest *Request = findRequest(Node, Due.Request);
   if (!Request || Request->Current != Due.Attempt || Request->Committed ||
-      Node.Stopping)
+      Node.Stopping || !hasRoomElsewhere(Node, *Request, Effects))
     return;
   AttemptOutcome Silence;
   Silence.What = base::Verdict::MayHaveRun;
--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -175,6 +175,18 @@
   CHECK(find<DeliverAnswer>(Effects));
 }
 
+TEST_CASE("a trial is not broken off while no other server has room") {
+  State Node = fleetOfTwo("north");
+  startTrial(Node);
+  routing::BackendServer &Near =
+      Node.Routing.Servers.at(base::BackendName("cutlist-2"));
+  Near.HeardBusy = 1.5;
+  Near.BusyAt = HalfTime;
+  EffectList Effects;
+  reduce(Node, Event{HalfTime, {}, TimerFired{}}, Effects);
+  CHECK_FALSE(find<CancelAttempt>(Effects));
+}
+
 TEST_CASE("a stopping node breaks off no trial") {
   State Node = fleetOfTwo("north");
   startTrial(Node);
