--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -2,8 +2,6 @@
 
 #include "currantgauge/base/text.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -24,8 +22,6 @@
 
 namespace bp = boost::process;
 namespace beast = boost::beast;
-namespace asio = boost::asio;
-using asio::ip::tcp;
 
 namespace detail {
 
--- a/tests/soak/seen.cc
+++ b/tests/soak/seen.cc
@@ -134,7 +134,9 @@
   for (const Request &One : Run.Requests)
     if (One.Version > 0 && (One.Status == 200 || One.Status == 404))
       ByMachine[One.Machine].push_back(&One);
-  for (auto &[Machine, Asked] : ByMachine) {
+  for (auto &Item : ByMachine) {
+    std::size_t Machine = Item.first;
+    std::vector<const Request *> &Asked = Item.second;
     std::sort(
         Asked.begin(), Asked.end(),
         [](const Request *A, const Request *B) { return A->Ended < B->Ended; });
