--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -1,7 +1,7 @@
 // Callers of a soak run: each stays on one machine, keeps its connection open
 // for as long as the node does, and records what it got.
 //
-//   Callers Asking(All, Known, 3, Seed);
+//   Callers Asking(All, 3, Seed);
 //   std::vector<Request> Got = endCallers(Asking);
 #ifndef CURRANTGAUGE_TESTS_SOAK_CALLERS_H
 #define CURRANTGAUGE_TESTS_SOAK_CALLERS_H
--- a/tests/soak/run.h
+++ b/tests/soak/run.h
@@ -1,7 +1,7 @@
 // A soak run: a fleet of real processes, callers, and a plan of faults that is
 // carried out from outside.
 //
-//   Seen Everything = runSoak({.Seed = 7, .Plan = makePlan(...)}, Folder);
+//   SoakResult Result = runSoak({.Seed = 7, .Plan = makePlan(7, Length, 5)});
 #ifndef CURRANTGAUGE_TESTS_SOAK_RUN_H
 #define CURRANTGAUGE_TESTS_SOAK_RUN_H
 
