One reader of IP:PORT for tests and stand-ins, one recovery bound of the soak, one look at a handed-back attempt

The last read of the change found three copies: endpointOf() of tests and of the announcer did what stand_ins::targetOf() does; the soak's run and its checks each had the 15 s of recovery; a handed-back attempt was asked for twice in a row.

--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -274,12 +274,11 @@
                           Node.Now);
   noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now);
   measureHop(Node, *Request, Outcome, Effects);
-  if (Outcome.Why != base::Reason::LongWait)
-    noteEnd(Node, *Request, Outcome, Effects);
   endCurrentAttempt(Node, *Request);
   Request->LastWhy = Outcome.Why;
   if (Outcome.Why == base::Reason::LongWait)
     return placeAgain(Node, *Request, Outcome, Effects);
+  noteEnd(Node, *Request, Outcome, Effects);
   if (admission::reachedServer(Outcome))
     ++Request->Sends;
   else if (Request->Sends > 0 && Node.Self.Retry.Ratio > 0)
--- a/tests/integration/ask.cc
+++ b/tests/integration/ask.cc
@@ -1,13 +1,13 @@
 #include "tests/integration/ask.h"
 
 #include "currantgauge/base/text.h"
+#include "tests/stand_ins/fault_proxy.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <cstdint>
 #include <thread>
 
 namespace currantgauge::integration {
@@ -15,18 +15,11 @@
 
 namespace beast = boost::beast;
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 constexpr std::chrono::milliseconds PollInterval{20};
 
 } // namespace
 
-tcp::endpoint endpointOf(const std::string &Address) {
-  std::size_t Colon = Address.rfind(':');
-  return {asio::ip::make_address(Address.substr(0, Colon)),
-          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
-}
-
 std::optional<Answer> ask(const std::string &Address, const std::string &Method,
                           const std::string &Target, const std::string &Body,
                           const FieldMap &Fields,
@@ -46,7 +39,7 @@
   beast::flat_buffer Input;
   beast::http::response<beast::http::string_body> Got;
   bool Whole = false;
-  Stream.async_connect(endpointOf(Address), [&](auto Error) {
+  Stream.async_connect(stand_ins::targetOf(Address), [&](auto Error) {
     if (Error)
       return;
     beast::http::async_write(Stream, Request, [&](auto Failed, std::size_t) {
--- a/tests/integration/ask.h
+++ b/tests/integration/ask.h
@@ -5,8 +5,6 @@
 #ifndef CURRANTGAUGE_TESTS_INTEGRATION_ASK_H
 #define CURRANTGAUGE_TESTS_INTEGRATION_ASK_H
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <chrono>
 #include <functional>
 #include <map>
@@ -15,9 +13,6 @@
 
 namespace currantgauge::integration {
 
-// endpointOf() reads "IP:PORT".
-boost::asio::ip::tcp::endpoint endpointOf(const std::string &Address);
-
 // Answer is an HTTP answer.
 struct Answer {
   unsigned Status = 0;
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -1,5 +1,7 @@
 #include "tests/soak/callers.h"
 
+#include "tests/stand_ins/fault_proxy.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -51,7 +53,7 @@
   Open.Input.clear();
   constexpr std::chrono::milliseconds ConnectLimit{1000};
   ErrorCode Error = await(Open, ConnectLimit, [&](auto Done) {
-    Open.Stream->async_connect(integration::endpointOf(Address), Done);
+    Open.Stream->async_connect(stand_ins::targetOf(Address), Done);
   });
   if (Error)
     Open.Stream.reset();
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -11,9 +11,8 @@
 namespace currantgauge::soak {
 namespace {
 
-constexpr Seconds CalmAtFirst = 2;   // before the first fault
-constexpr Seconds RecoveryTime = 15; // the deployments' recoveryS
-constexpr Seconds MeasuredTime = 3;  // after it
+constexpr Seconds CalmAtFirst = 2;  // before the first fault
+constexpr Seconds MeasuredTime = 3; // after it
 const std::vector<std::string> Domains = {"north-a", "south-a", "north-b",
                                           "south-b"};
 
--- a/tests/soak/seen.cc
+++ b/tests/soak/seen.cc
@@ -8,14 +8,13 @@
 namespace {
 
 // The bounds of the deployments: stabilityWindowMs, drainMs,
-// configPropagationMs, outerBoundMs, rollbackSlackMs, recoveryS,
-// retryBudgetRatio, retryBudgetSlack and budgetWindowS.
+// configPropagationMs, outerBoundMs, rollbackSlackMs, retryBudgetRatio,
+// retryBudgetSlack and budgetWindowS.
 constexpr Seconds Stability = 3;
 constexpr Seconds DrainTime = 2;
 constexpr Seconds Propagation = 2;
 constexpr Seconds UnstableStore = 5;
 constexpr Seconds RollbackSlack = 0.25;
-constexpr Seconds RecoveryTime = 15;
 constexpr double RecoveredShare = 0.25; // of what was served before
 constexpr double RetryRatio = 0.2;
 constexpr double RetrySlack = 56;
--- a/tests/soak/seen.h
+++ b/tests/soak/seen.h
@@ -15,6 +15,9 @@
 // Seconds is a time of the machine's steady clock.
 using Seconds = double;
 
+// RecoveryTime is the deployments' recoveryS.
+constexpr Seconds RecoveryTime = 15;
+
 // Request is a caller's attempt and its end.
 struct Request {
   std::string Id;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -6,6 +6,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <map>
--- a/tests/stand_ins/announcer.cc
+++ b/tests/stand_ins/announcer.cc
@@ -1,5 +1,7 @@
 #include "tests/stand_ins/announcer.h"
 
+#include "tests/stand_ins/fault_proxy.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,18 +19,11 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-using asio::ip::tcp;
 
 constexpr std::chrono::milliseconds RenewInterval{1000};
 constexpr std::chrono::milliseconds RetryInterval{100};
 constexpr std::chrono::milliseconds AnnounceLimit{900};
 
-tcp::endpoint endpointOf(const std::string &Address) {
-  std::size_t Colon = Address.rfind(':');
-  return {asio::ip::make_address(Address.substr(0, Colon)),
-          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
-}
-
 using Request = beast::http::request<beast::http::string_body>;
 
 Request nativeRequest(const Announcer &Word) {
@@ -71,7 +66,7 @@
   auto Into = asio::redirect_error(asio::use_awaitable, Error);
   beast::tcp_stream Stream(co_await asio::this_coro::executor);
   Stream.expires_after(AnnounceLimit);
-  co_await Stream.async_connect(endpointOf(Word.Node), Into);
+  co_await Stream.async_connect(targetOf(Word.Node), Into);
   if (Error)
     co_return false;
   std::string State = Word.State;
