http: no second request with one attempt id on a connection that refused it

Callers would see 503, "not run", for a non-idempotent request that a server had run (REFUSED), or the request would run at a second server (TWICE). The caller's attempt id is forwarded as it is, so a retry of the same request at the same server bears the same id. If that server had refused the first try and writes this refusal once more on the kept connection, the copy arrives in place of the answer to the second try and bears the id that is expected.

A connection now remembers the ids of the attempts that were refused on it, and an attempt with such an id takes another connection of the pool or a new one. Other attempts keep using the connection. After 256 refusals it is not returned to the pool, so that the set stays bounded.

--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -56,15 +56,21 @@
         Head.result() == beast::http::status::misdirected_request;
 }
 
-bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
-                   const runtime::RequestMessage &Message) {
+std::string echoedAttemptIdOf(const runtime::RequestMessage &Message,
+                              const HttpDialect &Dialect) {
   if (!Dialect.EchoesAttemptId)
-    return false;
-  auto Echo = Head[toBeastView(Dialect.AttemptIdField)];
+    return {};
   for (const auto &[Name, Value] : Message.Headers)
     if (beast::iequals(Name, toBeastView(Dialect.AttemptIdField)))
-      return !Echo.empty() && Echo != toBeastView(Value);
-  return false;
+      return Value;
+  return {};
+}
+
+bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
+                   const runtime::RequestMessage &Message) {
+  std::string Expected = echoedAttemptIdOf(Message, Dialect);
+  auto Echo = Head[toBeastView(Dialect.AttemptIdField)];
+  return !Expected.empty() && !Echo.empty() && Echo != toBeastView(Expected);
 }
 
 bool isInvalidAnswer(const AnswerHeader &Head, const HttpDialect &Dialect) {
--- a/currantgauge/http/backend_answer.h
+++ b/currantgauge/http/backend_answer.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include <chrono>
+#include <string>
 
 namespace currantgauge::http {
 
@@ -29,6 +30,12 @@
                             const HttpDialect &Dialect,
                             core::ExchangeOutcome &Outcome);
 
+// echoedAttemptIdOf() returns the attempt id that an answer to this request has
+// to echo, or an empty string if the request has none or in a dialect without
+// EchoesAttemptId.
+std::string echoedAttemptIdOf(const runtime::RequestMessage &Message,
+                              const HttpDialect &Dialect);
+
 // isStaleAnswer() returns true for a late answer to another attempt on this
 // connection, recognized by the attempt id that it echoes. Always false in a
 // dialect without EchoesAttemptId.
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -20,6 +20,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -41,6 +42,8 @@
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 constexpr unsigned UserTimeoutMillis = 5000; // TCP_USER_TIMEOUT
 constexpr std::size_t MaxIdleConnectionsPerServer = 16;
+// Bounds the memory of a connection; one with more refusals is not reused.
+constexpr std::size_t MaxRefusedAttempts = 256;
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimitBytes = 64 * 1024;
 
@@ -70,26 +73,33 @@
 }
 
 // Returns null if no pooled connection can be used. Prefers the most recently
-// used one: if that was idle for longer than MaxIdle, so were all others.
+// used one: if that was idle for longer than MaxIdle, so were all others. A
+// server may repeat a refusal, which would pass for the answer to a second
+// request with the same attempt id.
 std::unique_ptr<BackendConnection> takeIdleConnection(Exchange &E) {
   auto &Idle = E.Pool.Idle[E.Params.Address];
   std::chrono::microseconds MaxIdle(E.Params.MaxIdle.Micros);
-  while (!Idle.empty()) {
+  std::string AttemptId =
+      echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect);
+  for (std::size_t Index = Idle.size(); Index-- > 0;) {
     bool IdleTooLong = E.Params.MaxIdle > base::Duration{} &&
-                       Clock::now() - Idle.back()->IdleSince > MaxIdle;
+                       Clock::now() - Idle[Index]->IdleSince > MaxIdle;
     if (IdleTooLong)
       return nullptr;
-    std::unique_ptr<BackendConnection> Last = std::move(Idle.back());
-    Idle.pop_back();
-    if (isUsable(*Last, Clock::now()))
-      return Last;
+    if (Idle[Index]->RefusedAttempts.contains(AttemptId))
+      continue;
+    std::unique_ptr<BackendConnection> Taken = std::move(Idle[Index]);
+    Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(Index));
+    if (isUsable(*Taken, Clock::now()))
+      return Taken;
   }
   return nullptr;
 }
 
 void returnToPool(Exchange &E) {
   auto &Idle = E.Pool.Idle[E.Params.Address];
-  if (Idle.size() >= MaxIdleConnectionsPerServer)
+  if (Idle.size() >= MaxIdleConnectionsPerServer ||
+      E.Connection->RefusedAttempts.size() >= MaxRefusedAttempts)
     return;
   E.Connection->IdleSince = Clock::now();
   E.Connection->Stream.expires_never();
@@ -274,6 +284,9 @@
     E.Outcome.Status = Parser.get().result_int();
     readRetryAfter(Parser.get(), E.Outcome);
     readNotRunConfirmation(Parser.get(), *E.Params.Dialect, E.Outcome);
+    if (E.Outcome.ConfirmedNotRun)
+      E.Connection->RefusedAttempts.insert(
+          echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect));
     bool Framed = !Parser.need_eof();
     if (isInvalidAnswer(Parser.get(), *E.Params.Dialect)) {
       E.Outcome.Reason = base::Reason::AnswerCutShort;
--- a/currantgauge/http/backend_client.h
+++ b/currantgauge/http/backend_client.h
@@ -27,6 +27,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace currantgauge::http {
@@ -39,6 +41,8 @@
   std::chrono::steady_clock::time_point IdleSince;
   // The server's keep-alive timeout minus a margin, see idleLimitOf().
   std::chrono::milliseconds IdleLimit{0};
+  // Ids of the attempts that the server refused on this connection.
+  std::unordered_set<std::string> RefusedAttempts;
 
   explicit BackendConnection(boost::asio::io_context &Io) : Stream(Io) {}
 };
