http: an unconfirmed 408, 429 or 503 of a server isn't passed on

Callers would take a 503, 429 or 408 that a server answers without Currantgauge-Not-Executed for the promise that the request did not run (REFUSED), though only that field is a promise of the server: the status was passed on as it came, with the verdict "ran". In a dialect whose statuses confirm, such an answer is now a failure of the server: the connection is closed, the request may have run and is answered 502 unless it may be retried.

"a refusal without confirmation isn't passed on as a promise" failed on the code before at each of the three statuses: the exchange ended complete, and the pipe had the status.

--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -73,6 +73,21 @@
   return !Expected.empty() && !Echo.empty() && Echo != toBeastView(Expected);
 }
 
+bool isUnprovenRefusal(const AnswerHeader &Head, const HttpDialect &Dialect,
+                       const core::ExchangeOutcome &Outcome) {
+  if (!Dialect.StatusConfirmsNotRun || Outcome.ConfirmedNotRun)
+    return false;
+  switch (Head.result()) {
+  case beast::http::status::request_timeout:
+  case beast::http::status::misdirected_request:
+  case beast::http::status::too_many_requests:
+  case beast::http::status::service_unavailable:
+    return true;
+  default:
+    return false;
+  }
+}
+
 bool isInvalidAnswer(const AnswerHeader &Head, const HttpDialect &Dialect) {
   if (Dialect.SignatureField.empty())
     return false;
--- a/currantgauge/http/backend_answer.h
+++ b/currantgauge/http/backend_answer.h
@@ -42,6 +42,12 @@
 bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
                    const runtime::RequestMessage &Message);
 
+// isUnprovenRefusal() returns true for a status that tells callers that the
+// request did not run, without the server's confirmation. Always false in a
+// dialect without StatusConfirmsNotRun.
+bool isUnprovenRefusal(const AnswerHeader &Head, const HttpDialect &Dialect,
+                       const core::ExchangeOutcome &Outcome);
+
 // isInvalidAnswer() returns true for a 2xx answer that lacks SignatureField or
 // has any Content-Encoding: it isn't the answer that the server sent. Always
 // false in a dialect without SignatureField.
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -287,6 +287,10 @@
     if (E.Outcome.ConfirmedNotRun)
       E.Connection->RefusedAttempts.insert(
           echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect));
+    if (isUnprovenRefusal(Parser.get(), *E.Params.Dialect, E.Outcome)) {
+      E.Outcome.Reason = base::Reason::BackendError;
+      co_return;
+    }
     bool Framed = !Parser.need_eof();
     if (isInvalidAnswer(Parser.get(), *E.Params.Dialect)) {
       E.Outcome.Reason = base::Reason::AnswerCutShort;
--- a/currantgauge/http/backend_client_test.cc
+++ b/currantgauge/http/backend_client_test.cc
@@ -89,4 +89,15 @@
   CHECK(Fixture.Connections.size() == 2);
 }
 
+TEST_CASE("a refusal without confirmation isn't passed on as a promise") {
+  for (unsigned Status : {408U, 429U, 503U}) {
+    CAPTURE(Status);
+    BackendFixture Fixture;
+    TestExchange Exchange = Fixture.start("7");
+    Fixture.respond(0, makeAnswer(Status, "Attempt: 7\r\nRetry-After: 1\r\n"));
+    CHECK(mayHaveRun(Exchange));
+    CHECK(forwardedStatus(Exchange) == 0);
+  }
+}
+
 } // namespace currantgauge::http
