http: a repeated refusal without an attempt id proves nothing

Callers would see 503, "not run", for a request that a server runs (REFUSED, TWICE) when the copy of an earlier refusal that the server writes on a kept connection bears no attempt id: an answer without an id was taken for the answer to the exchange at hand.

Such a refusal now counts only as the first refusal on its connection, where there is nothing that it could repeat, and the connection isn't used again after it. It can't be dropped altogether: the protocol's own examples of a 503 and a 421 show no id, although its text says that servers echo it. If servers leave it out, each refusal costs a connection; where they echo it nothing changes. A late answer that is skipped counts as an earlier one.

On the code before three cases failed: "a repeated refusal without an attempt id proves nothing", "a skipped refusal and one without an attempt id prove nothing" (ConfirmedNotRun, 503 in the pipe) and "a refusal without an attempt id is the last on its connection" (reused).

--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -66,11 +66,21 @@
   return {};
 }
 
+std::string echoOf(const AnswerHeader &Head, const HttpDialect &Dialect) {
+  return std::string(Head[toBeastView(Dialect.AttemptIdField)]);
+}
+
+bool isUnidentified(const AnswerHeader &Head, const HttpDialect &Dialect,
+                    const runtime::RequestMessage &Message) {
+  return !echoedAttemptIdOf(Message, Dialect).empty() &&
+         echoOf(Head, Dialect).empty();
+}
+
 bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
                    const runtime::RequestMessage &Message) {
   std::string Expected = echoedAttemptIdOf(Message, Dialect);
-  auto Echo = Head[toBeastView(Dialect.AttemptIdField)];
-  return !Expected.empty() && !Echo.empty() && Echo != toBeastView(Expected);
+  std::string Echo = echoOf(Head, Dialect);
+  return !Expected.empty() && !Echo.empty() && Echo != Expected;
 }
 
 bool isUnprovenRefusal(const AnswerHeader &Head, const HttpDialect &Dialect,
--- a/currantgauge/http/backend_answer.h
+++ b/currantgauge/http/backend_answer.h
@@ -36,6 +36,14 @@
 std::string echoedAttemptIdOf(const runtime::RequestMessage &Message,
                               const HttpDialect &Dialect);
 
+// echoOf() returns the attempt id that an answer echoes, or an empty string.
+std::string echoOf(const AnswerHeader &Head, const HttpDialect &Dialect);
+
+// isUnidentified() returns true for an answer that should echo an attempt id
+// and doesn't.
+bool isUnidentified(const AnswerHeader &Head, const HttpDialect &Dialect,
+                    const runtime::RequestMessage &Message);
+
 // isStaleAnswer() returns true for a late answer to another attempt on this
 // connection, recognized by the attempt id that it echoes. Always false in a
 // dialect without EchoesAttemptId.
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -98,7 +98,7 @@
 
 void returnToPool(Exchange &E) {
   auto &Idle = E.Pool.Idle[E.Params.Address];
-  if (Idle.size() >= MaxIdleConnectionsPerServer ||
+  if (!E.Connection->Reusable || Idle.size() >= MaxIdleConnectionsPerServer ||
       E.Connection->RefusedAttempts.size() >= MaxRefusedAttempts)
     return;
   E.Connection->IdleSince = Clock::now();
@@ -251,6 +251,34 @@
   co_return true;
 }
 
+// Whether the server confirms that it did not run the request. A server may
+// repeat an earlier refusal: one that echoes no attempt id is a confirmation
+// only as the first refusal on its connection.
+void readRefusal(Exchange &E, const AnswerHeader &Head) {
+  const HttpDialect &Dialect = *E.Params.Dialect;
+  auto &Refused = E.Connection->RefusedAttempts;
+  readNotRunConfirmation(Head, Dialect, E.Outcome);
+  if (!E.Outcome.ConfirmedNotRun)
+    return;
+  if (isUnidentified(Head, Dialect, *E.Params.Message)) {
+    E.Outcome.ConfirmedNotRun = Refused.empty();
+    E.Connection->Reusable = false;
+  }
+  Refused.insert(echoedAttemptIdOf(*E.Params.Message, Dialect));
+}
+
+// Sets the reason of the outcome if the answer can't be passed on.
+void readAnswerHeader(Exchange &E, const AnswerHeader &Head) {
+  const HttpDialect &Dialect = *E.Params.Dialect;
+  E.Outcome.Status = Head.result_int();
+  readRetryAfter(Head, E.Outcome);
+  readRefusal(E, Head);
+  if (isUnprovenRefusal(Head, Dialect, E.Outcome))
+    E.Outcome.Reason = base::Reason::BackendError;
+  else if (isInvalidAnswer(Head, Dialect))
+    E.Outcome.Reason = base::Reason::AnswerCutShort;
+}
+
 // Reads the answer to this attempt. The end of a close-delimited answer can't
 // be told from a truncation, unless the dialect's servers reset the connection
 // when they break off an answer.
@@ -273,6 +301,8 @@
     if (Parser.get().result_int() < 200)
       continue;
     if (isStaleAnswer(Parser.get(), *E.Params.Dialect, *E.Params.Message)) {
+      E.Connection->RefusedAttempts.insert(
+          echoOf(Parser.get(), *E.Params.Dialect));
       bool Discarded = ++StaleAnswers <= StaleAnswerLimit && !Parser.need_eof();
       if (Discarded)
         Discarded = co_await readBody(E, Parser, BodyHandling::Discard);
@@ -281,21 +311,10 @@
       E.Outcome.Reason = base::Reason::AnswerCutShort;
       co_return;
     }
-    E.Outcome.Status = Parser.get().result_int();
-    readRetryAfter(Parser.get(), E.Outcome);
-    readNotRunConfirmation(Parser.get(), *E.Params.Dialect, E.Outcome);
-    if (E.Outcome.ConfirmedNotRun)
-      E.Connection->RefusedAttempts.insert(
-          echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect));
-    if (isUnprovenRefusal(Parser.get(), *E.Params.Dialect, E.Outcome)) {
-      E.Outcome.Reason = base::Reason::BackendError;
+    readAnswerHeader(E, Parser.get());
+    if (E.Outcome.Reason != base::Reason::None)
       co_return;
-    }
     bool Framed = !Parser.need_eof();
-    if (isInvalidAnswer(Parser.get(), *E.Params.Dialect)) {
-      E.Outcome.Reason = base::Reason::AnswerCutShort;
-      co_return;
-    }
     pushHead(E, Parser);
     bool Complete = co_await readBody(E, Parser, BodyHandling::Forward);
     if (!Complete)
--- a/currantgauge/http/backend_client.h
+++ b/currantgauge/http/backend_client.h
@@ -41,8 +41,10 @@
   std::chrono::steady_clock::time_point IdleSince;
   // The server's keep-alive timeout minus a margin, see idleLimitOf().
   std::chrono::milliseconds IdleLimit{0};
-  // Ids of the attempts that the server refused on this connection.
+  // Ids of the attempts that the server refused, or answered too late, on this
+  // connection.
   std::unordered_set<std::string> RefusedAttempts;
+  bool Reusable = true; // false: a refusal that comes next can't be attributed
 
   explicit BackendConnection(boost::asio::io_context &Io) : Stream(Io) {}
 };
--- a/currantgauge/http/backend_client_test.cc
+++ b/currantgauge/http/backend_client_test.cc
@@ -89,6 +89,37 @@
   CHECK(Fixture.Connections.size() == 2);
 }
 
+TEST_CASE("a repeated refusal without an attempt id proves nothing") {
+  BackendFixture Fixture;
+  Fixture.start("7");
+  Fixture.respond(0, makeRefusalAnswer("7"));
+  TestExchange Next = Fixture.start("8");
+  Fixture.respond(0, makeRefusalAnswer(""));
+  CHECK(Fixture.Connections.size() == 1);
+  CHECK(mayHaveRun(Next));
+  CHECK(forwardedStatus(Next) == 0);
+}
+
+TEST_CASE("a skipped refusal and one without an attempt id prove nothing") {
+  BackendFixture Fixture;
+  TestExchange Exchange = Fixture.start("8");
+  Fixture.respond(0, makeRefusalAnswer("7") + makeRefusalAnswer(""));
+  CHECK(mayHaveRun(Exchange));
+}
+
+TEST_CASE("a refusal without an attempt id is the last on its connection") {
+  BackendFixture Fixture;
+  TestExchange First = Fixture.start("7");
+  Fixture.respond(0, makeRefusalAnswer(""));
+  REQUIRE(*First.Result);
+  CHECK((*First.Result)->ConfirmedNotRun);
+  TestExchange Next = Fixture.start("8");
+  REQUIRE(Fixture.Connections.size() == 2);
+  Fixture.respond(1, makeSuccessAnswer("8"));
+  REQUIRE(*Next.Result);
+  CHECK((*Next.Result)->AnswerComplete);
+}
+
 TEST_CASE("a refusal without confirmation isn't passed on as a promise") {
   for (unsigned Status : {408U, 429U, 503U}) {
     CAPTURE(Status);
