--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -20,10 +20,13 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace currantgauge::http {
 namespace {
@@ -35,15 +38,10 @@
 using Clock = std::chrono::steady_clock;
 using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
 
-// Older connections are not reused.
-constexpr std::chrono::seconds ConnectionAgeLimit{60};
 // Maximum number of late answers to other attempts that one exchange skips.
 constexpr int StaleAnswerLimit = 4;
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 constexpr unsigned UserTimeoutMillis = 5000; // TCP_USER_TIMEOUT
-constexpr std::size_t MaxIdleConnectionsPerServer = 16;
-// Bounds the memory of a connection; one with more refusals is not reused.
-constexpr std::size_t MaxRefusedAttempts = 256;
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimitBytes = 64 * 1024;
 
@@ -60,52 +58,6 @@
   core::ExchangeOutcome Outcome;
 };
 
-// Returns true when the connection is young enough, not idle for too long and
-// still open. If the server closed it, recv() returns 0 instead of EAGAIN.
-bool isUsable(BackendConnection &Connection, Clock::time_point Now) {
-  if (Now - Connection.CreatedAt > ConnectionAgeLimit ||
-      Now - Connection.IdleSince > Connection.IdleLimit)
-    return false;
-  char Byte = 0;
-  ssize_t Size = ::recv(Connection.Stream.socket().native_handle(), &Byte, 1,
-                        MSG_PEEK | MSG_DONTWAIT);
-  return Size < 0 && errno == EAGAIN;
-}
-
-// Returns null if no pooled connection can be used. Prefers the most recently
-// used one: if that was idle for longer than MaxIdle, so were all others. A
-// server may repeat a refusal, which would pass for the answer to a second
-// request with the same attempt id.
-std::unique_ptr<BackendConnection> takeIdleConnection(Exchange &E) {
-  auto &Idle = E.Pool.Idle[E.Params.Address];
-  std::chrono::microseconds MaxIdle(E.Params.MaxIdle.Micros);
-  std::string AttemptId =
-      echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect);
-  for (std::size_t Index = Idle.size(); Index-- > 0;) {
-    bool IdleTooLong = E.Params.MaxIdle > base::Duration{} &&
-                       Clock::now() - Idle[Index]->IdleSince > MaxIdle;
-    if (IdleTooLong)
-      return nullptr;
-    if (Idle[Index]->RefusedAttempts.contains(AttemptId))
-      continue;
-    std::unique_ptr<BackendConnection> Taken = std::move(Idle[Index]);
-    Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(Index));
-    if (isUsable(*Taken, Clock::now()))
-      return Taken;
-  }
-  return nullptr;
-}
-
-void returnToPool(Exchange &E) {
-  auto &Idle = E.Pool.Idle[E.Params.Address];
-  if (!E.Connection->Reusable || Idle.size() >= MaxIdleConnectionsPerServer ||
-      E.Connection->RefusedAttempts.size() >= MaxRefusedAttempts)
-    return;
-  E.Connection->IdleSince = Clock::now();
-  E.Connection->Stream.expires_never();
-  Idle.push_back(std::move(E.Connection));
-}
-
 void setSocketOptions(tcp::socket &Socket) {
   ErrorCode Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
@@ -137,7 +89,9 @@
 
 asio::awaitable<bool> openConnection(Exchange &E) {
   if (!E.Params.NewConnection)
-    E.Connection = takeIdleConnection(E);
+    E.Connection = takeIdleConnection(
+        E.Pool, E.Params.Address, E.Params.MaxIdle,
+        echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect));
   E.Outcome.NewConnection = !E.Connection;
   if (!E.Connection)
     co_return co_await connect(E);
@@ -325,7 +279,7 @@
       E.Outcome.Reason = base::Reason::AnswerCutShort;
     if (Framed && Parser.keep_alive() && E.Connection->Input.size() == 0) {
       E.Connection->IdleLimit = idleLimitOf(Parser.get());
-      returnToPool(E);
+      returnToPool(E.Pool, E.Params.Address, std::move(E.Connection));
     }
     co_return;
   }
--- a/currantgauge/http/backend_client.h
+++ b/currantgauge/http/backend_client.h
@@ -11,51 +11,19 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/core/request.h"
+#include "currantgauge/http/backend_pool.h"
 #include "currantgauge/http/dialect.h"
 #include "currantgauge/runtime/answer_pipe.h"
 #include "currantgauge/runtime/message.h"
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <chrono>
 #include <functional>
-#include <map>
-#include <memory>
-#include <string>
-#include <unordered_set>
-#include <vector>
 
 namespace currantgauge::http {
 
-// BackendConnection is one connection to a backend server.
-struct BackendConnection {
-  boost::beast::tcp_stream Stream;
-  boost::beast::flat_buffer Input;
-  std::chrono::steady_clock::time_point CreatedAt;
-  std::chrono::steady_clock::time_point IdleSince;
-  // The server's keep-alive timeout minus a margin, see idleLimitOf().
-  std::chrono::milliseconds IdleLimit{0};
-  // Ids of the attempts that the server refused, or answered too late, on this
-  // connection.
-  std::unordered_set<std::string> RefusedAttempts;
-  bool Reusable = true; // false: a refusal that comes next can't be attributed
-
-  explicit BackendConnection(boost::asio::io_context &Io) : Stream(Io) {}
-};
-
-// BackendPool holds the idle connections of one io_context thread, the most
-// recently used ones last.
-struct BackendPool {
-  std::map<base::NetAddress, std::vector<std::unique_ptr<BackendConnection>>>
-      Idle;
-};
-
 // ExchangeParams are the parameters of startExchange().
 struct ExchangeParams {
   base::AttemptId Attempt;
