http: a success that doesn't echo the attempt id isn't passed on

Callers would get the answer of another request (MIXED) when a server writes an extra success without an attempt id: an answer without an id was taken for the answer to the exchange at hand. Servers echo the id, and every success of the protocol's examples shows it, so that one without it belongs to no request. It now ends the exchange like an answer without a signature. Failures without an id are passed on as before: they promise nothing.

"a success without an attempt id isn't passed on" failed on the code before: the exchange ended complete and the pipe had the 200.

--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -98,13 +98,17 @@
   }
 }
 
+bool isSuccess(const AnswerHeader &Head) {
+  return beast::http::to_status_class(Head.result()) ==
+         beast::http::status_class::successful;
+}
+
 bool isInvalidAnswer(const AnswerHeader &Head, const HttpDialect &Dialect) {
   if (Dialect.SignatureField.empty())
     return false;
-  bool Success = beast::http::to_status_class(Head.result()) ==
-                 beast::http::status_class::successful;
-  return Success && (Head.count(toBeastView(Dialect.SignatureField)) == 0 ||
-                     Head.count(Field::content_encoding) > 0);
+  return isSuccess(Head) &&
+         (Head.count(toBeastView(Dialect.SignatureField)) == 0 ||
+          Head.count(Field::content_encoding) > 0);
 }
 
 std::chrono::milliseconds idleLimitOf(const AnswerHeader &Head) {
--- a/currantgauge/http/backend_answer.h
+++ b/currantgauge/http/backend_answer.h
@@ -56,6 +56,9 @@
 bool isUnprovenRefusal(const AnswerHeader &Head, const HttpDialect &Dialect,
                        const core::ExchangeOutcome &Outcome);
 
+// isSuccess() returns true for a status 2xx.
+bool isSuccess(const AnswerHeader &Head);
+
 // isInvalidAnswer() returns true for a 2xx answer that lacks SignatureField or
 // has any Content-Encoding: it isn't the answer that the server sent. Always
 // false in a dialect without SignatureField.
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -229,7 +229,9 @@
   readRefusal(E, Head);
   if (isUnprovenRefusal(Head, Dialect, E.Outcome))
     E.Outcome.Reason = base::Reason::BackendError;
-  else if (isInvalidAnswer(Head, Dialect))
+  else if (isInvalidAnswer(Head, Dialect) ||
+           (isSuccess(Head) &&
+            isUnidentified(Head, Dialect, *E.Params.Message)))
     E.Outcome.Reason = base::Reason::AnswerCutShort;
 }
 
--- a/currantgauge/http/backend_client_test.cc
+++ b/currantgauge/http/backend_client_test.cc
@@ -120,6 +120,14 @@
   CHECK((*Next.Result)->AnswerComplete);
 }
 
+TEST_CASE("a success without an attempt id isn't passed on") {
+  BackendFixture Fixture;
+  TestExchange Exchange = Fixture.start("7");
+  Fixture.respond(0, makeAnswer(200, "Signed: x\r\n"));
+  CHECK(mayHaveRun(Exchange));
+  CHECK(forwardedStatus(Exchange) == 0);
+}
+
 TEST_CASE("a refusal without confirmation isn't passed on as a promise") {
   for (unsigned Status : {408U, 429U, 503U}) {
     CAPTURE(Status);
