platform, http: a heartbeat with port 0 names no server

Another writer's heartbeat with an address such as 10.0.0.9:0 was taken for a ready server: requests were sent there and failed until the refused connections took it out. Ports from 65536 on, negative ones and text were reported before; 0 passed, because the same parser serves the addresses to listen on, where 0 asks for any port.

The rows with port 0 failed on the code before, in "a heartbeat with a port out of range is reported as malformed" and in "a malformed announcement is rejected with a message".

--- a/currantgauge/http/announce_codec.cc
+++ b/currantgauge/http/announce_codec.cc
@@ -81,7 +81,7 @@
                   Error) ||
       !readPhase(Body, Announcement.Phase, Error))
     return std::nullopt;
-  if (!parseEndpoint(Announcement.Address)) {
+  if (!parseRemoteEndpoint(Announcement.Address)) {
     Error = "address must be IP:port";
     return std::nullopt;
   }
--- a/currantgauge/http/announce_codec_test.cc
+++ b/currantgauge/http/announce_codec_test.cc
@@ -27,6 +27,8 @@
       "[]",
       R"({"service":"cutlist"})",
       R"({"service":"cutlist","address":"here"})",
+      R"({"service":"cutlist","address":"127.0.0.1:0"})",
+      R"({"service":"cutlist","address":"127.0.0.1:65536"})",
       R"({"service":"cutlist","address":"127.0.0.1:9","slots":0})",
       R"({"service":"cutlist","address":"127.0.0.1:9","slots":-1})",
       R"({"service":"cutlist","address":"127.0.0.1:9","state":"tired"})",
--- a/currantgauge/http/listener.cc
+++ b/currantgauge/http/listener.cc
@@ -65,6 +65,12 @@
   return tcp::endpoint(Ip, Port);
 }
 
+std::optional<tcp::endpoint>
+parseRemoteEndpoint(const base::NetAddress &Address) {
+  auto Endpoint = parseEndpoint(Address);
+  return Endpoint && Endpoint->port() != 0 ? Endpoint : std::nullopt;
+}
+
 std::uint16_t listen(asio::io_context &Io, const base::NetAddress &Address,
                      std::function<asio::io_context &()> NextIo,
                      AcceptHandler Handler, boost::system::error_code &Error) {
--- a/currantgauge/http/listener.h
+++ b/currantgauge/http/listener.h
@@ -24,6 +24,11 @@
 std::optional<boost::asio::ip::tcp::endpoint>
 parseEndpoint(const base::NetAddress &Address);
 
+// parseRemoteEndpoint() parses "IP:port" of a server to connect to; returns
+// none when it is malformed or the port is 0.
+std::optional<boost::asio::ip::tcp::endpoint>
+parseRemoteEndpoint(const base::NetAddress &Address);
+
 // listen() listens on an address and returns the port; returns 0 and sets Error
 // on failure. Each connection is accepted into the io_context that NextIo
 // returns, and Handler runs there.
