membership: rows of the nodes table without an address are skipped

A node that scans the table compared itself with whatever a row named: an address that can't be read, with a port out of range, or that gRPC resolves by name. Such a row is never a live member, so it was called again at each scan, and five of them could take all comparisons of a scan, so that a node whose row is in the table was not found by it. They are now skipped, the first of a scan is counted and logged ("row_unreadable", once while it stays the same), and the others are followed.

"a row of the nodes table without an address is reported and the others are followed" failed on the code before: five odd rows were called, none reported. Deep nesting is no matter here, since a value isn't parsed as JSON.

--- a/currantgauge/config/quantity.cc
+++ b/currantgauge/config/quantity.cc
@@ -134,6 +134,12 @@
   return isIPv4(Host);
 }
 
+bool isRemoteAddress(std::string_view Text) {
+  std::string_view Port = Text.substr(Text.rfind(':') + 1);
+  return isNetAddress(Text) &&
+         Port.find_first_not_of('0') != std::string_view::npos;
+}
+
 bool isLoopback(std::string_view Address) {
   return Address.starts_with("127.") || Address.starts_with("[::1]:");
 }
--- a/currantgauge/config/quantity.h
+++ b/currantgauge/config/quantity.h
@@ -31,6 +31,10 @@
 // "[IPv6]:port". Of an IPv6 address, only the characters are checked.
 bool isNetAddress(std::string_view Text);
 
+// isRemoteAddress() returns true if Text is a net address to connect to, so
+// that its port isn't 0.
+bool isRemoteAddress(std::string_view Text);
+
 // isLoopback() returns true if Address, an IP:port, is only reachable from this
 // VM.
 bool isLoopback(std::string_view Address);
--- a/currantgauge/core/status.cc
+++ b/currantgauge/core/status.cc
@@ -120,17 +120,20 @@
     Stats.LastAnswerTime = Node.Now;
 }
 
-void reportRowError(State &Node, const StoreAnswered &Answer,
-                    EffectList &Effects) {
-  const std::string &Error = Answer.Result.RowError;
-  if (Error.empty())
-    return;
+void reportMalformedRow(State &Node, const std::string &Error,
+                        EffectList &Effects) {
   Effects.push_back(Measure{Metric::Refusals, "bad_row", "", 1});
   if (std::exchange(Node.Store.LastRowError, Error) != Error)
     Effects.push_back(
         LogLine{LogLevel::Warn, "row_unreadable", {{"error", Error}}});
 }
 
+void reportRowError(State &Node, const StoreAnswered &Answer,
+                    EffectList &Effects) {
+  if (!Answer.Result.RowError.empty())
+    reportMalformedRow(Node, Answer.Result.RowError, Effects);
+}
+
 OperatorReply makeStatusReply(const State &Node) {
   OperatorReply Reply;
   Reply.Fields = {
--- a/currantgauge/core/status.h
+++ b/currantgauge/core/status.h
@@ -15,6 +15,11 @@
 // noteStoreAnswer() updates StoreStats with the result of a store call.
 void noteStoreAnswer(State &Node, const StoreAnswered &Answer);
 
+// reportMalformedRow() counts a malformed row of the store, and logs its error
+// unless the last one was the same.
+void reportMalformedRow(State &Node, const std::string &Error,
+                        EffectList &Effects);
+
 // reportRowError() counts a store result that contains a malformed row, and
 // logs the error unless it was the last one logged.
 void reportRowError(State &Node, const StoreAnswered &Answer,
--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -1,12 +1,16 @@
 #include "currantgauge/membership/seeds.h"
 
+#include "currantgauge/config/quantity.h"
+#include "currantgauge/core/status.h"
 #include "currantgauge/membership/anti_entropy.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/membership/roster.h"
 
 #include <algorithm>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::membership {
 namespace {
@@ -119,6 +123,24 @@
     writeRow(Node, Effects);
 }
 
+// Other writers may leave rows in the table. Returns those with the address of
+// a node and reports the first of the others.
+std::vector<base::StoreRow> takeNodeRows(core::State &Node,
+                                         std::vector<base::StoreRow> Rows,
+                                         core::EffectList &Effects) {
+  auto IsMalformed = [](const base::StoreRow &Row) {
+    return !config::isRemoteAddress(Row.Value);
+  };
+  auto First = std::find_if(Rows.begin(), Rows.end(), IsMalformed);
+  if (First != Rows.end())
+    core::reportMalformedRow(Node,
+                             std::string(NodesTable) + "/" + First->Key +
+                                 ": value must be IP:port",
+                             Effects);
+  std::erase_if(Rows, IsMalformed);
+  return Rows;
+}
+
 // Starts comparisons with nodes of the table that are unknown, dead or left
 // here.
 void syncWithMissingNodes(core::State &Node,
@@ -182,8 +204,9 @@
   if (!Succeeded)
     return true;
   Table.ScanCursor = Rows.size() < RowsPerScan ? "" : Rows.back().Key;
-  if (!Rows.empty())
-    syncWithMissingNodes(Node, Rows, Effects);
+  std::vector<base::StoreRow> NodeRows = takeNodeRows(Node, Rows, Effects);
+  if (!NodeRows.empty())
+    syncWithMissingNodes(Node, NodeRows, Effects);
   return true;
 }
 
--- a/currantgauge/membership/seeds_test.cc
+++ b/currantgauge/membership/seeds_test.cc
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <variant>
 
 namespace currantgauge::membership {
 
@@ -80,4 +82,34 @@
   CHECK(hasConverged(Net));
 }
 
+TEST_CASE("a row of the nodes table without an address is reported and the "
+          "others are followed") {
+  core::State Node;
+  Node.Membership.Table.FirstScanDone = true;
+  Node.Membership.Table.Scans.insert(base::CallId(1));
+  core::StoreAnswered Answer;
+  Answer.Call = base::CallId(1);
+  Answer.Result.Status = base::StoreStatus::Done;
+  for (const std::string Odd :
+       {"", "nowhere", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999",
+        "unix:/tmp/socket", "dns:///example:1", "10.0.0.9:8080,10.0.0.8:1"})
+    Answer.Result.Rows.push_back({"odd " + Odd, Odd, ""});
+  Answer.Result.Rows.push_back({"nul", std::string("10.0.0.9:80\0", 12), ""});
+  Answer.Result.Rows.push_back({"deep", std::string(65536, '['), ""});
+  Answer.Result.Rows.push_back({"node", "10.0.0.9:8081", ""});
+  core::EffectList Effects;
+  CHECK(onStoreAnswered(Node, Answer, Effects));
+  std::size_t Sent = 0, Logged = 0;
+  for (const core::Effect &Effect : Effects) {
+    if (const auto *Send = std::get_if<core::SendPeerMessage>(&Effect)) {
+      CHECK(Send->Address == base::NetAddress("10.0.0.9:8081"));
+      ++Sent;
+    }
+    if (const auto *Line = std::get_if<core::LogLine>(&Effect))
+      Logged += Line->Event == "row_unreadable" ? 1 : 0;
+  }
+  CHECK(Sent == 1);
+  CHECK(Logged == 1);
+}
+
 } // namespace currantgauge::membership
