--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -56,24 +56,59 @@
         Head.result() == beast::http::status::misdirected_request;
 }
 
-bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
-                   const runtime::RequestMessage &Message) {
+std::string echoedAttemptIdOf(const runtime::RequestMessage &Message,
+                              const HttpDialect &Dialect) {
   if (!Dialect.EchoesAttemptId)
-    return false;
-  auto Echo = Head[toBeastView(Dialect.AttemptIdField)];
+    return {};
   for (const auto &[Name, Value] : Message.Headers)
     if (beast::iequals(Name, toBeastView(Dialect.AttemptIdField)))
-      return !Echo.empty() && Echo != toBeastView(Value);
-  return false;
+      return Value;
+  return {};
+}
+
+std::string echoOf(const AnswerHeader &Head, const HttpDialect &Dialect) {
+  return std::string(Head[toBeastView(Dialect.AttemptIdField)]);
+}
+
+bool isUnidentified(const AnswerHeader &Head, const HttpDialect &Dialect,
+                    const runtime::RequestMessage &Message) {
+  return !echoedAttemptIdOf(Message, Dialect).empty() &&
+         echoOf(Head, Dialect).empty();
+}
+
+bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
+                   const runtime::RequestMessage &Message) {
+  std::string Expected = echoedAttemptIdOf(Message, Dialect);
+  std::string Echo = echoOf(Head, Dialect);
+  return !Expected.empty() && !Echo.empty() && Echo != Expected;
+}
+
+bool isUnprovenRefusal(const AnswerHeader &Head, const HttpDialect &Dialect,
+                       const core::ExchangeOutcome &Outcome) {
+  if (!Dialect.StatusConfirmsNotRun || Outcome.ConfirmedNotRun)
+    return false;
+  switch (Head.result()) {
+  case beast::http::status::request_timeout:
+  case beast::http::status::misdirected_request:
+  case beast::http::status::too_many_requests:
+  case beast::http::status::service_unavailable:
+    return true;
+  default:
+    return false;
+  }
+}
+
+bool isSuccess(const AnswerHeader &Head) {
+  return beast::http::to_status_class(Head.result()) ==
+         beast::http::status_class::successful;
 }
 
 bool isInvalidAnswer(const AnswerHeader &Head, const HttpDialect &Dialect) {
   if (Dialect.SignatureField.empty())
     return false;
-  bool Success = beast::http::to_status_class(Head.result()) ==
-                 beast::http::status_class::successful;
-  return Success && (Head.count(toBeastView(Dialect.SignatureField)) == 0 ||
-                     Head.count(Field::content_encoding) > 0);
+  return isSuccess(Head) &&
+         (Head.count(toBeastView(Dialect.SignatureField)) == 0 ||
+          Head.count(Field::content_encoding) > 0);
 }
 
 std::chrono::milliseconds idleLimitOf(const AnswerHeader &Head) {
--- a/currantgauge/http/backend_answer.h
+++ b/currantgauge/http/backend_answer.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include <chrono>
+#include <string>
 
 namespace currantgauge::http {
 
@@ -29,12 +30,35 @@
                             const HttpDialect &Dialect,
                             core::ExchangeOutcome &Outcome);
 
+// echoedAttemptIdOf() returns the attempt id that an answer to this request has
+// to echo, or an empty string if the request has none or in a dialect without
+// EchoesAttemptId.
+std::string echoedAttemptIdOf(const runtime::RequestMessage &Message,
+                              const HttpDialect &Dialect);
+
+// echoOf() returns the attempt id that an answer echoes, or an empty string.
+std::string echoOf(const AnswerHeader &Head, const HttpDialect &Dialect);
+
+// isUnidentified() returns true for an answer that should echo an attempt id
+// and doesn't.
+bool isUnidentified(const AnswerHeader &Head, const HttpDialect &Dialect,
+                    const runtime::RequestMessage &Message);
+
 // isStaleAnswer() returns true for a late answer to another attempt on this
 // connection, recognized by the attempt id that it echoes. Always false in a
 // dialect without EchoesAttemptId.
 bool isStaleAnswer(const AnswerHeader &Head, const HttpDialect &Dialect,
                    const runtime::RequestMessage &Message);
 
+// isUnprovenRefusal() returns true for a status that tells callers that the
+// request did not run, without the server's confirmation. Always false in a
+// dialect without StatusConfirmsNotRun.
+bool isUnprovenRefusal(const AnswerHeader &Head, const HttpDialect &Dialect,
+                       const core::ExchangeOutcome &Outcome);
+
+// isSuccess() returns true for a status 2xx.
+bool isSuccess(const AnswerHeader &Head);
+
 // isInvalidAnswer() returns true for a 2xx answer that lacks SignatureField or
 // has any Content-Encoding: it isn't the answer that the server sent. Always
 // false in a dialect without SignatureField.
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -20,9 +20,13 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace currantgauge::http {
 namespace {
@@ -34,13 +38,10 @@
 using Clock = std::chrono::steady_clock;
 using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
 
-// Older connections are not reused.
-constexpr std::chrono::seconds ConnectionAgeLimit{60};
 // Maximum number of late answers to other attempts that one exchange skips.
 constexpr int StaleAnswerLimit = 4;
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 constexpr unsigned UserTimeoutMillis = 5000; // TCP_USER_TIMEOUT
-constexpr std::size_t MaxIdleConnectionsPerServer = 16;
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimitBytes = 64 * 1024;
 
@@ -57,45 +58,6 @@
   core::ExchangeOutcome Outcome;
 };
 
-// Returns true when the connection is young enough, not idle for too long and
-// still open. If the server closed it, recv() returns 0 instead of EAGAIN.
-bool isUsable(BackendConnection &Connection, Clock::time_point Now) {
-  if (Now - Connection.CreatedAt > ConnectionAgeLimit ||
-      Now - Connection.IdleSince > Connection.IdleLimit)
-    return false;
-  char Byte = 0;
-  ssize_t Size = ::recv(Connection.Stream.socket().native_handle(), &Byte, 1,
-                        MSG_PEEK | MSG_DONTWAIT);
-  return Size < 0 && errno == EAGAIN;
-}
-
-// Returns null if no pooled connection can be used. Prefers the most recently
-// used one: if that was idle for longer than MaxIdle, so were all others.
-std::unique_ptr<BackendConnection> takeIdleConnection(Exchange &E) {
-  auto &Idle = E.Pool.Idle[E.Params.Address];
-  std::chrono::microseconds MaxIdle(E.Params.MaxIdle.Micros);
-  while (!Idle.empty()) {
-    bool IdleTooLong = E.Params.MaxIdle > base::Duration{} &&
-                       Clock::now() - Idle.back()->IdleSince > MaxIdle;
-    if (IdleTooLong)
-      return nullptr;
-    std::unique_ptr<BackendConnection> Last = std::move(Idle.back());
-    Idle.pop_back();
-    if (isUsable(*Last, Clock::now()))
-      return Last;
-  }
-  return nullptr;
-}
-
-void returnToPool(Exchange &E) {
-  auto &Idle = E.Pool.Idle[E.Params.Address];
-  if (Idle.size() >= MaxIdleConnectionsPerServer)
-    return;
-  E.Connection->IdleSince = Clock::now();
-  E.Connection->Stream.expires_never();
-  Idle.push_back(std::move(E.Connection));
-}
-
 void setSocketOptions(tcp::socket &Socket) {
   ErrorCode Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
@@ -127,7 +89,9 @@
 
 asio::awaitable<bool> openConnection(Exchange &E) {
   if (!E.Params.NewConnection)
-    E.Connection = takeIdleConnection(E);
+    E.Connection = takeIdleConnection(
+        E.Pool, E.Params.Address, E.Params.MaxIdle,
+        echoedAttemptIdOf(*E.Params.Message, *E.Params.Dialect));
   E.Outcome.NewConnection = !E.Connection;
   if (!E.Connection)
     co_return co_await connect(E);
@@ -241,6 +205,36 @@
   co_return true;
 }
 
+// Whether the server confirms that it did not run the request. A server may
+// repeat an earlier refusal: one that echoes no attempt id is a confirmation
+// only as the first refusal on its connection.
+void readRefusal(Exchange &E, const AnswerHeader &Head) {
+  const HttpDialect &Dialect = *E.Params.Dialect;
+  auto &Refused = E.Connection->RefusedAttempts;
+  readNotRunConfirmation(Head, Dialect, E.Outcome);
+  if (!E.Outcome.ConfirmedNotRun)
+    return;
+  if (isUnidentified(Head, Dialect, *E.Params.Message)) {
+    E.Outcome.ConfirmedNotRun = Refused.empty();
+    E.Connection->Reusable = false;
+  }
+  Refused.insert(echoedAttemptIdOf(*E.Params.Message, Dialect));
+}
+
+// Sets the reason of the outcome if the answer can't be passed on.
+void readAnswerHeader(Exchange &E, const AnswerHeader &Head) {
+  const HttpDialect &Dialect = *E.Params.Dialect;
+  E.Outcome.Status = Head.result_int();
+  readRetryAfter(Head, E.Outcome);
+  readRefusal(E, Head);
+  if (isUnprovenRefusal(Head, Dialect, E.Outcome))
+    E.Outcome.Reason = base::Reason::BackendError;
+  else if (isInvalidAnswer(Head, Dialect) ||
+           (isSuccess(Head) &&
+            isUnidentified(Head, Dialect, *E.Params.Message)))
+    E.Outcome.Reason = base::Reason::AnswerCutShort;
+}
+
 // Reads the answer to this attempt. The end of a close-delimited answer can't
 // be told from a truncation, unless the dialect's servers reset the connection
 // when they break off an answer.
@@ -263,6 +257,8 @@
     if (Parser.get().result_int() < 200)
       continue;
     if (isStaleAnswer(Parser.get(), *E.Params.Dialect, *E.Params.Message)) {
+      E.Connection->RefusedAttempts.insert(
+          echoOf(Parser.get(), *E.Params.Dialect));
       bool Discarded = ++StaleAnswers <= StaleAnswerLimit && !Parser.need_eof();
       if (Discarded)
         Discarded = co_await readBody(E, Parser, BodyHandling::Discard);
@@ -271,14 +267,10 @@
       E.Outcome.Reason = base::Reason::AnswerCutShort;
       co_return;
     }
-    E.Outcome.Status = Parser.get().result_int();
-    readRetryAfter(Parser.get(), E.Outcome);
-    readNotRunConfirmation(Parser.get(), *E.Params.Dialect, E.Outcome);
-    bool Framed = !Parser.need_eof();
-    if (isInvalidAnswer(Parser.get(), *E.Params.Dialect)) {
-      E.Outcome.Reason = base::Reason::AnswerCutShort;
+    readAnswerHeader(E, Parser.get());
+    if (E.Outcome.Reason != base::Reason::None)
       co_return;
-    }
+    bool Framed = !Parser.need_eof();
     pushHead(E, Parser);
     bool Complete = co_await readBody(E, Parser, BodyHandling::Forward);
     if (!Complete)
@@ -289,7 +281,7 @@
       E.Outcome.Reason = base::Reason::AnswerCutShort;
     if (Framed && Parser.keep_alive() && E.Connection->Input.size() == 0) {
       E.Connection->IdleLimit = idleLimitOf(Parser.get());
-      returnToPool(E);
+      returnToPool(E.Pool, E.Params.Address, std::move(E.Connection));
     }
     co_return;
   }
