http: report why a connection ended with an unanswered request

A request whose connection ended before its answer was written left caller_gone, whether its caller had left or this node had closed the connection or failed to write; a failed write of a complete answer left nothing.

CallerGone now carries the cause and the time since the request was read. The log line request_unanswered names every cause but a plain close by the caller, which request_abandoned reports already, and currantgauge_unanswered_requests_total counts all of them. A failed write posts CallerGone as well.

Writing answers moves to answer_writer, which returns the error of the write instead of a flag.

--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -163,6 +163,9 @@
   QueueLength,    // gauge; labels: service, rank
   ConfigInForce,  // gauge: the version in force
   LogLines, // labels: outcome (written, left_out by rate limit, dropped: lost)
+  // Requests whose connection ended before their answer was written; labels:
+  // cause, decided (whether control had already answered or refused).
+  UnansweredRequests,
 };
 
 // Measure adds Amount to a counter, records it in a histogram or sets a gauge,
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -242,6 +242,10 @@
 
 void onCallerGone(State &Node, const CallerGone &Gone, EffectList &Effects) {
   EntryRequest *Request = findRequest(Node, Gone.Request);
+  logUnanswered(Node, Gone, Effects);
+  Effects.push_back(Measure{Metric::UnansweredRequests,
+                            std::string(connectionEndName(Gone.End)),
+                            Request ? "false" : "true", 1});
   if (!Request)
     return;
   if (Request->CurrentAttempt.Sequence != 0)
--- a/currantgauge/core/event.h
+++ b/currantgauge/core/event.h
@@ -36,9 +36,21 @@
 struct RequestArrived {
   RequestFacts Facts;
 };
-// CallerGone: the caller disconnected before it was answered.
+// ConnectionEnd says why a caller's connection ended before a request on it was
+// answered in full.
+enum class ConnectionEnd {
+  CallerClosed,
+  CallerReset,
+  IdleTimeout, // closed by this node
+  WriteFailed,
+  WriteTimeout,   // the caller took too long to accept the answer
+  AnswerCutShort, // the rest of an answer in progress did not come
+};
+// CallerGone: the connection of a request ended before its answer was written.
 struct CallerGone {
   base::RequestId Request;
+  ConnectionEnd End = ConnectionEnd::CallerClosed;
+  base::Duration SinceRead; // since the request was read in full
 };
 // InputRefused: invalid input was rejected before it became a request.
 struct InputRefused {
--- a/currantgauge/core/request_log.cc
+++ b/currantgauge/core/request_log.cc
@@ -157,6 +157,44 @@
   Effects.push_back(std::move(Line));
 }
 
+std::string_view connectionEndName(ConnectionEnd End) {
+  switch (End) {
+  case ConnectionEnd::CallerClosed:
+    return "caller_closed";
+  case ConnectionEnd::CallerReset:
+    return "caller_reset";
+  case ConnectionEnd::IdleTimeout:
+    return "idle_timeout";
+  case ConnectionEnd::WriteFailed:
+    return "write_failed";
+  case ConnectionEnd::WriteTimeout:
+    return "write_timeout";
+  case ConnectionEnd::AnswerCutShort:
+    return "answer_cut_short";
+  }
+  return "unknown";
+}
+
+void logUnanswered(const State &Node, const CallerGone &Gone,
+                   EffectList &Effects) {
+  if (Gone.End == ConnectionEnd::CallerClosed)
+    return;
+  auto It = Node.Entry.Requests.find(Gone.Request);
+  bool Decided = It == Node.Entry.Requests.end();
+  LogLine Line{LogLevel::Warn, "request_unanswered", {}, LogTopic::Request};
+  Line.Fields = {{"request", base::formatId(Gone.Request)},
+                 {"cause", std::string(connectionEndName(Gone.End))},
+                 {"decided", Decided ? "true" : "false"},
+                 {"since_read_ms", formatMillis(Gone.SinceRead)},
+                 {"stopping", Node.Stopping ? "true" : "false"}};
+  if (!Decided) {
+    Line.Fields.push_back({"caller_attempt", It->second.Facts.CallerAttempt});
+    Line.Fields.push_back({"kind", It->second.Kind.Name.Value});
+    Line.Fields.push_back({"sends", std::to_string(It->second.Sends)});
+  }
+  Effects.push_back(std::move(Line));
+}
+
 void logQueued(const State &Node, const admission::QueuedAttempt &Attempt,
                EffectList &Effects) {
   if (!isInLogSample(Attempt.Facts.Request))
--- a/currantgauge/core/request_log.h
+++ b/currantgauge/core/request_log.h
@@ -14,10 +14,12 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/core/effect.h"
+#include "currantgauge/core/event.h"
 #include "currantgauge/core/state.h"
 #include "currantgauge/routing/choose.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace currantgauge::core {
 
@@ -51,6 +53,14 @@
                    base::Verdict Verdict, base::Reason Reason,
                    EffectList &Effects);
 
+// connectionEndName() returns the snake_case name of End for logs and metrics.
+std::string_view connectionEndName(ConnectionEnd End);
+
+// logUnanswered() logs that a connection ended before the answer to a request
+// was written, unless its caller closed it, and how far the request had come.
+void logUnanswered(const State &Node, const CallerGone &Gone,
+                   EffectList &Effects);
+
 // logQueued() logs that a sampled attempt was queued at its owner.
 void logQueued(const State &Node, const admission::QueuedAttempt &Attempt,
                EffectList &Effects);
--- a/currantgauge/core/request_log_test.cc
+++ b/currantgauge/core/request_log_test.cc
@@ -75,6 +75,23 @@
         "request_abandoned");
 }
 
+TEST_CASE("a request unanswered for another reason than a close by its caller "
+          "is logged with the cause") {
+  State Node = makeNode();
+  EffectList Effects;
+  CallerGone Gone{{7, UnsampledSequence}, ConnectionEnd::CallerClosed};
+  logUnanswered(Node, Gone, Effects);
+  CHECK(listEvents(Effects) == "");
+  Gone.End = ConnectionEnd::WriteTimeout;
+  Gone.SinceRead = base::milliseconds(30);
+  logUnanswered(Node, Gone, Effects);
+  REQUIRE(listEvents(Effects) == "request_unanswered");
+  CHECK(findField(Effects, "request") == "7-81");
+  CHECK(findField(Effects, "cause") == "write_timeout");
+  CHECK(findField(Effects, "decided") == "true");
+  CHECK(findField(Effects, "since_read_ms") == "30");
+}
+
 TEST_CASE("the log line of an owner's refusal has the request and the queue") {
   State Node = makeNode();
   admission::QueuedAttempt Attempt = makeAttempt(Node, UnsampledSequence);
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/http/caller_session.h"
 
+#include "currantgauge/http/answer_writer.h"
 #include "currantgauge/http/await.h"
 #include "currantgauge/http/caller_answer.h"
 #include "currantgauge/http/caller_request.h"
@@ -14,7 +15,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -48,6 +48,7 @@
   asio::steady_timer IdleTimer;
   bool AcceptsRequests = true; // more requests may be read
   bool Closing = false;        // endSession() was called
+  bool ClosedWhenIdle = false; // by startIdleTimer()
 
   Session(tcp::socket Socket, CallerContext &Shared)
       : Context(Shared), Stream(std::move(Socket)),
@@ -68,108 +69,36 @@
 void startIdleTimer(const SessionPtr &Self) {
   Self->IdleTimer.expires_after(idleTimeout(Self->Context));
   Self->IdleTimer.async_wait([Self](ErrorCode Error) {
-    if (!Error && Self->Requests.empty() && Self->Input.size() == 0)
+    if (!Error && Self->Requests.empty() && Self->Input.size() == 0) {
+      Self->ClosedWhenIdle = true;
       Self->Stream.close();
-  });
-}
-
-template <typename Message>
-asio::awaitable<bool> writeMessage(Session &S, Message &Answer) {
-  ErrorCode Error;
-  S.Stream.expires_after(idleTimeout(S.Context));
-  co_await beast::http::async_write(S.Stream, Answer, redirectError(Error));
-  co_return !Error && Answer.keep_alive();
-}
-
-asio::awaitable<bool> writeHead(Session &S, TextResponse &Answer) {
-  ErrorCode Error;
-  S.Stream.expires_after(idleTimeout(S.Context));
-  beast::http::response_serializer<beast::http::string_body> Serializer(Answer);
-  co_await beast::http::async_write_header(S.Stream, Serializer,
-                                           redirectError(Error));
-  co_return !Error && Answer.keep_alive();
-}
-
-bool hasNoBody(const PendingRequest &Pending) {
-  auto Code = beast::http::int_to_status(Pending.Head.Status);
-  return !Pending.ExpectsBody || Code == beast::http::status::no_content ||
-         Code == beast::http::status::not_modified;
-}
-
-// Forwards an answer while it arrives. If the attempt fails midway, the
-// connection is closed before the end of the message, so that the caller can't
-// mistake the answer for a complete one.
-asio::awaitable<bool> writeStream(Session &S, PendingRequest &Pending,
-                                  const AnswerMetadata &Metadata,
-                                  bool KeepAlive) {
-  StreamResponse Answer =
-      makeStreamedAnswer(Pending.Head, Metadata, Pending.Version, KeepAlive);
-  beast::http::response_serializer<beast::http::buffer_body> Serializer(Answer);
-  ErrorCode Error;
-  S.Stream.expires_after(idleTimeout(S.Context));
-  co_await beast::http::async_write_header(S.Stream, Serializer,
-                                           redirectError(Error));
-  while (!Error && !Pending.Done) {
-    readAnswerParts(S.Context, Pending);
-    bool Last = Pending.Outcome.has_value();
-    if (Last && Pending.Outcome->Verdict != base::Verdict::Ran)
-      break;
-    if (Pending.Body.empty() && !Last) {
-      co_await waitFor(S.AnswerReady);
-      continue;
     }
-    std::string Bytes = std::exchange(Pending.Body, std::string());
-    Answer.body().data = Bytes.empty() ? nullptr : Bytes.data();
-    Answer.body().size = Bytes.size();
-    Answer.body().more = !Last;
-    S.Stream.expires_after(idleTimeout(S.Context));
-    co_await beast::http::async_write(S.Stream, Serializer,
-                                      redirectError(Error));
-    if (Error == beast::http::error::need_buffer)
-      Error = {};
-    if (Last)
-      co_return !Error && KeepAlive && Serializer.is_done();
-  }
-  co_return false;
+  });
 }
 
-asio::awaitable<bool> writeDelivery(Session &S, PendingRequest &Pending,
-                                    bool KeepAlive) {
-  AnswerMetadata Metadata{Pending.Request, *Pending.Delivery,
-                          S.Context.Dialect.AddsMetadataFields};
-  if (!Pending.Outcome)
-    co_return co_await writeStream(S, Pending, Metadata, KeepAlive);
-  TextResponse Answer = makeCompleteAnswer(
-      Pending.Head, std::move(Pending.Body), Metadata, KeepAlive);
-  if (hasNoBody(Pending))
-    co_return co_await writeHead(S, Answer);
-  co_return co_await writeMessage(S, Answer);
+core::ConnectionEnd endOfRead(const Session &S, ErrorCode Error) {
+  if (S.ClosedWhenIdle)
+    return core::ConnectionEnd::IdleTimeout;
+  return Error == asio::error::eof || Error == beast::http::error::end_of_stream
+             ? core::ConnectionEnd::CallerClosed
+             : core::ConnectionEnd::CallerReset;
 }
 
-asio::awaitable<bool> writeAnswer(Session &S, PendingRequest &Pending,
-                                  bool KeepAlive) {
-  if (Pending.LocalAnswer) {
-    Pending.LocalAnswer->keep_alive(KeepAlive);
-    co_return co_await writeMessage(S, *Pending.LocalAnswer);
-  }
-  if (Pending.ActionIdAnswer) {
-    TextResponse Answer = makeActionIdAnswer(*Pending.ActionIdAnswer,
-                                             S.Context.Dialect, KeepAlive);
-    co_return co_await writeMessage(S, Answer);
-  }
-  if (Pending.Refusal) {
-    TextResponse Answer =
-        makeRefusal(*Pending.Refusal, S.Context.Dialect, KeepAlive);
-    co_return co_await writeMessage(S, Answer);
-  }
-  co_return co_await writeDelivery(S, Pending, KeepAlive);
+core::ConnectionEnd endOfWrite(const Session &S, ErrorCode Error) {
+  if (S.ClosedWhenIdle)
+    return core::ConnectionEnd::IdleTimeout;
+  if (Error == beast::error::timeout)
+    return core::ConnectionEnd::WriteTimeout;
+  return Error == beast::http::error::partial_message
+             ? core::ConnectionEnd::AnswerCutShort
+             : core::ConnectionEnd::WriteFailed;
 }
 
 // Abandons the unanswered requests and closes the connection.
-void endSession(Session &S) {
+void endSession(Session &S, core::ConnectionEnd End) {
   S.Closing = true;
   for (const PendingRequestPtr &Pending : S.Requests)
-    abandonRequest(S.Context, *Pending);
+    abandonRequest(S.Context, *Pending, End);
   S.Requests.clear();
   S.IdleTimer.cancel();
   ErrorCode Ignored;
@@ -184,6 +113,7 @@
 // connection.
 asio::awaitable<void> writeAnswers(SessionPtr Self) {
   Session &S = *Self;
+  AnswerOutput Output{S.Context, S.Stream, S.AnswerReady};
   while (!S.Closing) {
     while (!S.Closing &&
            (S.Requests.empty() || !hasAnswer(*S.Requests.front())))
@@ -194,21 +124,21 @@
     bool Last =
         S.Requests.size() == 1 && (S.Context.Stopping || !S.AcceptsRequests);
     bool KeepAlive = Pending->KeepAlive && !Last;
-    bool CanContinue = co_await writeAnswer(S, *Pending, KeepAlive);
+    ErrorCode Error = co_await writeAnswer(Output, *Pending, KeepAlive);
     if (S.Closing)
       break;
-    if (Pending->Pipe && Pending->Delivery && !Pending->Outcome)
-      abandonRequest(S.Context, *Pending);
+    if (Error)
+      co_return endSession(S, endOfWrite(S, Error));
     Pending->Done = true;
     S.Requests.pop_front();
-    if (!CanContinue)
+    if (!KeepAlive)
       break;
     notify(S.RequestAnswered);
     if (S.Requests.empty())
       startIdleTimer(Self);
   }
   if (!S.Closing)
-    endSession(S);
+    endSession(S, core::ConnectionEnd::WriteFailed);
 }
 
 base::Reason reasonOf(ErrorCode Error) {
@@ -255,9 +185,9 @@
   co_await beast::http::async_write(S.Stream, Continue, redirectError(Ignored));
 }
 
-// Reads the next request. Returns no error on success, eof if the connection
-// ends or fails before the first byte of the request, and otherwise the error
-// of the read or of the parser.
+// Reads the next request. Returns no error on success, eof or connection_reset
+// if the connection ends or fails before the first byte of the request, and
+// otherwise the error of the read or of the parser.
 asio::awaitable<ErrorCode> readRequest(Session &S, RequestParser &Parser) {
   Parser.header_limit(static_cast<std::uint32_t>(S.Context.HeaderBytes));
   Parser.body_limit(S.Context.BodyBytes.load());
@@ -267,7 +197,8 @@
     std::size_t Size = co_await S.Stream.async_read_some(
         S.Input.prepare(ReadBytes), redirectError(Error));
     if (Error)
-      co_return asio::error::eof;
+      co_return Error == asio::error::eof ? Error
+                                          : asio::error::connection_reset;
     S.Input.commit(Size);
   }
   S.IdleTimer.cancel();
@@ -300,6 +231,7 @@
   PendingRequestPtr Pending(new PendingRequest);
   Pending->Request =
       base::RequestId{S.Context.Origin, ++S.Context.LastSequence};
+  Pending->ReadAt = std::chrono::steady_clock::now();
   Facts->Request = Pending->Request;
   Pending->Version = Request.version();
   Pending->KeepAlive = Request.keep_alive();
@@ -321,7 +253,7 @@
 
 // Reads and discards input after the last request until the caller disconnects,
 // so that its unanswered requests are abandoned.
-asio::awaitable<void> waitForDisconnect(Session &S) {
+asio::awaitable<ErrorCode> waitForDisconnect(Session &S) {
   ErrorCode Error;
   while (!S.Closing && !Error) {
     S.Input.clear();
@@ -329,10 +261,12 @@
     co_await S.Stream.async_read_some(S.Input.prepare(ReadBytes),
                                       redirectError(Error));
   }
+  co_return Error;
 }
 
 asio::awaitable<void> readRequests(SessionPtr Self) {
   Session &S = *Self;
+  ErrorCode Error;
   startIdleTimer(Self);
   while (S.AcceptsRequests && !S.Closing) {
     while (!S.Closing && S.Requests.size() >= PipelineLimit)
@@ -340,7 +274,7 @@
     if (S.Closing)
       break;
     RequestParser Parser;
-    ErrorCode Error = co_await readRequest(S, Parser);
+    Error = co_await readRequest(S, Parser);
     if (S.Closing)
       break;
     if (!Error) {
@@ -355,9 +289,9 @@
     refuseInput(S, reasonOf(Error), describeError(Error));
   }
   if (!S.AcceptsRequests && !S.Closing)
-    co_await waitForDisconnect(S);
+    Error = co_await waitForDisconnect(S);
   if (!S.Closing)
-    endSession(S);
+    endSession(S, endOfRead(S, Error));
 }
 
 std::uint64_t valueOrDefault(base::ByteCount Value, base::ByteCount Default) {
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -110,6 +110,14 @@
   return "GET " + Path + " HTTP/1.1\r\nHost: A.example:80\r\n\r\n";
 }
 
+std::vector<core::ConnectionEnd> connectionEnds(const SessionFixture &Fixture) {
+  std::vector<core::ConnectionEnd> Ends;
+  for (const runtime::ControlInput &Input : Fixture.Posted)
+    if (const auto *Gone = std::get_if<core::CallerGone>(&Input.Body))
+      Ends.push_back(Gone->End);
+  return Ends;
+}
+
 } // namespace
 
 TEST_CASE("pipelined requests run concurrently and are answered in order") {
@@ -134,7 +142,18 @@
   Fixture.send(getRequest("/1") + getRequest("/2"));
   Fixture.Caller.close();
   Fixture.runUntilIdle();
-  CHECK(countEvents<core::CallerGone>(Fixture) == 2);
+  CHECK(connectionEnds(Fixture) ==
+        std::vector(2, core::ConnectionEnd::CallerClosed));
+}
+
+TEST_CASE("an abandoned request tells a reset from a close by the caller") {
+  SessionFixture Fixture;
+  Fixture.send(getRequest("/1"));
+  Fixture.Caller.set_option(asio::socket_base::linger(true, 0));
+  Fixture.Caller.close();
+  Fixture.runUntilIdle();
+  CHECK(connectionEnds(Fixture) ==
+        std::vector{core::ConnectionEnd::CallerReset});
 }
 
 TEST_CASE("a chunked body is reassembled and the port removed from the host") {
--- a/currantgauge/http/pending_request.cc
+++ b/currantgauge/http/pending_request.cc
@@ -109,14 +109,19 @@
          (Pending.Delivery && Pending.HasHead);
 }
 
-void abandonRequest(CallerContext &Context, PendingRequest &Pending) {
+void abandonRequest(CallerContext &Context, PendingRequest &Pending,
+                    core::ConnectionEnd End) {
   if (Pending.Done)
     return;
   Pending.Done = true;
   if (Pending.Pipe && Pending.Delivery && !Pending.Outcome)
     runtime::cancelPipe(*Pending.Pipe);
-  if (!Pending.LocalAnswer)
-    Context.Post(makeInput(core::CallerGone{Pending.Request}));
+  if (Pending.LocalAnswer)
+    return;
+  auto SinceRead = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - Pending.ReadAt);
+  Context.Post(makeInput(core::CallerGone{
+      Pending.Request, End, base::microseconds(SinceRead.count())}));
 }
 
 } // namespace currantgauge::http
--- a/currantgauge/http/pending_request.h
+++ b/currantgauge/http/pending_request.h
@@ -10,6 +10,7 @@
 
 #include "currantgauge/base/ids.h"
 #include "currantgauge/core/effect.h"
+#include "currantgauge/core/event.h"
 #include "currantgauge/http/caller_answer.h"
 #include "currantgauge/http/caller_session.h"
 #include "currantgauge/runtime/answer_pipe.h"
@@ -21,6 +22,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -36,6 +38,7 @@
   bool KeepAlive = true;
   bool ExpectsBody = true; // false for HEAD: its answer has none
   bool Done = false;       // answered or abandoned; later input is ignored
+  std::chrono::steady_clock::time_point ReadAt; // when it was read in full
 
   std::optional<TextResponse> LocalAnswer; // to invalid input; not from control
   std::optional<core::RefuseRequest> Refusal;
@@ -77,9 +80,10 @@
 bool hasAnswer(const PendingRequest &Pending);
 
 // abandonRequest() marks the request as done, cancels an answer that is still
-// arriving, and posts CallerGone if the control thread knows the request. No
-// effect if the request is already done.
-void abandonRequest(CallerContext &Context, PendingRequest &Pending);
+// arriving, and posts CallerGone with End if the control thread knows the
+// request. No effect if the request is already done.
+void abandonRequest(CallerContext &Context, PendingRequest &Pending,
+                    core::ConnectionEnd End);
 
 } // namespace currantgauge::http
 
--- a/currantgauge/telemetry/metrics.cc
+++ b/currantgauge/telemetry/metrics.cc
@@ -65,6 +65,10 @@
     {core::Metric::LogLines, MetricType::Counter,
      "currantgauge_log_lines_total", "Log lines by what became of them",
      "outcome", "origin"},
+    {core::Metric::UnansweredRequests, MetricType::Counter,
+     "currantgauge_unanswered_requests_total",
+     "Requests whose connection ended before their answer was written", "cause",
+     "decided"},
 };
 
 // Upper bounds in seconds.
