http: answer a request that arrives as the idle timeout expires

When the bytes of a request and the expiry of the idle timer were ready in the same poll, the reader took the bytes first. Cancelling the timer then had no effect on its handler, which was queued already. The handler saw no request, since the parser reports one only with the next handler, and an empty buffer, since the parser had consumed it, and closed the stream. The request was started after that. A body that was still arriving was lost in the same way.

Only the reader closes an idle connection now. The timer cancels the reader's wait for first bytes, which leaves bytes that have been read or that wait in the kernel to the reader; it does nothing once there are any.

Both new tests failed before: the first request reached control and ended as CallerGone, that with a body never arrived.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -48,7 +48,8 @@
   asio::steady_timer IdleTimer;
   bool AcceptsRequests = true; // more requests may be read
   bool Closing = false;        // endSession() was called
-  bool ClosedWhenIdle = false; // by startIdleTimer()
+  bool AwaitsRequest = false;  // no byte of the next request was read
+  bool IdleExpired = false;    // the idle timer ended the wait for a request
 
   Session(tcp::socket Socket, CallerContext &Shared)
       : Context(Shared), Stream(std::move(Socket)),
@@ -64,29 +65,28 @@
   return std::chrono::microseconds(Context.IdleMicros);
 }
 
-// Closes the connection when it stays idle. The stream's own timeout would also
-// end the read that waits for the next request while answers are pending.
+// Ends the wait for the next request when the connection stays idle. Only the
+// reader closes the connection, since it knows whether a request has arrived.
+// The stream's own timeout would also end the wait while answers are pending.
 void startIdleTimer(const SessionPtr &Self) {
   Self->IdleTimer.expires_after(idleTimeout(Self->Context));
   Self->IdleTimer.async_wait([Self](ErrorCode Error) {
-    if (!Error && Self->Requests.empty() && Self->Input.size() == 0) {
-      Self->ClosedWhenIdle = true;
-      Self->Stream.close();
-    }
+    if (Error || !Self->Requests.empty() || !Self->AwaitsRequest)
+      return;
+    Self->IdleExpired = true;
+    Self->Stream.cancel();
   });
 }
 
 core::ConnectionEnd endOfRead(const Session &S, ErrorCode Error) {
-  if (S.ClosedWhenIdle)
+  if (S.IdleExpired)
     return core::ConnectionEnd::IdleTimeout;
   return Error == asio::error::eof || Error == beast::http::error::end_of_stream
              ? core::ConnectionEnd::CallerClosed
              : core::ConnectionEnd::CallerReset;
 }
 
-core::ConnectionEnd endOfWrite(const Session &S, ErrorCode Error) {
-  if (S.ClosedWhenIdle)
-    return core::ConnectionEnd::IdleTimeout;
+core::ConnectionEnd endOfWrite(ErrorCode Error) {
   if (Error == beast::error::timeout)
     return core::ConnectionEnd::WriteTimeout;
   return Error == beast::http::error::partial_message
@@ -128,7 +128,7 @@
     if (S.Closing)
       break;
     if (Error)
-      co_return endSession(S, endOfWrite(S, Error));
+      co_return endSession(S, endOfWrite(Error));
     Pending->Done = true;
     S.Requests.pop_front();
     if (!KeepAlive)
@@ -185,6 +185,24 @@
   co_await beast::http::async_write(S.Stream, Continue, redirectError(Ignored));
 }
 
+// Waits for the first bytes of the next request. A cancelled read leaves bytes
+// that have arrived since to the next one.
+asio::awaitable<ErrorCode> readFirstBytes(Session &S) {
+  ErrorCode Error;
+  ErrorCode Ignored;
+  S.Stream.expires_never();
+  do {
+    S.IdleExpired = false;
+    S.AwaitsRequest = true;
+    std::size_t Size = co_await S.Stream.async_read_some(
+        S.Input.prepare(ReadBytes), redirectError(Error));
+    S.AwaitsRequest = false;
+    S.Input.commit(Size);
+  } while (Error && S.IdleExpired && !S.Closing &&
+           S.Stream.socket().available(Ignored) > 0);
+  co_return Error;
+}
+
 // Reads the next request. Returns no error on success, eof or connection_reset
 // if the connection ends or fails before the first byte of the request, and
 // otherwise the error of the read or of the parser.
@@ -193,13 +211,10 @@
   Parser.body_limit(S.Context.BodyBytes.load());
   ErrorCode Error;
   if (S.Input.size() == 0) {
-    S.Stream.expires_never();
-    std::size_t Size = co_await S.Stream.async_read_some(
-        S.Input.prepare(ReadBytes), redirectError(Error));
+    Error = co_await readFirstBytes(S);
     if (Error)
       co_return Error == asio::error::eof ? Error
                                           : asio::error::connection_reset;
-    S.Input.commit(Size);
   }
   S.IdleTimer.cancel();
   S.Stream.expires_after(std::chrono::microseconds(S.Context.ReadMicros));
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 #include <variant>
 #include <vector>
 
@@ -60,6 +61,14 @@
     this->runUntilIdle();
   }
 
+  // Sends while the session doesn't run, so that its next poll finds both the
+  // bytes and the expired idle timer.
+  void sendAsIdleTimerExpires(const std::string &Text) {
+    std::this_thread::sleep_for(
+        std::chrono::microseconds(this->Context.IdleMicros));
+    this->send(Text);
+  }
+
   std::string readAvailable() {
     std::string Text(65536, '\0');
     boost::system::error_code Error;
@@ -110,6 +119,17 @@
   return "GET " + Path + " HTTP/1.1\r\nHost: A.example:80\r\n\r\n";
 }
 
+const std::string PostHead =
+    "POST /p HTTP/1.1\r\nHost: A.example:80\r\nContent-Length: 6\r\n\r\n";
+
+// Answers one request, so that the idle timeout of 200 ms is in force.
+void startIdleTime(SessionFixture &Fixture) {
+  setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(200)});
+  Fixture.send(getRequest("/1"));
+  answerRequest(Fixture, 0, "first");
+  REQUIRE(Fixture.readAvailable().find("first") != std::string::npos);
+}
+
 std::vector<core::ConnectionEnd> connectionEnds(const SessionFixture &Fixture) {
   std::vector<core::ConnectionEnd> Ends;
   for (const runtime::ControlInput &Input : Fixture.Posted)
@@ -190,6 +210,26 @@
   CHECK(Fixture.readAvailable().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("a request that arrives as the idle timeout expires is answered") {
+  SessionFixture Fixture;
+  startIdleTime(Fixture);
+  Fixture.sendAsIdleTimerExpires(getRequest("/2"));
+  REQUIRE(arrivedRequests(Fixture).size() == 2);
+  answerRequest(Fixture, 1, "second");
+  CHECK(Fixture.readAvailable().find("second") != std::string::npos);
+  CHECK(connectionEnds(Fixture).empty());
+}
+
+TEST_CASE("a body whose head arrives as the idle timeout expires is read") {
+  SessionFixture Fixture;
+  startIdleTime(Fixture);
+  Fixture.sendAsIdleTimerExpires(PostHead);
+  Fixture.send("abcdef");
+  REQUIRE(arrivedRequests(Fixture).size() == 2);
+  answerRequest(Fixture, 1, "second");
+  CHECK(Fixture.readAvailable().find("second") != std::string::npos);
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
