http: apply a raised idle timeout to connections that are idle already

After a configuration raised the idle timeout, connections that were idle at that moment were still closed at the old one. Callers that keep to the new limit saw their reused connections end.

The idle timer now compares the idle time with the timeout in force when it expires, and waits for the rest. The new test failed before.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -46,6 +46,7 @@
   AsyncEvent AnswerReady; // a request may have an answer, or the session ends
   AsyncEvent RequestAnswered; // an answer was written, or the session ends
   asio::steady_timer IdleTimer;
+  std::chrono::steady_clock::time_point IdleSince;
   bool AcceptsRequests = true; // more requests may be read
   bool Closing = false;        // endSession() was called
   bool AwaitsRequest = false;  // no byte of the next request was read
@@ -68,16 +69,26 @@
 // Ends the wait for the next request when the connection stays idle. Only the
 // reader closes the connection, since it knows whether a request has arrived.
 // The stream's own timeout would also end the wait while answers are pending.
-void startIdleTimer(const SessionPtr &Self) {
-  Self->IdleTimer.expires_after(idleTimeout(Self->Context));
+// The timeout is read again at the end, since it may have been raised
+// meanwhile.
+void waitForIdleTimer(const SessionPtr &Self) {
+  Self->IdleTimer.expires_at(Self->IdleSince + idleTimeout(Self->Context));
   Self->IdleTimer.async_wait([Self](ErrorCode Error) {
     if (Error || !Self->Requests.empty() || !Self->AwaitsRequest)
       return;
+    auto Idle = std::chrono::steady_clock::now() - Self->IdleSince;
+    if (Idle < idleTimeout(Self->Context))
+      return waitForIdleTimer(Self);
     Self->IdleExpired = true;
     Self->Stream.cancel();
   });
 }
 
+void startIdleTimer(const SessionPtr &Self) {
+  Self->IdleSince = std::chrono::steady_clock::now();
+  waitForIdleTimer(Self);
+}
+
 core::ConnectionEnd endOfRead(const Session &S, ErrorCode Error) {
   if (S.IdleExpired)
     return core::ConnectionEnd::IdleTimeout;
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -230,6 +230,16 @@
   CHECK(Fixture.readAvailable().find("second") != std::string::npos);
 }
 
+TEST_CASE("a raised idle timeout holds for connections that are idle already") {
+  SessionFixture Fixture;
+  startIdleTime(Fixture);
+  setCallerLimits(Fixture.Context, {{}, {}, {}, base::seconds(5)});
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Fixture.runUntilIdle();
+  Fixture.send(getRequest("/2"));
+  CHECK(arrivedRequests(Fixture).size() == 2);
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
