http: start no request behind the answer that closes the connection

A request that arrived while the answer was being written was passed on to a backend server, and abandoned when the connection closed.

A request behind it isn't started, which its caller may take from `Connection: close`.

The new test failed before: the second request had reached control.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -135,6 +135,7 @@
     bool Last =
         S.Requests.size() == 1 && (S.Context.Stopping || !S.AcceptsRequests);
     bool KeepAlive = Pending->KeepAlive && !Last;
+    S.AcceptsRequests = S.AcceptsRequests && KeepAlive;
     ErrorCode Error = co_await writeAnswer(Output, *Pending, KeepAlive);
     if (S.Closing)
       break;
@@ -301,7 +302,7 @@
       break;
     RequestParser Parser;
     Error = co_await readRequest(S, Parser);
-    if (S.Closing)
+    if (S.Closing || !S.AcceptsRequests)
       break;
     if (!Error) {
       startRequest(Self, Parser.release());
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -30,7 +31,8 @@
   std::vector<runtime::ControlInput> Posted;
   tcp::socket Caller{this->Io};
 
-  SessionFixture() {
+  // A BufferSize of 0 bytes leaves the socket buffers at their default size.
+  explicit SessionFixture(int BufferSize = 0) {
     this->Context.Post = [this](runtime::ControlInput Input) {
       this->Posted.push_back(std::move(Input));
     };
@@ -42,8 +44,15 @@
     setCallerLimits(this->Context, config::CallerLimits());
     tcp::acceptor Acceptor(
         this->Io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    this->Caller.open(tcp::v4());
+    if (BufferSize > 0)
+      this->Caller.set_option(
+          asio::socket_base::receive_buffer_size(BufferSize));
     this->Caller.connect(Acceptor.local_endpoint());
-    startCallerSession(Acceptor.accept(this->Io), this->Context);
+    tcp::socket Socket = Acceptor.accept(this->Io);
+    if (BufferSize > 0)
+      Socket.set_option(asio::socket_base::send_buffer_size(BufferSize));
+    startCallerSession(std::move(Socket), this->Context);
     this->runUntilIdle();
   }
 
@@ -69,6 +78,22 @@
     this->send(Text);
   }
 
+  // Reads until the connection ends, for 4 s at most.
+  std::string readToEnd() {
+    std::string Text;
+    std::string Part(65536, '\0');
+    boost::system::error_code Error;
+    this->Caller.non_blocking(true);
+    for (int Round = 0; Round < 100; ++Round) {
+      this->runUntilIdle();
+      std::size_t Size = this->Caller.read_some(asio::buffer(Part), Error);
+      Text.append(Part, 0, Size);
+      if (Error && Error != asio::error::would_block)
+        break;
+    }
+    return Text;
+  }
+
   std::string readAvailable() {
     std::string Text(65536, '\0');
     boost::system::error_code Error;
@@ -240,6 +265,18 @@
   CHECK(arrivedRequests(Fixture).size() == 2);
 }
 
+TEST_CASE(
+    "no request is started behind the answer that closes the connection") {
+  SessionFixture Fixture(16384);
+  Fixture.send(getRequest("/1"));
+  Fixture.Context.Stopping = true;
+  std::string Body(60000, 'x');
+  answerRequest(Fixture, 0, Body);
+  Fixture.send(getRequest("/2"));
+  CHECK(arrivedRequests(Fixture).size() == 1);
+  CHECK(Fixture.readToEnd().size() > Body.size());
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
