http: keep input that crosses a close from destroying the last answer

A caller whose next bytes crossed the close after its last answer, of a stopping node or after a refused input, could get a reset in place of the rest of that answer: a close with unread input, or input after the close, makes the kernel reset the connection and discard what it hasn't sent.

The session now shuts its sending side down after the last answer, and reads and discards input until the caller closes, for one second at most.

The test of the crossing request failed before: of an answer of 30,000 bytes 24,576 arrived. That of the caller that doesn't close holds the bound.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -34,6 +34,8 @@
 // Requests of one connection that may be unanswered at a time.
 constexpr std::size_t PipelineLimit = 32;
 constexpr std::size_t ReadBytes = 4096; // size of a request's first read
+// Time for a caller to close its connection after the last answer.
+constexpr std::chrono::seconds LingerTime{1};
 
 // Session is a caller's connection. One coroutine reads requests, another
 // writes answers.
@@ -48,7 +50,7 @@
   asio::steady_timer IdleTimer;
   std::chrono::steady_clock::time_point IdleSince;
   bool AcceptsRequests = true; // more requests may be read
-  bool Closing = false;        // endSession() was called
+  bool Closing = false;        // nothing more is answered
   bool AwaitsRequest = false;  // no byte of the next request was read
   bool IdleExpired = false;    // the idle timer ended the wait for a request
 
@@ -119,6 +121,21 @@
   notify(S.AnswerReady);
 }
 
+// Ends the session after its last answer was written. Until the caller closes
+// too, its input is discarded: a close with unread input resets the connection,
+// which can destroy an answer in flight.
+void finishSession(const SessionPtr &Self) {
+  Self->Closing = true;
+  ErrorCode Ignored;
+  Self->Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  Self->IdleTimer.expires_after(LingerTime);
+  Self->IdleTimer.async_wait([Self](ErrorCode Error) {
+    if (!Error)
+      Self->Stream.close();
+  });
+  notify(Self->RequestAnswered);
+}
+
 // Writes answers in the order of the requests. While the node stops, requests
 // that were already read are still answered; the last answer closes the
 // connection.
@@ -144,13 +161,11 @@
     Pending->Done = true;
     S.Requests.pop_front();
     if (!KeepAlive)
-      break;
+      co_return finishSession(Self);
     notify(S.RequestAnswered);
     if (S.Requests.empty())
       startIdleTimer(Self);
   }
-  if (!S.Closing)
-    endSession(S, core::ConnectionEnd::WriteFailed);
 }
 
 base::Reason reasonOf(ErrorCode Error) {
@@ -191,6 +206,8 @@
 asio::awaitable<void> sendContinue(Session &S) {
   while (!S.Closing && !S.Requests.empty())
     co_await waitFor(S.RequestAnswered);
+  if (S.Closing)
+    co_return;
   beast::http::response<beast::http::empty_body> Continue(
       beast::http::status::continue_, 11);
   ErrorCode Ignored; // the next read detects a caller that is gone
@@ -228,6 +245,8 @@
       co_return Error == asio::error::eof ? Error
                                           : asio::error::connection_reset;
   }
+  if (!S.AcceptsRequests)
+    co_return Error;
   S.IdleTimer.cancel();
   S.Stream.expires_after(std::chrono::microseconds(S.Context.ReadMicros));
   co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
@@ -278,11 +297,11 @@
   S.Context.Post(std::move(Input));
 }
 
-// Reads and discards input after the last request until the caller disconnects,
-// so that its unanswered requests are abandoned.
+// Reads and discards input after the last request until the connection ends, so
+// that unanswered requests are abandoned when the caller disconnects.
 asio::awaitable<ErrorCode> waitForDisconnect(Session &S) {
   ErrorCode Error;
-  while (!S.Closing && !Error) {
+  while (!Error) {
     S.Input.clear();
     S.Stream.expires_never();
     co_await S.Stream.async_read_some(S.Input.prepare(ReadBytes),
@@ -315,10 +334,12 @@
       break;
     refuseInput(S, reasonOf(Error), describeError(Error));
   }
-  if (!S.AcceptsRequests && !S.Closing)
+  if (!S.AcceptsRequests)
     Error = co_await waitForDisconnect(S);
   if (!S.Closing)
-    endSession(S, endOfRead(S, Error));
+    co_return endSession(S, endOfRead(S, Error));
+  S.IdleTimer.cancel();
+  S.Stream.close();
 }
 
 std::uint64_t valueOrDefault(base::ByteCount Value, base::ByteCount Default) {
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -277,6 +277,31 @@
   CHECK(Fixture.readToEnd().size() > Body.size());
 }
 
+TEST_CASE("a request that crosses the close doesn't destroy the last answer") {
+  SessionFixture Fixture(16384);
+  Fixture.send(getRequest("/1"));
+  Fixture.Context.Stopping = true;
+  std::string Body(30000, 'x');
+  answerRequest(Fixture, 0, Body);
+  Fixture.send(getRequest("/2"));
+  CHECK(Fixture.readToEnd().size() > Body.size());
+  CHECK(arrivedRequests(Fixture).size() == 1);
+}
+
+TEST_CASE("a caller that doesn't close is disconnected after its last answer") {
+  SessionFixture Fixture;
+  Fixture.send(getRequest("/1"));
+  Fixture.Context.Stopping = true;
+  answerRequest(Fixture, 0, "first");
+  CHECK(Fixture.readToEnd().find("first") != std::string::npos);
+  boost::system::error_code Error;
+  for (int Round = 0; Round < 100 && !Error; ++Round) {
+    Fixture.runUntilIdle();
+    Fixture.Caller.write_some(asio::buffer("x", 1), Error);
+  }
+  CHECK(Error);
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
