--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/http/caller_session.h"
 
+#include "currantgauge/http/answer_writer.h"
 #include "currantgauge/http/await.h"
 #include "currantgauge/http/caller_answer.h"
 #include "currantgauge/http/caller_request.h"
@@ -14,7 +15,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -34,6 +34,8 @@
 // Requests of one connection that may be unanswered at a time.
 constexpr std::size_t PipelineLimit = 32;
 constexpr std::size_t ReadBytes = 4096; // size of a request's first read
+// Time for a caller to close its connection after the last answer.
+constexpr std::chrono::seconds LingerTime{1};
 
 // Session is a caller's connection. One coroutine reads requests, another
 // writes answers.
@@ -46,8 +48,11 @@
   AsyncEvent AnswerReady; // a request may have an answer, or the session ends
   AsyncEvent RequestAnswered; // an answer was written, or the session ends
   asio::steady_timer IdleTimer;
+  std::chrono::steady_clock::time_point IdleSince;
   bool AcceptsRequests = true; // more requests may be read
-  bool Closing = false;        // endSession() was called
+  bool Closing = false;        // nothing more is answered
+  bool AwaitsRequest = false;  // no byte of the next request was read
+  bool IdleExpired = false;    // the idle timer ended the wait for a request
 
   Session(tcp::socket Socket, CallerContext &Shared)
       : Context(Shared), Stream(std::move(Socket)),
@@ -63,113 +68,50 @@
   return std::chrono::microseconds(Context.IdleMicros);
 }
 
-// Closes the connection when it stays idle. The stream's own timeout would also
-// end the read that waits for the next request while answers are pending.
-void startIdleTimer(const SessionPtr &Self) {
-  Self->IdleTimer.expires_after(idleTimeout(Self->Context));
+// Ends the wait for the next request when the connection stays idle. Only the
+// reader closes the connection, since it knows whether a request has arrived.
+// The stream's own timeout would also end the wait while answers are pending.
+// The timeout is read again at the end, since it may have been raised
+// meanwhile.
+void waitForIdleTimer(const SessionPtr &Self) {
+  Self->IdleTimer.expires_at(Self->IdleSince + idleTimeout(Self->Context));
   Self->IdleTimer.async_wait([Self](ErrorCode Error) {
-    if (!Error && Self->Requests.empty() && Self->Input.size() == 0)
-      Self->Stream.close();
+    if (Error || !Self->Requests.empty() || !Self->AwaitsRequest)
+      return;
+    auto Idle = std::chrono::steady_clock::now() - Self->IdleSince;
+    if (Idle < idleTimeout(Self->Context))
+      return waitForIdleTimer(Self);
+    Self->IdleExpired = true;
+    Self->Stream.cancel();
   });
 }
 
-template <typename Message>
-asio::awaitable<bool> writeMessage(Session &S, Message &Answer) {
-  ErrorCode Error;
-  S.Stream.expires_after(idleTimeout(S.Context));
-  co_await beast::http::async_write(S.Stream, Answer, redirectError(Error));
-  co_return !Error && Answer.keep_alive();
-}
-
-asio::awaitable<bool> writeHead(Session &S, TextResponse &Answer) {
-  ErrorCode Error;
-  S.Stream.expires_after(idleTimeout(S.Context));
-  beast::http::response_serializer<beast::http::string_body> Serializer(Answer);
-  co_await beast::http::async_write_header(S.Stream, Serializer,
-                                           redirectError(Error));
-  co_return !Error && Answer.keep_alive();
-}
-
-bool hasNoBody(const PendingRequest &Pending) {
-  auto Code = beast::http::int_to_status(Pending.Head.Status);
-  return !Pending.ExpectsBody || Code == beast::http::status::no_content ||
-         Code == beast::http::status::not_modified;
-}
-
-// Forwards an answer while it arrives. If the attempt fails midway, the
-// connection is closed before the end of the message, so that the caller can't
-// mistake the answer for a complete one.
-asio::awaitable<bool> writeStream(Session &S, PendingRequest &Pending,
-                                  const AnswerMetadata &Metadata,
-                                  bool KeepAlive) {
-  StreamResponse Answer =
-      makeStreamedAnswer(Pending.Head, Metadata, Pending.Version, KeepAlive);
-  beast::http::response_serializer<beast::http::buffer_body> Serializer(Answer);
-  ErrorCode Error;
-  S.Stream.expires_after(idleTimeout(S.Context));
-  co_await beast::http::async_write_header(S.Stream, Serializer,
-                                           redirectError(Error));
-  while (!Error && !Pending.Done) {
-    readAnswerParts(S.Context, Pending);
-    bool Last = Pending.Outcome.has_value();
-    if (Last && Pending.Outcome->Verdict != base::Verdict::Ran)
-      break;
-    if (Pending.Body.empty() && !Last) {
-      co_await waitFor(S.AnswerReady);
-      continue;
-    }
-    std::string Bytes = std::exchange(Pending.Body, std::string());
-    Answer.body().data = Bytes.empty() ? nullptr : Bytes.data();
-    Answer.body().size = Bytes.size();
-    Answer.body().more = !Last;
-    S.Stream.expires_after(idleTimeout(S.Context));
-    co_await beast::http::async_write(S.Stream, Serializer,
-                                      redirectError(Error));
-    if (Error == beast::http::error::need_buffer)
-      Error = {};
-    if (Last)
-      co_return !Error && KeepAlive && Serializer.is_done();
-  }
-  co_return false;
+void startIdleTimer(const SessionPtr &Self) {
+  Self->IdleSince = std::chrono::steady_clock::now();
+  waitForIdleTimer(Self);
 }
 
-asio::awaitable<bool> writeDelivery(Session &S, PendingRequest &Pending,
-                                    bool KeepAlive) {
-  AnswerMetadata Metadata{Pending.Request, *Pending.Delivery,
-                          S.Context.Dialect.AddsMetadataFields};
-  if (!Pending.Outcome)
-    co_return co_await writeStream(S, Pending, Metadata, KeepAlive);
-  TextResponse Answer = makeCompleteAnswer(
-      Pending.Head, std::move(Pending.Body), Metadata, KeepAlive);
-  if (hasNoBody(Pending))
-    co_return co_await writeHead(S, Answer);
-  co_return co_await writeMessage(S, Answer);
+core::ConnectionEnd endOfRead(const Session &S, ErrorCode Error) {
+  if (S.IdleExpired)
+    return core::ConnectionEnd::IdleTimeout;
+  return Error == asio::error::eof || Error == beast::http::error::end_of_stream
+             ? core::ConnectionEnd::CallerClosed
+             : core::ConnectionEnd::CallerReset;
 }
 
-asio::awaitable<bool> writeAnswer(Session &S, PendingRequest &Pending,
-                                  bool KeepAlive) {
-  if (Pending.LocalAnswer) {
-    Pending.LocalAnswer->keep_alive(KeepAlive);
-    co_return co_await writeMessage(S, *Pending.LocalAnswer);
-  }
-  if (Pending.ActionIdAnswer) {
-    TextResponse Answer = makeActionIdAnswer(*Pending.ActionIdAnswer,
-                                             S.Context.Dialect, KeepAlive);
-    co_return co_await writeMessage(S, Answer);
-  }
-  if (Pending.Refusal) {
-    TextResponse Answer =
-        makeRefusal(*Pending.Refusal, S.Context.Dialect, KeepAlive);
-    co_return co_await writeMessage(S, Answer);
-  }
-  co_return co_await writeDelivery(S, Pending, KeepAlive);
+core::ConnectionEnd endOfWrite(ErrorCode Error) {
+  if (Error == beast::error::timeout)
+    return core::ConnectionEnd::WriteTimeout;
+  return Error == beast::http::error::partial_message
+             ? core::ConnectionEnd::AnswerCutShort
+             : core::ConnectionEnd::WriteFailed;
 }
 
 // Abandons the unanswered requests and closes the connection.
-void endSession(Session &S) {
+void endSession(Session &S, core::ConnectionEnd End) {
   S.Closing = true;
   for (const PendingRequestPtr &Pending : S.Requests)
-    abandonRequest(S.Context, *Pending);
+    abandonRequest(S.Context, *Pending, End);
   S.Requests.clear();
   S.IdleTimer.cancel();
   ErrorCode Ignored;
@@ -179,11 +121,27 @@
   notify(S.AnswerReady);
 }
 
+// Ends the session after its last answer was written. Until the caller closes
+// too, its input is discarded: a close with unread input resets the connection,
+// which can destroy an answer in flight.
+void finishSession(const SessionPtr &Self) {
+  Self->Closing = true;
+  ErrorCode Ignored;
+  Self->Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  Self->IdleTimer.expires_after(LingerTime);
+  Self->IdleTimer.async_wait([Self](ErrorCode Error) {
+    if (!Error)
+      Self->Stream.close();
+  });
+  notify(Self->RequestAnswered);
+}
+
 // Writes answers in the order of the requests. While the node stops, requests
 // that were already read are still answered; the last answer closes the
 // connection.
 asio::awaitable<void> writeAnswers(SessionPtr Self) {
   Session &S = *Self;
+  AnswerOutput Output{S.Context, S.Stream, S.AnswerReady};
   while (!S.Closing) {
     while (!S.Closing &&
            (S.Requests.empty() || !hasAnswer(*S.Requests.front())))
@@ -194,21 +152,20 @@
     bool Last =
         S.Requests.size() == 1 && (S.Context.Stopping || !S.AcceptsRequests);
     bool KeepAlive = Pending->KeepAlive && !Last;
-    bool CanContinue = co_await writeAnswer(S, *Pending, KeepAlive);
+    S.AcceptsRequests = S.AcceptsRequests && KeepAlive;
+    ErrorCode Error = co_await writeAnswer(Output, *Pending, KeepAlive);
     if (S.Closing)
       break;
-    if (Pending->Pipe && Pending->Delivery && !Pending->Outcome)
-      abandonRequest(S.Context, *Pending);
+    if (Error)
+      co_return endSession(S, endOfWrite(Error));
     Pending->Done = true;
     S.Requests.pop_front();
-    if (!CanContinue)
-      break;
+    if (!KeepAlive)
+      co_return finishSession(Self);
     notify(S.RequestAnswered);
     if (S.Requests.empty())
       startIdleTimer(Self);
   }
-  if (!S.Closing)
-    endSession(S);
 }
 
 base::Reason reasonOf(ErrorCode Error) {
@@ -249,27 +206,47 @@
 asio::awaitable<void> sendContinue(Session &S) {
   while (!S.Closing && !S.Requests.empty())
     co_await waitFor(S.RequestAnswered);
+  if (S.Closing)
+    co_return;
   beast::http::response<beast::http::empty_body> Continue(
       beast::http::status::continue_, 11);
   ErrorCode Ignored; // the next read detects a caller that is gone
   co_await beast::http::async_write(S.Stream, Continue, redirectError(Ignored));
 }
 
-// Reads the next request. Returns no error on success, eof if the connection
-// ends or fails before the first byte of the request, and otherwise the error
-// of the read or of the parser.
+// Waits for the first bytes of the next request. A cancelled read leaves bytes
+// that have arrived since to the next one.
+asio::awaitable<ErrorCode> readFirstBytes(Session &S) {
+  ErrorCode Error;
+  ErrorCode Ignored;
+  S.Stream.expires_never();
+  do {
+    S.IdleExpired = false;
+    S.AwaitsRequest = true;
+    std::size_t Size = co_await S.Stream.async_read_some(
+        S.Input.prepare(ReadBytes), redirectError(Error));
+    S.AwaitsRequest = false;
+    S.Input.commit(Size);
+  } while (Error && S.IdleExpired && !S.Closing &&
+           S.Stream.socket().available(Ignored) > 0);
+  co_return Error;
+}
+
+// Reads the next request. Returns no error on success, eof or connection_reset
+// if the connection ends or fails before the first byte of the request, and
+// otherwise the error of the read or of the parser.
 asio::awaitable<ErrorCode> readRequest(Session &S, RequestParser &Parser) {
   Parser.header_limit(static_cast<std::uint32_t>(S.Context.HeaderBytes));
   Parser.body_limit(S.Context.BodyBytes.load());
   ErrorCode Error;
   if (S.Input.size() == 0) {
-    S.Stream.expires_never();
-    std::size_t Size = co_await S.Stream.async_read_some(
-        S.Input.prepare(ReadBytes), redirectError(Error));
+    Error = co_await readFirstBytes(S);
     if (Error)
-      co_return asio::error::eof;
-    S.Input.commit(Size);
+      co_return Error == asio::error::eof ? Error
+                                          : asio::error::connection_reset;
   }
+  if (!S.AcceptsRequests)
+    co_return Error;
   S.IdleTimer.cancel();
   S.Stream.expires_after(std::chrono::microseconds(S.Context.ReadMicros));
   co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
@@ -300,6 +277,7 @@
   PendingRequestPtr Pending(new PendingRequest);
   Pending->Request =
       base::RequestId{S.Context.Origin, ++S.Context.LastSequence};
+  Pending->ReadAt = std::chrono::steady_clock::now();
   Facts->Request = Pending->Request;
   Pending->Version = Request.version();
   Pending->KeepAlive = Request.keep_alive();
@@ -319,20 +297,22 @@
   S.Context.Post(std::move(Input));
 }
 
-// Reads and discards input after the last request until the caller disconnects,
-// so that its unanswered requests are abandoned.
-asio::awaitable<void> waitForDisconnect(Session &S) {
+// Reads and discards input after the last request until the connection ends, so
+// that unanswered requests are abandoned when the caller disconnects.
+asio::awaitable<ErrorCode> waitForDisconnect(Session &S) {
   ErrorCode Error;
-  while (!S.Closing && !Error) {
+  while (!Error) {
     S.Input.clear();
     S.Stream.expires_never();
     co_await S.Stream.async_read_some(S.Input.prepare(ReadBytes),
                                       redirectError(Error));
   }
+  co_return Error;
 }
 
 asio::awaitable<void> readRequests(SessionPtr Self) {
   Session &S = *Self;
+  ErrorCode Error;
   startIdleTimer(Self);
   while (S.AcceptsRequests && !S.Closing) {
     while (!S.Closing && S.Requests.size() >= PipelineLimit)
@@ -340,8 +320,8 @@
     if (S.Closing)
       break;
     RequestParser Parser;
-    ErrorCode Error = co_await readRequest(S, Parser);
-    if (S.Closing)
+    Error = co_await readRequest(S, Parser);
+    if (S.Closing || !S.AcceptsRequests)
       break;
     if (!Error) {
       startRequest(Self, Parser.release());
@@ -354,10 +334,12 @@
       break;
     refuseInput(S, reasonOf(Error), describeError(Error));
   }
-  if (!S.AcceptsRequests && !S.Closing)
-    co_await waitForDisconnect(S);
+  if (!S.AcceptsRequests)
+    Error = co_await waitForDisconnect(S);
   if (!S.Closing)
-    endSession(S);
+    co_return endSession(S, endOfRead(S, Error));
+  S.IdleTimer.cancel();
+  S.Stream.close();
 }
 
 std::uint64_t valueOrDefault(base::ByteCount Value, base::ByteCount Default) {
