--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -12,6 +12,8 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -29,7 +31,8 @@
   std::vector<runtime::ControlInput> Posted;
   tcp::socket Caller{this->Io};
 
-  SessionFixture() {
+  // A BufferSize of 0 bytes leaves the socket buffers at their default size.
+  explicit SessionFixture(int BufferSize = 0) {
     this->Context.Post = [this](runtime::ControlInput Input) {
       this->Posted.push_back(std::move(Input));
     };
@@ -41,8 +44,15 @@
     setCallerLimits(this->Context, config::CallerLimits());
     tcp::acceptor Acceptor(
         this->Io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    this->Caller.open(tcp::v4());
+    if (BufferSize > 0)
+      this->Caller.set_option(
+          asio::socket_base::receive_buffer_size(BufferSize));
     this->Caller.connect(Acceptor.local_endpoint());
-    startCallerSession(Acceptor.accept(this->Io), this->Context);
+    tcp::socket Socket = Acceptor.accept(this->Io);
+    if (BufferSize > 0)
+      Socket.set_option(asio::socket_base::send_buffer_size(BufferSize));
+    startCallerSession(std::move(Socket), this->Context);
     this->runUntilIdle();
   }
 
@@ -60,6 +70,30 @@
     this->runUntilIdle();
   }
 
+  // Sends while the session doesn't run, so that its next poll finds both the
+  // bytes and the expired idle timer.
+  void sendAsIdleTimerExpires(const std::string &Text) {
+    std::this_thread::sleep_for(
+        std::chrono::microseconds(this->Context.IdleMicros));
+    this->send(Text);
+  }
+
+  // Reads until the connection ends, for 4 s at most.
+  std::string readToEnd() {
+    std::string Text;
+    std::string Part(65536, '\0');
+    boost::system::error_code Error;
+    this->Caller.non_blocking(true);
+    for (int Round = 0; Round < 100; ++Round) {
+      this->runUntilIdle();
+      std::size_t Size = this->Caller.read_some(asio::buffer(Part), Error);
+      Text.append(Part, 0, Size);
+      if (Error && Error != asio::error::would_block)
+        break;
+    }
+    return Text;
+  }
+
   std::string readAvailable() {
     std::string Text(65536, '\0');
     boost::system::error_code Error;
@@ -110,6 +144,25 @@
   return "GET " + Path + " HTTP/1.1\r\nHost: A.example:80\r\n\r\n";
 }
 
+const std::string PostHead =
+    "POST /p HTTP/1.1\r\nHost: A.example:80\r\nContent-Length: 6\r\n\r\n";
+
+// Answers one request, so that the idle timeout of 200 ms is in force.
+void startIdleTime(SessionFixture &Fixture) {
+  setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(200)});
+  Fixture.send(getRequest("/1"));
+  answerRequest(Fixture, 0, "first");
+  REQUIRE(Fixture.readAvailable().find("first") != std::string::npos);
+}
+
+std::vector<core::ConnectionEnd> connectionEnds(const SessionFixture &Fixture) {
+  std::vector<core::ConnectionEnd> Ends;
+  for (const runtime::ControlInput &Input : Fixture.Posted)
+    if (const auto *Gone = std::get_if<core::CallerGone>(&Input.Body))
+      Ends.push_back(Gone->End);
+  return Ends;
+}
+
 } // namespace
 
 TEST_CASE("pipelined requests run concurrently and are answered in order") {
@@ -134,7 +187,18 @@
   Fixture.send(getRequest("/1") + getRequest("/2"));
   Fixture.Caller.close();
   Fixture.runUntilIdle();
-  CHECK(countEvents<core::CallerGone>(Fixture) == 2);
+  CHECK(connectionEnds(Fixture) ==
+        std::vector(2, core::ConnectionEnd::CallerClosed));
+}
+
+TEST_CASE("an abandoned request tells a reset from a close by the caller") {
+  SessionFixture Fixture;
+  Fixture.send(getRequest("/1"));
+  Fixture.Caller.set_option(asio::socket_base::linger(true, 0));
+  Fixture.Caller.close();
+  Fixture.runUntilIdle();
+  CHECK(connectionEnds(Fixture) ==
+        std::vector{core::ConnectionEnd::CallerReset});
 }
 
 TEST_CASE("a chunked body is reassembled and the port removed from the host") {
@@ -171,6 +235,73 @@
   CHECK(Fixture.readAvailable().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("a request that arrives as the idle timeout expires is answered") {
+  SessionFixture Fixture;
+  startIdleTime(Fixture);
+  Fixture.sendAsIdleTimerExpires(getRequest("/2"));
+  REQUIRE(arrivedRequests(Fixture).size() == 2);
+  answerRequest(Fixture, 1, "second");
+  CHECK(Fixture.readAvailable().find("second") != std::string::npos);
+  CHECK(connectionEnds(Fixture).empty());
+}
+
+TEST_CASE("a body whose head arrives as the idle timeout expires is read") {
+  SessionFixture Fixture;
+  startIdleTime(Fixture);
+  Fixture.sendAsIdleTimerExpires(PostHead);
+  Fixture.send("abcdef");
+  REQUIRE(arrivedRequests(Fixture).size() == 2);
+  answerRequest(Fixture, 1, "second");
+  CHECK(Fixture.readAvailable().find("second") != std::string::npos);
+}
+
+TEST_CASE("a raised idle timeout holds for connections that are idle already") {
+  SessionFixture Fixture;
+  startIdleTime(Fixture);
+  setCallerLimits(Fixture.Context, {{}, {}, {}, base::seconds(5)});
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Fixture.runUntilIdle();
+  Fixture.send(getRequest("/2"));
+  CHECK(arrivedRequests(Fixture).size() == 2);
+}
+
+TEST_CASE(
+    "no request is started behind the answer that closes the connection") {
+  SessionFixture Fixture(16384);
+  Fixture.send(getRequest("/1"));
+  Fixture.Context.Stopping = true;
+  std::string Body(60000, 'x');
+  answerRequest(Fixture, 0, Body);
+  Fixture.send(getRequest("/2"));
+  CHECK(arrivedRequests(Fixture).size() == 1);
+  CHECK(Fixture.readToEnd().size() > Body.size());
+}
+
+TEST_CASE("a request that crosses the close doesn't destroy the last answer") {
+  SessionFixture Fixture(16384);
+  Fixture.send(getRequest("/1"));
+  Fixture.Context.Stopping = true;
+  std::string Body(30000, 'x');
+  answerRequest(Fixture, 0, Body);
+  Fixture.send(getRequest("/2"));
+  CHECK(Fixture.readToEnd().size() > Body.size());
+  CHECK(arrivedRequests(Fixture).size() == 1);
+}
+
+TEST_CASE("a caller that doesn't close is disconnected after its last answer") {
+  SessionFixture Fixture;
+  Fixture.send(getRequest("/1"));
+  Fixture.Context.Stopping = true;
+  answerRequest(Fixture, 0, "first");
+  CHECK(Fixture.readToEnd().find("first") != std::string::npos);
+  boost::system::error_code Error;
+  for (int Round = 0; Round < 100 && !Error; ++Round) {
+    Fixture.runUntilIdle();
+    Fixture.Caller.write_some(asio::buffer("x", 1), Error);
+  }
+  CHECK(Error);
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
