core: log why an announcement is ignored, and departures of unknown servers

DRAIN was broken at a node that had acknowledged a server's departure without a record of it. A ready announcement followed and created one. The log had neither the departure nor the sequence number of that announcement, so it could not tell an announcement that was sent before the departure and arrived late from one that the server sent after it.

announcement_ignored now has a reason, the phase, the incarnation and the sequence number, and is also written for announcements of an older incarnation or sequence number and for servers that announced that they leave or are gone. departure_acknowledged says that the node didn't own the server whose departure it acknowledged. backend_server has the incarnation and the sequence number.

No decision changes: reasonToIgnore() holds the conditions that applyAnnouncement() had.

--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -19,6 +19,7 @@
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/registry.h"
 
+#include <cstdint>
 #include <string>
 
 namespace currantgauge::core {
@@ -124,13 +125,65 @@
   return "";
 }
 
-void logServer(const routing::BackendRecord &Record, EffectList &Effects) {
-  Effects.push_back(LogLine{LogLevel::Info,
-                            "backend_server",
-                            {{"server", Record.Name.Value},
-                             {"service", Record.Service.Value},
-                             {"address", Record.Address.Value},
-                             {"phase", phaseName(Record.Phase)}}});
+std::string ignoreReasonName(routing::IgnoreReason Reason) {
+  switch (Reason) {
+  case routing::IgnoreReason::None:
+    return "none";
+  case routing::IgnoreReason::OlderIncarnation:
+    return "older_incarnation";
+  case routing::IgnoreReason::OlderSequence:
+    return "older_sequence";
+  case routing::IgnoreReason::AnnouncedLeaving:
+    return "announced_leaving";
+  case routing::IgnoreReason::AnnouncedGone:
+    return "announced_gone";
+  }
+  return "";
+}
+
+void logAnnouncement(LogLevel Level, const std::string &Message,
+                     const std::string &Reason,
+                     const routing::Announcement &Announcement,
+                     EffectList &Effects) {
+  Effects.push_back(
+      LogLine{Level,
+              Message,
+              {{"server", Announcement.Name.Value},
+               {"reason", Reason},
+               {"service", Announcement.Service.Value},
+               {"address", Announcement.Address.Value},
+               {"phase", phaseName(Announcement.Phase)},
+               {"incarnation", std::to_string(Announcement.Incarnation.Value)},
+               {"sequence", std::to_string(Announcement.Sequence)}}});
+}
+
+// An announcement may be ignored because it arrived late or because the server
+// sent it after it had announced that it leaves; the sequence number tells.
+void logIgnoredAnnouncement(const State &Node,
+                            const routing::Announcement &Announcement,
+                            EffectList &Effects) {
+  routing::IgnoreReason Reason =
+      routing::reasonToIgnore(Node.Routing, Announcement);
+  if (Reason != routing::IgnoreReason::None)
+    logAnnouncement(LogLevel::Info, "announcement_ignored",
+                    ignoreReasonName(Reason), Announcement, Effects);
+  if (Announcement.Phase == routing::BackendPhase::Gone &&
+      !Node.Routing.Owned.contains(Announcement.Name))
+    logAnnouncement(LogLevel::Info, "departure_acknowledged", "unknown_server",
+                    Announcement, Effects);
+}
+
+void logServer(const routing::BackendRecord &Record, std::uint64_t Sequence,
+               EffectList &Effects) {
+  Effects.push_back(
+      LogLine{LogLevel::Info,
+              "backend_server",
+              {{"server", Record.Name.Value},
+               {"service", Record.Service.Value},
+               {"address", Record.Address.Value},
+               {"phase", phaseName(Record.Phase)},
+               {"incarnation", std::to_string(Record.Incarnation.Value)},
+               {"sequence", std::to_string(Sequence)}}});
 }
 
 // A node that is configured with the address of its backend server ignores
@@ -229,32 +282,30 @@
 void onBackendAnnounced(State &Node, const BackendAnnounced &Event,
                         EffectList &Effects) {
   const routing::Announcement &Announcement = Event.Announcement;
-  if (!isExpectedAddress(Node, Announcement) ||
-      routing::isSuperseded(Node.Routing, Announcement)) {
-    Effects.push_back(LogLine{LogLevel::Warn,
-                              "announcement_ignored",
-                              {{"server", Announcement.Name.Value},
-                               {"service", Announcement.Service.Value},
-                               {"address", Announcement.Address.Value}}});
-    return;
-  }
+  if (!isExpectedAddress(Node, Announcement))
+    return logAnnouncement(LogLevel::Warn, "announcement_ignored",
+                           "unexpected_address", Announcement, Effects);
+  if (routing::isSuperseded(Node.Routing, Announcement))
+    return logAnnouncement(LogLevel::Warn, "announcement_ignored",
+                           "address_taken_over", Announcement, Effects);
   for (const routing::BackendRecord &Gone :
        routing::retireReplacedServers(Node.Routing, Announcement)) {
     actions::onServerAnnounced(Node, Gone.Name,
                                base::Incarnation(Gone.Incarnation.Value + 1),
                                Effects);
     membership::queueRumour(Node.Membership, Gone);
-    logServer(Gone, Effects);
+    logServer(Gone, 0, Effects);
   }
   if (Announcement.Phase != routing::BackendPhase::Gone)
     actions::onServerAnnounced(Node, Announcement.Name,
                                Announcement.Incarnation, Effects);
+  logIgnoredAnnouncement(Node, Announcement, Effects);
   if (!routing::applyAnnouncement(Node.Routing, Announcement, Node.Now))
     return;
   const routing::BackendRecord &Record =
       Node.Routing.Servers.at(Announcement.Name).Record;
   membership::queueRumour(Node.Membership, Record);
-  logServer(Record, Effects);
+  logServer(Record, Announcement.Sequence, Effects);
   startQueuedAttempts(Node, Record.Service, Effects);
 }
 
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -15,13 +15,6 @@
                   Announced.Slots, Announced.Phase);
 }
 
-bool isOutdated(const BackendServer &Server, const Announcement &Announced) {
-  if (Announced.Incarnation != Server.Record.Incarnation)
-    return Announced.Incarnation < Server.Record.Incarnation;
-  return Server.AnnouncedGone ||
-         (Announced.Sequence != 0 && Announced.Sequence <= Server.Sequence);
-}
-
 bool sharesAddress(const RoutingState &State, const BackendServer &Server,
                    const Announcement &Announced) {
   return Server.Record.Name != Announced.Name &&
@@ -74,23 +67,44 @@
 
 } // namespace
 
+IgnoreReason reasonToIgnore(const RoutingState &State,
+                            const Announcement &Announced) {
+  auto It = State.Servers.find(Announced.Name);
+  if (It == State.Servers.end() || Announced.Phase == BackendPhase::Gone)
+    return IgnoreReason::None;
+  const BackendServer &Server = It->second;
+  if (Announced.Incarnation < Server.Record.Incarnation)
+    return IgnoreReason::OlderIncarnation;
+  if (Server.Record.Owner != State.Self ||
+      Announced.Incarnation > Server.Record.Incarnation)
+    return IgnoreReason::None;
+  if (Server.AnnouncedGone)
+    return IgnoreReason::AnnouncedGone;
+  if (Announced.Sequence != 0 && Announced.Sequence <= Server.Sequence)
+    return IgnoreReason::OlderSequence;
+  if (Server.Record.Phase == BackendPhase::Leaving &&
+      Announced.Phase == BackendPhase::Ready)
+    return IgnoreReason::AnnouncedLeaving;
+  return IgnoreReason::None;
+}
+
 bool applyAnnouncement(RoutingState &State, const Announcement &Announced,
                        base::TimePoint Now) {
   if (Announced.Phase == BackendPhase::Gone)
     return applyGoneAnnouncement(State, Announced);
+  IgnoreReason Ignored = reasonToIgnore(State, Announced);
+  if (Ignored != IgnoreReason::None &&
+      Ignored != IgnoreReason::AnnouncedLeaving)
+    return false;
   BackendServer &Server = State.Servers[Announced.Name];
   bool IsKnown = !Server.Record.Name.empty();
   bool IsOwned = IsKnown && Server.Record.Owner == State.Self;
-  if (IsKnown && (IsOwned ? isOutdated(Server, Announced)
-                          : Announced.Incarnation < Server.Record.Incarnation))
-    return false;
   bool NewIncarnation =
       !IsKnown || Server.Record.Incarnation != Announced.Incarnation;
   Server.LeaseEnds = Now + State.Lease;
   Server.Sequence = Announced.Sequence;
   Announcement Effective = Announced;
-  if (!NewIncarnation && IsOwned &&
-      Server.Record.Phase == BackendPhase::Leaving)
+  if (Ignored == IgnoreReason::AnnouncedLeaving)
     Effective.Phase = BackendPhase::Leaving;
   if (IsOwned && matchesAnnouncement(Server.Record, Effective))
     return false;
--- a/currantgauge/routing/registry.h
+++ b/currantgauge/routing/registry.h
@@ -15,6 +15,20 @@
 
 namespace currantgauge::routing {
 
+// IgnoreReason is why an announcement doesn't change its server's phase.
+enum class IgnoreReason {
+  None,
+  OlderIncarnation,
+  OlderSequence,
+  AnnouncedLeaving, // in this incarnation
+  AnnouncedGone,    // in this incarnation
+};
+
+// reasonToIgnore() returns why applyAnnouncement() would ignore the phase of an
+// announcement, or None.
+IgnoreReason reasonToIgnore(const RoutingState &State,
+                            const Announcement &Announced);
+
 // applyAnnouncement() applies a backend server's announcement and makes this
 // node its owner. Returns true when the record changed. Announcements of an
 // older incarnation, or without a newer sequence number, are ignored. A server
