routing: keep a server's departure whether or not its record stands

The departure was kept only as the phase of a record. The same cause lost it when the exit was of another node's server or of an incarnation not heard of yet, when the lease of a leaving server expired or the server was absent, when its record was forgotten, when a new owner got its next announcement, and when the leave arrived after a later announcement.

Departures are now kept in a table of their own, by name and incarnation, for 10 minutes. applyAnnouncement() makes no server ready in an incarnation that has departed or in an older one. A deregistration names no incarnation on the users' machines, where incarnations are start times, so it ends all that started before it: a server that starts again under its name is used at once. An exit of another node's server takes the server over, so that the exit spreads. A leaving announcement counts whatever its sequence number.

--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -15,10 +15,12 @@
 #include "currantgauge/membership/gossip.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/membership/rumours.h"
+#include "currantgauge/routing/departures.h"
 #include "currantgauge/routing/ejection.h"
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/registry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -40,6 +42,7 @@
         {{"server", Gone.Name.Value}, {"service", Gone.Service.Value}}});
     startQueuedAttempts(Node, Gone.Service, Effects);
   }
+  routing::forgetExpiredDepartures(Node.Routing, Node.Now);
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
 }
 
@@ -163,7 +166,7 @@
                             const routing::Announcement &Announcement,
                             EffectList &Effects) {
   routing::IgnoreReason Reason =
-      routing::reasonToIgnore(Node.Routing, Announcement);
+      routing::reasonToIgnore(Node.Routing, Announcement, Node.Now);
   if (Reason != routing::IgnoreReason::None)
     logAnnouncement(LogLevel::Info, "announcement_ignored",
                     ignoreReasonName(Reason), Announcement, Effects);
@@ -194,6 +197,23 @@
          Announcement.Address == Node.Self.BackendAddress;
 }
 
+// A server that announces its exit without its incarnation ends every process
+// that it had until now. A known one may seem to start later, by its own clock.
+routing::Announcement completeDeparture(const State &Node,
+                                        routing::Announcement Announcement) {
+  if (Announcement.Phase != routing::BackendPhase::Gone ||
+      Announcement.Incarnation != base::Incarnation() ||
+      !Announcement.IncarnationIsStartTime)
+    return Announcement;
+  Announcement.Incarnation =
+      base::Incarnation(static_cast<std::uint64_t>(Node.WallTime.Millis));
+  auto It = Node.Routing.Servers.find(Announcement.Name);
+  if (It != Node.Routing.Servers.end())
+    Announcement.Incarnation =
+        std::max(Announcement.Incarnation, It->second.Record.Incarnation);
+  return Announcement;
+}
+
 OperatorReply runCommand(State &Node, const StatusCommand &) {
   return makeStatusReply(Node);
 }
@@ -281,7 +301,8 @@
 
 void onBackendAnnounced(State &Node, const BackendAnnounced &Event,
                         EffectList &Effects) {
-  const routing::Announcement &Announcement = Event.Announcement;
+  const routing::Announcement Announcement =
+      completeDeparture(Node, Event.Announcement);
   if (!isExpectedAddress(Node, Announcement))
     return logAnnouncement(LogLevel::Warn, "announcement_ignored",
                            "unexpected_address", Announcement, Effects);
--- a/currantgauge/routing/backend_server.h
+++ b/currantgauge/routing/backend_server.h
@@ -31,6 +31,8 @@
   BackendPhase Phase = BackendPhase::Ready;
   base::Duration ColdStart;   // remaining time to full speed
   std::uint64_t Sequence = 0; // increases within an incarnation; 0: not set
+  // Incarnations of the server are start times in Unix milliseconds.
+  bool IncarnationIsStartTime = false;
 };
 
 // BackendRecord is the state of a backend server as its owner publishes it to
--- a/currantgauge/routing/leave_test.cc
+++ b/currantgauge/routing/leave_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -49,9 +50,12 @@
   std::vector<CancelExchange> Cancelled;
   std::uint64_t Requests = 0;
 
+  base::UnixTime wallTime() const {
+    return base::UnixTime{this->Now.Micros / 1000 + 1700000000000};
+  }
   void apply(State &Node, EventBody Body) {
     EffectList Effects;
-    reduce(Node, Event{this->Now, {}, std::move(Body)}, Effects);
+    reduce(Node, Event{this->Now, this->wallTime(), std::move(Body)}, Effects);
     for (const Effect &Item : Effects)
       this->deliver(Item);
   }
@@ -67,11 +71,12 @@
                                                      : this->Entry,
                   PeerMessageArrived{PeerSend->Message});
   }
-  void announce(const std::string &Name, routing::BackendPhase Phase) {
+  void announce(const std::string &Name, routing::BackendPhase Phase,
+                std::uint64_t Incarnation = 1) {
     BackendAnnounced Announced;
     Announced.Announcement.Name = base::BackendName(Name);
     Announced.Announcement.Service = Cutlist;
-    Announced.Announcement.Incarnation = base::Incarnation(1);
+    Announced.Announcement.Incarnation = base::Incarnation(Incarnation);
     Announced.Announcement.Slots = 4;
     Announced.Announcement.Phase = Phase;
     this->apply(this->Owner, Announced);
@@ -164,4 +169,33 @@
   CHECK(countSentTo(Nodes, FirstServer, Before) == 0);
 }
 
+// Guards against a late announcement that revives a server after its exit.
+TEST_CASE("a server that announced its exit before its owner knew it gets no "
+          "requests") {
+  EntryAndOwner Nodes = makeEntryAndOwner();
+  const base::BackendName Third("cutlist-3");
+  std::uint64_t Started =
+      static_cast<std::uint64_t>(Nodes.wallTime().Millis) - 1000;
+  BackendAnnounced Exit;
+  Exit.Announcement.Name = Third;
+  Exit.Announcement.Phase = routing::BackendPhase::Gone;
+  Exit.Announcement.IncarnationIsStartTime = true;
+  Nodes.apply(Nodes.Owner, Exit);
+  Nodes.advanceTime(base::seconds(2));
+  auto CountRequestsToThird = [&](std::uint64_t Incarnation) {
+    std::size_t First = Nodes.Sent.size();
+    for (int I = 0; I < 20; ++I) {
+      Nodes.announce("cutlist-1", routing::BackendPhase::Ready);
+      Nodes.announce("cutlist-2", routing::BackendPhase::Ready);
+      Nodes.announce("cutlist-3", routing::BackendPhase::Ready, Incarnation);
+      Nodes.request();
+      Nodes.answerAll(First);
+      Nodes.advanceTime(base::milliseconds(100));
+    }
+    return countSentTo(Nodes, Third, First);
+  };
+  CHECK(CountRequestsToThird(Started) == 0);
+  CHECK(CountRequestsToThird(Started + 2000) > 0);
+}
+
 } // namespace currantgauge::core
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -1,5 +1,8 @@
 #include "currantgauge/routing/registry.h"
 
+#include "currantgauge/routing/departures.h"
+
+#include <algorithm>
 #include <tuple>
 
 namespace currantgauge::routing {
@@ -28,27 +31,33 @@
   markStale(State, Server.Record.Service);
 }
 
+void takeOwnership(RoutingState &State, BackendRecord &Record) {
+  Record.Owner = State.Self;
+  Record.Region = State.Region;
+  Record.Domain = State.Domain;
+  State.Owned.insert(Record.Name);
+}
+
 // An announcement with phase Gone may carry no more than the server's name.
-bool applyGoneAnnouncement(RoutingState &State, const Announcement &Announced) {
+bool applyGoneAnnouncement(RoutingState &State, const Announcement &Announced,
+                           base::TimePoint Now) {
   auto It = State.Servers.find(Announced.Name);
-  if (It == State.Servers.end() || It->second.Record.Owner != State.Self ||
-      (Announced.Incarnation != base::Incarnation() &&
-       Announced.Incarnation < It->second.Record.Incarnation))
-    return false;
-  It->second.AnnouncedGone = true;
-  if (It->second.Record.Phase == BackendPhase::Gone)
+  bool IsKnown = It != State.Servers.end();
+  base::Incarnation Incarnation = Announced.Incarnation;
+  if (IsKnown && Incarnation == base::Incarnation())
+    Incarnation = It->second.Record.Incarnation;
+  noteDeparture(State, Announced.Name, Incarnation, BackendPhase::Gone, Now);
+  if (!IsKnown || Incarnation < It->second.Record.Incarnation ||
+      It->second.Record.Phase == BackendPhase::Gone)
     return false;
+  takeOwnership(State, It->second.Record);
   markGone(State, It->second);
   return true;
 }
 
-void fillRecord(BackendRecord &Record, const Announcement &Announced,
-                const RoutingState &State) {
+void fillRecord(BackendRecord &Record, const Announcement &Announced) {
   Record.Name = Announced.Name;
   Record.Service = Announced.Service;
-  Record.Owner = State.Self;
-  Record.Region = State.Region;
-  Record.Domain = State.Domain;
   Record.Address = Announced.Address;
   Record.Incarnation = Announced.Incarnation;
   Record.Slots = Announced.Slots;
@@ -68,22 +77,29 @@
 } // namespace
 
 IgnoreReason reasonToIgnore(const RoutingState &State,
-                            const Announcement &Announced) {
-  auto It = State.Servers.find(Announced.Name);
-  if (It == State.Servers.end() || Announced.Phase == BackendPhase::Gone)
+                            const Announcement &Announced,
+                            base::TimePoint Now) {
+  if (Announced.Phase == BackendPhase::Gone)
     return IgnoreReason::None;
-  const BackendServer &Server = It->second;
-  if (Announced.Incarnation < Server.Record.Incarnation)
+  auto It = State.Servers.find(Announced.Name);
+  const BackendServer *Known =
+      It == State.Servers.end() ? nullptr : &It->second;
+  if (Known && Announced.Incarnation < Known->Record.Incarnation)
     return IgnoreReason::OlderIncarnation;
-  if (Server.Record.Owner != State.Self ||
-      Announced.Incarnation > Server.Record.Incarnation)
-    return IgnoreReason::None;
-  if (Server.AnnouncedGone)
+  bool IsSameProcess =
+      Known && Announced.Incarnation == Known->Record.Incarnation;
+  bool IsOwned = IsSameProcess && Known->Record.Owner == State.Self;
+  BackendPhase Departed =
+      departedPhase(State, Announced.Name, Announced.Incarnation, Now);
+  if (Departed == BackendPhase::Gone || (IsOwned && Known->Replaced))
     return IgnoreReason::AnnouncedGone;
-  if (Announced.Sequence != 0 && Announced.Sequence <= Server.Sequence)
+  if (Announced.Phase == BackendPhase::Leaving)
+    return IgnoreReason::None;
+  if (IsOwned && Announced.Sequence != 0 &&
+      Announced.Sequence <= Known->Sequence)
     return IgnoreReason::OlderSequence;
-  if (Server.Record.Phase == BackendPhase::Leaving &&
-      Announced.Phase == BackendPhase::Ready)
+  if (Departed == BackendPhase::Leaving ||
+      (IsSameProcess && Known->Record.Phase == BackendPhase::Leaving))
     return IgnoreReason::AnnouncedLeaving;
   return IgnoreReason::None;
 }
@@ -91,8 +107,8 @@
 bool applyAnnouncement(RoutingState &State, const Announcement &Announced,
                        base::TimePoint Now) {
   if (Announced.Phase == BackendPhase::Gone)
-    return applyGoneAnnouncement(State, Announced);
-  IgnoreReason Ignored = reasonToIgnore(State, Announced);
+    return applyGoneAnnouncement(State, Announced, Now);
+  IgnoreReason Ignored = reasonToIgnore(State, Announced, Now);
   if (Ignored != IgnoreReason::None &&
       Ignored != IgnoreReason::AnnouncedLeaving)
     return false;
@@ -102,25 +118,30 @@
   bool NewIncarnation =
       !IsKnown || Server.Record.Incarnation != Announced.Incarnation;
   Server.LeaseEnds = Now + State.Lease;
-  Server.Sequence = Announced.Sequence;
+  Server.Sequence = NewIncarnation
+                        ? Announced.Sequence
+                        : std::max(Server.Sequence, Announced.Sequence);
   Announcement Effective = Announced;
   if (Ignored == IgnoreReason::AnnouncedLeaving)
     Effective.Phase = BackendPhase::Leaving;
+  if (Effective.Phase == BackendPhase::Leaving)
+    noteDeparture(State, Announced.Name, Announced.Incarnation,
+                  BackendPhase::Leaving, Now);
   if (IsOwned && matchesAnnouncement(Server.Record, Effective))
     return false;
   if (NewIncarnation) {
     State.Breakers.erase(Announced.Name);
     Server.ReadySince = Now;
     Server.Record.ColdStart = Announced.ColdStart;
-    Server.AnnouncedGone = false;
+    Server.Replaced = false;
   }
   if (IsKnown && Server.Record.Service != Announced.Service)
     State.ByService[Server.Record.Service].erase(Announced.Name);
   markStale(State, Server.Record.Service);
   markStale(State, Announced.Service);
-  fillRecord(Server.Record, Effective, State);
+  fillRecord(Server.Record, Effective);
+  takeOwnership(State, Server.Record);
   State.ByService[Announced.Service].insert(Announced.Name);
-  State.Owned.insert(Announced.Name);
   return true;
 }
 
@@ -136,7 +157,7 @@
         Server.Record.Incarnation >= Announced.Incarnation)
       continue;
     markGone(State, Server);
-    Server.AnnouncedGone = true;
+    Server.Replaced = true;
     GoneRecords.push_back(Server.Record);
   }
   return GoneRecords;
--- a/currantgauge/routing/registry.h
+++ b/currantgauge/routing/registry.h
@@ -21,19 +21,19 @@
   OlderIncarnation,
   OlderSequence,
   AnnouncedLeaving, // in this incarnation
-  AnnouncedGone,    // in this incarnation
+  AnnouncedGone,    // in this incarnation or a later one
 };
 
 // reasonToIgnore() returns why applyAnnouncement() would ignore the phase of an
 // announcement, or None.
 IgnoreReason reasonToIgnore(const RoutingState &State,
-                            const Announcement &Announced);
+                            const Announcement &Announced, base::TimePoint Now);
 
 // applyAnnouncement() applies a backend server's announcement and makes this
 // node its owner. Returns true when the record changed. Announcements of an
-// older incarnation, or without a newer sequence number, are ignored. A server
-// that is leaving or announced that it is gone stays so until its next
-// incarnation.
+// older incarnation, or that a server is ready without a newer sequence number,
+// are ignored. A server that announced that it is leaving or gone stays so
+// until its next incarnation, even if it was unknown here.
 bool applyAnnouncement(RoutingState &State, const Announcement &Announced,
                        base::TimePoint Now);
 
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -33,7 +33,7 @@
   bool Drained = false;        // by an operator
   // Owner: sequence number of the last announcement of this incarnation.
   std::uint64_t Sequence = 0;
-  bool AnnouncedGone = false; // owner: the server announced its exit
+  bool Replaced = false; // owner: a newer process has its address
   // Entry: set when the owner's breaker refused work. While other servers are
   // available, no work is sent before AvoidUntil, and only idempotent requests
   // before RecoveringUntil.
@@ -45,6 +45,13 @@
   base::TimePoint LoadReportedAt;
 };
 
+// Departure is the announced end of an incarnation of a backend server.
+struct Departure {
+  base::Incarnation Incarnation;
+  BackendPhase Phase = BackendPhase::Leaving; // or Gone
+  base::TimePoint ExpiresAt;
+};
+
 // UpdateUrgency determines how a changed record of an owned server is sent to
 // other nodes.
 enum class UpdateUrgency {
@@ -62,6 +69,8 @@
   std::map<base::BackendName, BackendServer> Servers;
   std::map<base::ServiceName, std::set<base::BackendName>> ByService;
   std::set<base::BackendName> Owned;
+  // Departures that servers announced to this node.
+  std::map<base::BackendName, Departure> Departures;
   std::map<base::BackendName, ServerEvidence> Evidence; // at the owner
   std::map<base::BackendName, Breaker> Breakers;        // at the owner
   std::map<base::ServiceName, RoutingSet> Sets;         // at the entry
