--- a/currantgauge/runtime/journal_codec.h
+++ b/currantgauge/runtime/journal_codec.h
@@ -229,9 +229,13 @@
   } else if constexpr (std::is_arithmetic_v<T>) {
     Value = From.get<T>();
   } else {
+    // A journal of an earlier version lacks the fields that were added since.
+    const auto &Items = From.get_ref<const Json::array_t &>();
     std::size_t Index = 0;
-    forEachField(Value,
-                 [&](auto &Field) { fromJson(From.at(Index++), Field); });
+    forEachField(Value, [&](auto &Field) {
+      if (Index < Items.size())
+        fromJson(Items[Index++], Field);
+    });
   }
 }
 
--- a/currantgauge/runtime/journal_test.cc
+++ b/currantgauge/runtime/journal_test.cc
@@ -32,6 +32,18 @@
   CHECK(Announced->Announcement.Slots == 4);
 }
 
+TEST_CASE("an event without the fields that were added since is decoded") {
+  Json Body = toJson(makeAnnouncement().Body);
+  Json &Announcement = Body.at(1).at(0);
+  Announcement.erase(Announcement.size() - 1);
+  core::EventBody Decoded;
+  fromJson(Body, Decoded);
+  const auto *Announced = std::get_if<core::BackendAnnounced>(&Decoded);
+  REQUIRE(Announced);
+  CHECK(Announced->Announcement.Name == base::BackendName("cutlist-1"));
+  CHECK(Announced->Announcement.Slots == 4);
+}
+
 TEST_CASE(
     "a string that is not UTF-8 is the same after encoding and decoding") {
   std::string Bytes = "a\xff\x80z\xc3";
