store: read the era of the store and log a restore

In a drill the store may come back from a copy some seconds old and raises the field Store-Era in all its answers. The field was read nowhere, so that neither the log nor a metric could tell a restore from discarded history (HistoryLost) or from an outage.

Era is the last field of StoreResult, so that older journals still replay.

No decision depends on the era yet.

--- a/currantgauge/base/ids.h
+++ b/currantgauge/base/ids.h
@@ -65,6 +65,9 @@
 // Fingerprint identifies equal requests: a hash of service, kind, method, path
 // and body hash.
 using Fingerprint = StrongNumber<struct FingerprintTag>;
+// StoreEra numbers the histories of the platform's store: it rises each time
+// the store is restored from a copy. 0: unknown.
+using StoreEra = StrongNumber<struct StoreEraTag>;
 // CallId correlates an effect that makes a call with the event that carries its
 // reply.
 using CallId = StrongNumber<struct CallTag>;
--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -7,6 +7,8 @@
 #ifndef CURRANTGAUGE_BASE_STORE_H
 #define CURRANTGAUGE_BASE_STORE_H
 
+#include "currantgauge/base/ids.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -102,6 +104,8 @@
   std::uint64_t Revision = 0; // of the whole store when read; 0: unknown
   // Describes the first malformed row that was skipped; empty: no row was.
   std::string RowError;
+  // Revisions and ETags are comparable only within an era.
+  StoreEra Era;
 };
 
 // operationName() returns an operation's snake_case name for metrics.
--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -163,6 +163,7 @@
   QueueLength,    // gauge; labels: service, rank
   ConfigInForce,  // gauge: the version in force
   LogLines, // labels: outcome (written, left_out by rate limit, dropped: lost)
+  StoreRestores, // restores of the store from a copy
 };
 
 // Measure adds Amount to a counter, records it in a histogram or sets a gauge,
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -9,6 +9,7 @@
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/status.h"
+#include "currantgauge/core/store_era.h"
 #include "currantgauge/membership/detector.h"
 #include "currantgauge/membership/gossip.h"
 #include "currantgauge/membership/rumours.h"
@@ -53,6 +54,7 @@
   }
   // Each call belongs to one component, which recognizes its CallId.
   void operator()(const StoreAnswered &E) {
+    noteStoreEra(Node, E, Effects);
     noteStoreAnswer(Node, E);
     reportRowError(Node, E, Effects);
     if (!config::onFeedAnswered(Node, E, Effects) &&
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -103,7 +103,9 @@
   std::uint64_t Unavailable = 0;    // refused, or the store was unreachable
   std::uint64_t UnknownOutcome = 0; // may have been applied
   std::uint64_t ConsecutiveFailures = 0;
-  std::string LastRowError; // last logged error about a malformed row
+  std::string LastRowError;   // last logged error about a malformed row
+  base::StoreEra Era;         // the highest reported
+  std::uint64_t Restores = 0; // of the store, as far as this node has seen
 };
 
 // State is the complete state of a node.
--- a/currantgauge/telemetry/metrics.cc
+++ b/currantgauge/telemetry/metrics.cc
@@ -65,6 +65,10 @@
     {core::Metric::LogLines, MetricType::Counter,
      "currantgauge_log_lines_total", "Log lines by what became of them",
      "outcome", "origin"},
+    {core::Metric::StoreRestores, MetricType::Counter,
+     "currantgauge_store_restores_total",
+     "Restores of the platform's service from an older copy", "scope",
+     "origin"},
 };
 
 // Upper bounds in seconds.
