membership: check the node's row after a restore of the store

A node writes its row in the table nodes every 10 minutes only. If the store was restored from a copy without it, a node that started meanwhile could not find this one by the table for as long.

After a restore, revealed by any answer, each node now reads its row, spread over 1 ms a member and the phase of the gossip rounds; if the row is missing or has another address, the node writes it and then scans the table, as when it starts. The read is repeated each second until the store has answered in the latest era. Rows that survived aren't written again.

Evidence: three of the four new tests in seeds_test.cc fail with the old seeds.cc and reduce.cc (a row that a restore removed, one whose check the store turned away, one lost in the second of two restores) and pass with the new ones. The fourth, a node that starts after the restore, passed before: a node that knows fewer than two others scans each second.

--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -61,8 +61,10 @@
         !actions::onStoreAnswered(Node, E, Effects) &&
         !config::onStoreAnswered(Node, E, Effects))
       membership::onStoreAnswered(Node, E, Effects);
-    if (IsRestored)
-      config::onStoreRestored(Node, Effects);
+    if (!IsRestored)
+      return;
+    config::onStoreRestored(Node, Effects);
+    membership::onStoreRestored(Node);
   }
   void operator()(const ConfigParsed &E) {
     if (!config::onFeedParsed(Node, E, Effects))
--- a/currantgauge/membership/fake_network_test.h
+++ b/currantgauge/membership/fake_network_test.h
@@ -60,6 +60,7 @@
   bool StoreUp = true;
   std::map<std::string, std::string> Rows; // of the nodes table
   std::uint64_t RowWrites = 0;             // includes removals
+  std::uint64_t StoreEra = 0;              // in all of the store's answers
   std::size_t LargestMessage = 0;          // bytes, of all kinds but Sync
   std::size_t LargestSync = 0;             // bytes
   std::uint64_t (*Clock)() = nullptr; // in nanoseconds; null to measure nothing
@@ -106,6 +107,14 @@
   if (!Net.StoreUp)
     return Result;
   Result.Status = base::StoreStatus::Done;
+  Result.Era = base::StoreEra(Net.StoreEra);
+  if (const auto *Read = std::get_if<base::ReadRow>(&Operation)) {
+    auto Row = Net.Rows.find(Read->Key);
+    if (Row == Net.Rows.end())
+      Result.Status = base::StoreStatus::NotFound;
+    else
+      Result.Rows.push_back(base::StoreRow{Row->first, Row->second, ""});
+  }
   if (const auto *Write = std::get_if<base::WriteRows>(&Operation))
     for (const base::RowWrite &Row : Write->Rows) {
       ++Net.RowWrites;
--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/membership/seeds.h"
 
+#include "currantgauge/core/store_era.h"
 #include "currantgauge/membership/anti_entropy.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/membership/roster.h"
@@ -23,6 +24,10 @@
 // first write is retried soon. Later ones can wait for the store.
 constexpr base::Duration InitialWriteRetryInterval = base::milliseconds(500);
 constexpr base::Duration WriteRetryInterval = base::seconds(30);
+// After a restore each node reads its row within this time for each member of
+// the fleet, which keeps the reads to half of the store's 2,000 a second.
+constexpr base::Duration CheckSpreadPerMember = base::milliseconds(1);
+constexpr base::Duration CheckRetryInterval = base::seconds(1);
 constexpr base::Duration InitialScanInterval = base::seconds(1);
 // On average the fleet as a whole starts one scan in this time, whatever its
 // size; a small fleet scans less often, since each node keeps MinScanInterval.
@@ -119,6 +124,41 @@
     writeRow(Node, Effects);
 }
 
+void checkRow(core::State &Node, core::EffectList &Effects) {
+  TableState &Table = Node.Membership.Table;
+  if (Node.Now < Table.NextCheck || Table.Check.Value != 0 ||
+      !Table.FirstScanDone)
+    return;
+  Table.NextCheck = Node.Now + CheckRetryInterval;
+  Table.Check = core::nextCallId(Node);
+  Effects.push_back(core::CallStore{
+      Table.Check, base::ReadRow{NodesTable, Node.Membership.Self.Name.Value},
+      StoreCallTimeout});
+}
+
+// If the row was lost, writes it and then scans the table, as a starting node
+// does: the rows of other nodes may have been lost as well.
+void onRowChecked(core::State &Node, const base::StoreResult &Result,
+                  core::EffectList &Effects) {
+  MembershipState &State = Node.Membership;
+  State.Table.Check = base::CallId();
+  bool IsAnswered = Result.Status == base::StoreStatus::Done ||
+                    Result.Status == base::StoreStatus::NotFound;
+  if (!IsAnswered || core::isOfOlderEra(Node.Store, Result))
+    return; // repeated at NextCheck
+  State.Table.NextCheck = base::Never;
+  bool IsPresent = Result.Status == base::StoreStatus::Done &&
+                   !Result.Rows.empty() &&
+                   Result.Rows.front().Value == State.Self.PeerAddress.Value;
+  if (IsPresent || Node.Stopping)
+    return;
+  State.Table.FirstWriteDone = false;
+  State.Table.ScanCursor.clear();
+  State.Table.NextScan = Node.Now;
+  State.Table.NextWrite = Node.Now;
+  writeRow(Node, Effects);
+}
+
 // Starts comparisons with nodes of the table that are unknown, dead or left
 // here.
 void syncWithMissingNodes(core::State &Node,
@@ -143,10 +183,21 @@
   syncWithSeeds(Node, Effects);
   if (Node.Self.Embedded || Node.Stopping)
     return;
+  checkRow(Node, Effects);
   writeRow(Node, Effects);
   scanRows(Node, Effects);
 }
 
+void onStoreRestored(core::State &Node) {
+  TableState &Table = Node.Membership.Table;
+  base::Duration Spread =
+      CheckSpreadPerMember *
+      static_cast<std::int64_t>(Node.Membership.LiveMembers);
+  Table.Check = base::CallId();
+  Table.NextCheck =
+      Node.Now + base::scale(Spread, base::uniformUnit(Node.Random));
+}
+
 void removeNodeRow(core::State &Node, const base::NodeName &Name,
                    core::EffectList &Effects) {
   if (Node.Self.Embedded)
@@ -160,6 +211,10 @@
 bool onStoreAnswered(core::State &Node, const core::StoreAnswered &Answered,
                      core::EffectList &Effects) {
   TableState &Table = Node.Membership.Table;
+  if (Table.Check.Value != 0 && Table.Check == Answered.Call) {
+    onRowChecked(Node, Answered.Result, Effects);
+    return true;
+  }
   bool Succeeded = Answered.Result.Status == base::StoreStatus::Done;
   if (Table.Writes.erase(Answered.Call) != 0) {
     // Scans even if the write failed: other nodes may still be found.
--- a/currantgauge/membership/seeds.h
+++ b/currantgauge/membership/seeds.h
@@ -21,6 +21,10 @@
 // embedded or stopping don't use the table.
 void discoverMembers(core::State &Node, core::EffectList &Effects);
 
+// onStoreRestored() schedules a check of this node's row, which a restore of
+// the store may have removed.
+void onStoreRestored(core::State &Node);
+
 // removeNodeRow() removes a node's row from the table, unless this node is
 // embedded.
 void removeNodeRow(core::State &Node, const base::NodeName &Name,
--- a/currantgauge/membership/seeds_test.cc
+++ b/currantgauge/membership/seeds_test.cc
@@ -6,8 +6,26 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace currantgauge::membership {
+namespace {
+
+// Restores the store without the row of one node. All nodes learn of it from an
+// answer to another component.
+void restoreStore(FakeNetwork &Net, const std::string &LostRow) {
+  Net.Rows.erase(LostRow);
+  ++Net.StoreEra;
+  for (std::size_t Index = 0; Index < Net.Nodes.size(); ++Index) {
+    core::StoreAnswered Answer;
+    Answer.Call = core::nextCallId(Net.Nodes[Index]->Node);
+    Answer.Result.Status = base::StoreStatus::Done;
+    Answer.Result.Era = base::StoreEra(Net.StoreEra);
+    deliver(Net, Index, Answer);
+  }
+}
+
+} // namespace
 
 TEST_CASE("regions reunite after a partition longer than the retention of dead "
           "nodes") {
@@ -80,4 +98,54 @@
   CHECK(hasConverged(Net));
 }
 
+TEST_CASE("a row that a restore of the store removed is written again soon") {
+  FakeNetwork Net;
+  Net.StoreEra = 1;
+  addNodes(Net, 6);
+  run(Net, base::seconds(20));
+  std::uint64_t Writes = Net.RowWrites;
+  restoreStore(Net, "node-3");
+  run(Net, base::seconds(2));
+  CHECK(Net.Rows.contains("node-3"));
+  CHECK(Net.RowWrites == Writes + 1);
+}
+
+TEST_CASE("a row lost in a restore is written when the store serves again") {
+  FakeNetwork Net;
+  Net.StoreEra = 1;
+  addNodes(Net, 6);
+  run(Net, base::seconds(20));
+  restoreStore(Net, "node-3");
+  Net.StoreUp = false;
+  run(Net, base::seconds(30));
+  Net.StoreUp = true;
+  run(Net, base::seconds(3));
+  CHECK(Net.Rows.contains("node-3"));
+}
+
+TEST_CASE("a row lost in the second of two restores is written again") {
+  FakeNetwork Net;
+  Net.StoreEra = 1;
+  addNodes(Net, 6);
+  run(Net, base::seconds(20));
+  restoreStore(Net, "node-3");
+  run(Net, base::milliseconds(300));
+  restoreStore(Net, "node-3");
+  run(Net, base::milliseconds(1500));
+  restoreStore(Net, "node-3");
+  run(Net, base::seconds(3));
+  CHECK(Net.Rows.contains("node-3"));
+}
+
+TEST_CASE("a node that starts after a restore finds one whose row was lost") {
+  FakeNetwork Net;
+  Net.StoreEra = 1;
+  startNode(Net, 0, {});
+  run(Net, base::seconds(20));
+  restoreStore(Net, "node-0");
+  startNode(Net, 1, {});
+  run(Net, base::seconds(4));
+  CHECK(hasConverged(Net));
+}
+
 } // namespace currantgauge::membership
--- a/currantgauge/membership/state.h
+++ b/currantgauge/membership/state.h
@@ -130,7 +130,9 @@
   std::string ScanCursor;     // key of the last row read; empty at the start
   bool FirstScanDone = false; // the first scan has succeeded or failed
   bool FirstWriteDone =
-      false; // the row was found, or a write has succeeded or failed
+      false;          // the row was found, or a write has succeeded or failed
+  base::CallId Check; // a read of the row after a restore; 0: none
+  base::TimePoint NextCheck = base::Never;
 };
 
 // MembershipState holds the known members, the state of the gossip protocol and
