--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -166,6 +166,7 @@
   // Requests whose connection ended before their answer was written; labels:
   // cause, decided (whether control had already answered or refused).
   UnansweredRequests,
+  StoreRestores, // restores of the store from a copy
 };
 
 // Measure adds Amount to a counter, records it in a histogram or sets a gauge,
--- a/currantgauge/telemetry/metrics.cc
+++ b/currantgauge/telemetry/metrics.cc
@@ -69,6 +69,10 @@
      "currantgauge_unanswered_requests_total",
      "Requests whose connection ended before their answer was written", "cause",
      "decided"},
+    {core::Metric::StoreRestores, MetricType::Counter,
+     "currantgauge_store_restores_total",
+     "Restores of the platform's service from an older copy", "scope",
+     "origin"},
 };
 
 // Upper bounds in seconds.
