Stand-in of the platform: the table store comes back from an earlier copy

In the platform's drill, the store is away for a moment and comes back without its last seconds: rows and objects as of a copy, versions that are given out again, 410 for a version that it does not have, and one more era in the header Store-Era of all its answers. The stand-in could not play this, so no test saw what the nodes do then.

PUT /control with "restore_ms": N reverts the writes of the last N milliseconds by an undo log of 60 s and closes the feed requests that wait. It may come together with "outage".

--- a/tests/stand_ins/platform.cc
+++ b/tests/stand_ins/platform.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdlib>
 #include <optional>
 #include <utility>
@@ -137,8 +138,7 @@
 
 // Returns whether one more operation in the current second exceeds
 // MaxPerSecond, and counts it if not. 0 is no limit.
-bool exceedsRate(RateCount &Rate, double MaxPerSecond,
-                 std::chrono::steady_clock::time_point Now) {
+bool exceedsRate(RateCount &Rate, double MaxPerSecond, TimePoint Now) {
   std::int64_t Second =
       std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch())
           .count();
@@ -181,15 +181,20 @@
           {"lost", Platform.LostAnswers}};
 }
 
-HttpResponse control(PlatformState &Platform, const HttpRequest &Request) {
+HttpResponse control(PlatformState &Platform, const HttpRequest &Request,
+                     TimePoint Now) {
   if (Request.target() == ConfigPath) {
-    writeAsOperator(Platform.Tables, "config", Request.body());
+    writeAsOperator(Platform.Tables, "config", Request.body(), Now);
     return makeResponse(http::status::ok);
   }
   if (Request.method() == http::verb::put) {
     json Body = json::parse(Request.body());
     if (Body.value("forget", false))
       dropHistory(Platform.Tables);
+    if (Body.contains("restore_ms"))
+      restoreCopy(Platform.Tables,
+                  Now - std::chrono::milliseconds(
+                            Body["restore_ms"].get<std::uint32_t>()));
     PlatformFaults &Faults = Platform.Faults;
     Faults.Outage = Body.value("outage", "");
     Faults.DelayMillis = Body.value("delay_ms", 0U);
@@ -209,8 +214,7 @@
 }
 
 // Counts a call, or returns false if it exceeds the rate limit.
-bool admitCall(PlatformState &Platform, bool Write,
-               std::chrono::steady_clock::time_point Now) {
+bool admitCall(PlatformState &Platform, bool Write, TimePoint Now) {
   if (exceedsRate(Write ? Platform.WriteRate : Platform.ReadRate,
                   Write ? Platform.Faults.WritesPerSecond
                         : Platform.Faults.ReadsPerSecond,
@@ -220,10 +224,9 @@
   return true;
 }
 
-PlatformResponse
-handleStoreOperation(PlatformState &Platform,
-                     const base::StoreOperation &Operation,
-                     std::chrono::steady_clock::time_point Now) {
+PlatformResponse handleStoreOperation(PlatformState &Platform,
+                                      const base::StoreOperation &Operation,
+                                      TimePoint Now) {
   bool Write = isWrite(Operation);
   if (!admitCall(Platform, Write, Now))
     return {rateLimitedResponse(Platform), ResponseAction::Send};
@@ -236,12 +239,11 @@
 }
 
 PlatformResponse handleTableCall(PlatformState &Platform,
-                                 const HttpRequest &Request,
-                                 std::chrono::steady_clock::time_point Now) {
+                                 const HttpRequest &Request, TimePoint Now) {
   bool Write = Request.method() != http::verb::get;
   if (!admitCall(Platform, Write, Now))
     return {rateLimitedResponse(Platform), ResponseAction::Send};
-  auto Response = handleTableRequest(Platform.Tables, Request);
+  auto Response = handleTableRequest(Platform.Tables, Request, Now);
   if (!Response)
     return {{}, ResponseAction::WaitForChange};
   if (Write && decideAnswerLoss(Platform))
@@ -249,33 +251,52 @@
   return {std::move(*Response), ResponseAction::Send};
 }
 
+PlatformResponse handleStoreCall(PlatformState &Platform,
+                                 const HttpRequest &Request, TimePoint Now) {
+  if (Platform.Faults.Outage == "silent")
+    return {{}, ResponseAction::Ignore};
+  if (!Platform.Faults.Outage.empty())
+    return {makeResponse(http::status::service_unavailable),
+            ResponseAction::Send};
+  if (Platform.UsesTableProtocol)
+    return handleTableCall(Platform, Request, Now);
+  auto Operation = parseOperation(Request);
+  if (!Operation)
+    return {makeResponse(http::status::bad_request), ResponseAction::Send};
+  return handleStoreOperation(Platform, *Operation, Now);
+}
+
 } // namespace
 
 bool isControl(const HttpRequest &Request) {
   return Request.target().starts_with("/control");
 }
 
-PlatformResponse
-handlePlatformRequest(PlatformState &Platform, const HttpRequest &Request,
-                      std::chrono::steady_clock::time_point Now) {
+PlatformResponse handlePlatformRequest(PlatformState &Platform,
+                                       const HttpRequest &Request,
+                                       TimePoint Now) {
+  PlatformResponse Reply;
   try {
     if (isControl(Request))
-      return {control(Platform, Request), ResponseAction::Send};
-    if (Platform.Faults.Outage == "silent")
-      return {{}, ResponseAction::Ignore};
-    if (!Platform.Faults.Outage.empty())
-      return {makeResponse(http::status::service_unavailable),
-              ResponseAction::Send};
-    if (Platform.UsesTableProtocol)
-      return handleTableCall(Platform, Request, Now);
-    auto Operation = parseOperation(Request);
-    if (!Operation)
-      return {makeResponse(http::status::bad_request), ResponseAction::Send};
-    return handleStoreOperation(Platform, *Operation, Now);
+      return {control(Platform, Request, Now), ResponseAction::Send};
+    Reply = handleStoreCall(Platform, Request, Now);
   } catch (const std::exception &Error) {
-    return {makeResponse(http::status::bad_request, Error.what()),
-            ResponseAction::Send};
+    Reply = {makeResponse(http::status::bad_request, Error.what()),
+             ResponseAction::Send};
   }
+  if (Platform.UsesTableProtocol)
+    setEraField(Platform.Tables, Reply.Response);
+  return Reply;
+}
+
+PlatformResponse resumeFeedRequest(PlatformState &Platform,
+                                   const HttpRequest &Request,
+                                   std::uint64_t Era, TimePoint Now) {
+  if (Platform.Tables.Era != Era)
+    return {{}, ResponseAction::Close};
+  if (auto Response = handleTableRequest(Platform.Tables, Request, Now))
+    return {std::move(*Response), ResponseAction::Send};
+  return {{}, ResponseAction::WaitForChange};
 }
 
 } // namespace currantgauge::stand_ins
--- a/tests/stand_ins/platform.h
+++ b/tests/stand_ins/platform.h
@@ -11,7 +11,6 @@
 
 #include <boost/beast/http.hpp>
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -23,9 +22,10 @@
     boost::beast::http::response<boost::beast::http::string_body>;
 
 // PlatformFaults is replaced by PUT /control, where a missing field turns its
-// fault off and "forget": true drops the change history. GET /control returns
-// the faults and the counters. PUT /control/config writes the operator's
-// document to the table store.
+// fault off, "forget": true drops the change history and "restore_ms": N puts
+// the table store back to a copy N milliseconds old. GET /control returns the
+// faults and the counters. PUT /control/config writes the operator's document
+// to the table store.
 struct PlatformFaults {
   std::string Outage;            // "", "refuse" (503) or "silent" (no response)
   std::uint32_t DelayMillis = 0; // before each response
@@ -73,9 +73,16 @@
 };
 
 // handlePlatformRequest() executes one request.
-PlatformResponse
-handlePlatformRequest(PlatformState &Platform, const HttpRequest &Request,
-                      std::chrono::steady_clock::time_point Now);
+PlatformResponse handlePlatformRequest(PlatformState &Platform,
+                                       const HttpRequest &Request,
+                                       TimePoint Now);
+
+// resumeFeedRequest() executes a feed request again that waits for a change.
+// Era is that of the store when the request arrived: a restore closes its
+// connection.
+PlatformResponse resumeFeedRequest(PlatformState &Platform,
+                                   const HttpRequest &Request,
+                                   std::uint64_t Era, TimePoint Now);
 
 // isControl() returns whether a request is a control request, to which no fault
 // applies.
--- a/tests/stand_ins/platform_server.cc
+++ b/tests/stand_ins/platform_server.cc
@@ -28,15 +28,19 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<HttpResponse> waitForFeed(PlatformState &Platform,
-                                          const HttpRequest &Request) {
+asio::awaitable<PlatformResponse> waitForFeed(PlatformState &Platform,
+                                              const HttpRequest &Request) {
+  std::uint64_t Era = Platform.Tables.Era;
   for (auto Remaining = FeedTimeout; Remaining.count() > 0;
        Remaining -= FeedPollInterval) {
     co_await pause(static_cast<std::uint32_t>(FeedPollInterval.count()));
-    if (auto Response = handleTableRequest(Platform.Tables, Request))
-      co_return std::move(*Response);
+    PlatformResponse Reply = resumeFeedRequest(
+        Platform, Request, Era, std::chrono::steady_clock::now());
+    if (Reply.Action != ResponseAction::WaitForChange)
+      co_return Reply;
   }
-  co_return emptyFeedResponse(Platform.Tables);
+  co_return PlatformResponse{emptyFeedResponse(Platform.Tables),
+                             ResponseAction::Send};
 }
 
 asio::awaitable<void> serve(PlatformState &Platform, tcp::socket Socket) {
@@ -48,7 +52,7 @@
       PlatformResponse Reply = handlePlatformRequest(
           Platform, Request, std::chrono::steady_clock::now());
       if (Reply.Action == ResponseAction::WaitForChange)
-        Reply.Response = co_await waitForFeed(Platform, Request);
+        Reply = co_await waitForFeed(Platform, Request);
       std::uint32_t Delay = Platform.Faults.DelayMillis;
       if (Delay > 0 && !isControl(Request))
         co_await pause(Delay);
--- a/tests/stand_ins/tables.cc
+++ b/tests/stand_ins/tables.cc
@@ -5,8 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <set>
+#include <utility>
 
 namespace currantgauge::stand_ins {
 namespace {
@@ -17,10 +19,13 @@
 using HttpResponse = http::response<http::string_body>;
 
 constexpr std::size_t MaxRows = 500; // per response
+// Bounds the undo log.
+constexpr std::chrono::seconds MaxCopyAge{60};
 
 HttpResponse makeResponse(const TableStore &Tables, http::status Status,
                           json Rows = json::array(), bool HasMore = false) {
   HttpResponse Response{Status, 11};
+  setEraField(Tables, Response);
   Response.set(http::field::content_type, "application/json");
   Response.body() = json{
       {"rows", std::move(Rows)},
@@ -51,11 +56,49 @@
   return It == Tables.Rows.end() ? 0 : It->second.Version;
 }
 
-void recordChange(TableStore &Tables, const RowName &Name) {
+// Starts a write: the rows and objects that it changes are to be added to the
+// entry before they change.
+TableUndo &startUndo(TableStore &Tables, TimePoint Now) {
+  while (!Tables.UndoLog.empty() &&
+         Tables.UndoLog.front().WrittenAt + MaxCopyAge < Now)
+    Tables.UndoLog.pop_front();
+  return Tables.UndoLog.emplace_back(TableUndo{Now, Tables.Version, {}, {}});
+}
+
+// Copies Items[Name] to the undo entry, unless the same write changed it
+// before.
+template <typename Map, typename UndoMap>
+void keepForUndo(const Map &Items, const typename Map::key_type &Name,
+                 UndoMap &Undo) {
+  auto It = Items.find(Name);
+  if (It == Items.end())
+    Undo.try_emplace(Name);
+  else
+    Undo.try_emplace(Name, It->second);
+}
+
+template <typename Map, typename UndoMap>
+void revert(Map &Items, const UndoMap &Undo) {
+  for (const auto &[Name, Item] : Undo)
+    if (Item)
+      Items[Name] = *Item;
+    else
+      Items.erase(Name);
+}
+
+// No value for Row removes the row.
+void changeRow(TableStore &Tables, TableUndo &Undo, const RowName &Name,
+               std::optional<TableRow> Row) {
+  keepForUndo(Tables.Rows, Name, Undo.Rows);
+  if (Row)
+    Tables.Rows[Name] = std::move(*Row);
+  else
+    Tables.Rows.erase(Name);
   Tables.Changes.push_back(RowChange{Name, Tables.Version});
 }
 
-HttpResponse runTransaction(TableStore &Tables, const json &Body) {
+HttpResponse runTransaction(TableStore &Tables, const json &Body,
+                            TimePoint Now) {
   json Conflicts = json::array();
   bool ConditionsHold = true;
   for (const json &Entry : Body.value("expected", json::array())) {
@@ -67,15 +110,13 @@
   }
   if (!ConditionsHold)
     return makeResponse(Tables, http::status::precondition_failed, Conflicts);
+  TableUndo &Undo = startUndo(Tables, Now);
   ++Tables.Version;
-  for (const json &Entry : Body.value("put", json::array())) {
-    Tables.Rows[nameOf(Entry)] = TableRow{Entry.at("value"), Tables.Version};
-    recordChange(Tables, nameOf(Entry));
-  }
-  for (const json &Entry : Body.value("remove", json::array())) {
-    Tables.Rows.erase(nameOf(Entry));
-    recordChange(Tables, nameOf(Entry));
-  }
+  for (const json &Entry : Body.value("put", json::array()))
+    changeRow(Tables, Undo, nameOf(Entry),
+              TableRow{Entry.at("value"), Tables.Version});
+  for (const json &Entry : Body.value("remove", json::array()))
+    changeRow(Tables, Undo, nameOf(Entry), std::nullopt);
   return makeResponse(Tables, http::status::ok);
 }
 
@@ -101,7 +142,7 @@
                                      RequestTarget &Target) {
   std::uint64_t After =
       std::strtoull(Target.Query["after"].c_str(), nullptr, 10);
-  if (After < Tables.DroppedVersion)
+  if (After < Tables.DroppedVersion || After > Tables.Version)
     return makeResponse(Tables, http::status::gone);
   std::set<RowName> Reported;
   json Rows = json::array();
@@ -124,7 +165,9 @@
 }
 
 HttpResponse handleObject(TableStore &Tables, const HttpRequest &Request,
-                          const std::string &Name) {
+                          const std::string &Name, TimePoint Now) {
+  if (Request.method() != http::verb::get)
+    keepForUndo(Tables.Objects, Name, startUndo(Tables, Now).Objects);
   if (Request.method() == http::verb::put) {
     Tables.Objects[Name] = Request.body();
     return makeResponse(Tables, http::status::ok);
@@ -137,6 +180,7 @@
   if (It == Tables.Objects.end())
     return makeResponse(Tables, http::status::not_found);
   HttpResponse Response{http::status::ok, 11};
+  setEraField(Tables, Response);
   Response.body() = It->second;
   return Response;
 }
@@ -144,18 +188,19 @@
 } // namespace
 
 std::optional<HttpResponse> handleTableRequest(TableStore &Tables,
-                                               const HttpRequest &Request) {
+                                               const HttpRequest &Request,
+                                               TimePoint Now) {
   RequestTarget Target = parseTarget(Request.target());
   bool IsApi = Target.Parts.size() >= 2 && Target.Parts[0] == "api";
   std::string Call = IsApi ? Target.Parts[1] : "";
   if (Call == "rows-tx")
-    return runTransaction(Tables, json::parse(Request.body()));
+    return runTransaction(Tables, json::parse(Request.body()), Now);
   if (Call == "rows-get")
     return getRows(Tables, Target);
   if (Call == "rows-feed")
     return readFeed(Tables, Target);
   if (Call.starts_with("blob-") && Target.Parts.size() == 3)
-    return handleObject(Tables, Request, Target.Parts[2]);
+    return handleObject(Tables, Request, Target.Parts[2], Now);
   return makeResponse(Tables, http::status::not_found);
 }
 
@@ -164,16 +209,16 @@
 }
 
 void writeAsOperator(TableStore &Tables, const std::string &Key,
-                     const std::string &Value) {
+                     const std::string &Value, TimePoint Now) {
   std::string Text(4 * ((Value.size() + 2) / 3) + 1, '\0');
   int Size =
       EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
                       reinterpret_cast<const unsigned char *>(Value.data()),
                       static_cast<int>(Value.size()));
   Text.resize(static_cast<std::size_t>(Size));
+  TableUndo &Undo = startUndo(Tables, Now);
   ++Tables.Version;
-  Tables.Rows[{"op", Key}] = TableRow{Text, Tables.Version};
-  recordChange(Tables, {"op", Key});
+  changeRow(Tables, Undo, {"op", Key}, TableRow{Text, Tables.Version});
 }
 
 void dropHistory(TableStore &Tables) {
@@ -181,4 +226,24 @@
   Tables.Changes.clear();
 }
 
+// History that was dropped stays dropped.
+void restoreCopy(TableStore &Tables, TimePoint Moment) {
+  while (!Tables.UndoLog.empty() && Tables.UndoLog.back().WrittenAt > Moment) {
+    const TableUndo &Undo = Tables.UndoLog.back();
+    revert(Tables.Rows, Undo.Rows);
+    revert(Tables.Objects, Undo.Objects);
+    Tables.Version = Undo.Version;
+    Tables.UndoLog.pop_back();
+  }
+  Tables.DroppedVersion = std::min(Tables.DroppedVersion, Tables.Version);
+  std::erase_if(Tables.Changes, [&](const RowChange &Change) {
+    return Change.Version > Tables.Version;
+  });
+  ++Tables.Era;
+}
+
+void setEraField(const TableStore &Tables, HttpResponse &Response) {
+  Response.set("Store-Era", std::to_string(Tables.Era));
+}
+
 } // namespace currantgauge::stand_ins
