--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -164,6 +164,23 @@
         "the platform stand-in did not accept the configuration");
 }
 
+void controlStore(MachineFleet &Machines, const nlohmann::json &Command) {
+  auto Answer = sendRequest(Machines.Fleet.PlatformAddress, "PUT", "/control",
+                            Command.dump());
+  if (!Answer || Answer->Status != 200)
+    throw std::runtime_error("the platform stand-in refused " + Command.dump());
+}
+
+std::uint64_t countStoreCalls(const MachineFleet &Machines) {
+  auto Answer = sendRequest(Machines.Fleet.PlatformAddress, "GET", "/control");
+  if (!Answer)
+    throw std::runtime_error("the platform stand-in did not respond");
+  auto Counts = nlohmann::json::parse(Answer->Body);
+  return Counts.at("reads").get<std::uint64_t>() +
+         Counts.at("writes").get<std::uint64_t>() +
+         Counts.at("limited").get<std::uint64_t>();
+}
+
 bool isReady(const NodeProcess &Node) {
   auto Ready = sendRequest(Node.ReadinessAddress, "GET", "/api/readiness");
   return Ready && Ready->Status == 200;
--- a/tests/integration/machines.h
+++ b/tests/integration/machines.h
@@ -66,6 +66,14 @@
 void writeOperatorsConfig(MachineFleet &Machines, const std::string &Version,
                           const nlohmann::json &Routes);
 
+// controlStore() replaces the faults of the platform stand-in; see
+// stand_ins::PlatformFaults. Throws std::runtime_error if it refuses them.
+void controlStore(MachineFleet &Machines, const nlohmann::json &Command);
+
+// countStoreCalls() returns how many calls the nodes have made to the store,
+// those beyond its rate limits included.
+std::uint64_t countStoreCalls(const MachineFleet &Machines);
+
 // isReady() returns whether the node passes the platform's readiness probe.
 bool isReady(const NodeProcess &Node);
 
