Soak: the store comes back from a copy 1 to 9 s old

A restore loses acknowledged versions of the configuration, rows of nodes and the store's revisions, and no fault of the soak played it. store_restored refuses calls for its duration and restores the stand-in's store meanwhile; when the store is back, the operator writes the lost versions again.

"In force" counts a version from the last time that it was acknowledged, since a node can't read one that the store has lost. "No regress" is unchanged: a restore is no excuse. A planted-fault test has both; without the change of "in force" it fails (tried).

--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -51,6 +51,10 @@
   integration::MachineFleet Machines;
   std::vector<MachineState> MachineStates;
   FaultTarget Store;
+  bool StoreAway = false;
+  // The oldest version that a restore of the store has lost and that has not
+  // been written again; 0: none.
+  std::uint32_t OldestLostVersion = 0;
   std::vector<ScheduledRepair> PendingRepairs;
   Observations Observed;
   std::vector<std::string> RecordPaths; // one file per server incarnation
@@ -68,7 +72,8 @@
 std::string serverName(std::size_t Index, std::uint32_t Incarnation);
 
 // writeNextVersion() writes the next configuration version, which adds one
-// route, and records when the store acknowledged it.
+// route, and records when the store acknowledged it. Its document contains the
+// routes of lost versions, which so count as written again.
 void writeNextVersion(SoakRun &Run);
 
 integration::NodeProcess &nodeAt(SoakRun &Run, std::size_t Index);
@@ -79,7 +84,7 @@
 void startFault(SoakRun &Run, const Fault &Entry);
 
 // runDueRepairs() runs the repairs whose time has come, and keeps those that
-// can't be done yet.
+// can't be done yet. Writes lost versions again unless the store is away.
 void runDueRepairs(SoakRun &Run);
 
 } // namespace currantgauge::soak
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -42,6 +42,7 @@
     KindInfo{FaultKind::PeerDelay, "peer_delay", 5000},
     KindInfo{FaultKind::ConfigChange, "config_change", 0},
     KindInfo{FaultKind::LateHeartbeat, "late_heartbeat", 0},
+    KindInfo{FaultKind::StoreRestored, "store_restored", 3000},
 };
 
 static_assert(KindTable.size() == static_cast<std::size_t>(LastFaultKind) + 1);
@@ -54,6 +55,8 @@
 constexpr int SeriesOneIn = 3; // one draw in 3 starts a series
 constexpr int MaxSeriesLength = 3;
 constexpr int MinDurationMillis = 200; // of a fault that has a duration
+constexpr std::array CopyAges = {Millis(1000), Millis(3000), Millis(5000),
+                                 Millis(7000), Millis(9000)};
 
 int drawInt(std::mt19937_64 &Random, int Min, int Max) {
   return std::uniform_int_distribution<>(Min, std::max(Min, Max))(Random);
@@ -70,6 +73,10 @@
          Kind == FaultKind::ConfigChange;
 }
 
+Millis copyAge(const Fault &Entry) {
+  return CopyAges[Entry.Machine % CopyAges.size()];
+}
+
 std::vector<Fault> makePlan(std::uint64_t Seed, Millis Length,
                             std::size_t MachineCount) {
   std::mt19937_64 Random(Seed);
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -36,6 +36,16 @@
   CHECK(HasOverlap);
 }
 
+TEST_CASE("restored copies of every age from 1 to 9 s occur in plans") {
+  std::set<Millis> Ages;
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed)
+    for (const Fault &Entry : makePlan(Seed, Millis(20000), 5))
+      if (Entry.Kind == FaultKind::StoreRestored)
+        Ages.insert(copyAge(Entry));
+  CHECK(Ages == std::set<Millis>{Millis(1000), Millis(3000), Millis(5000),
+                                 Millis(7000), Millis(9000)});
+}
+
 TEST_CASE("a malformed plan is rejected with its line number") {
   CHECK_THROWS_WITH_AS(parsePlan("# a plan\n100 node_kill 1 200\nnonsense\n"),
                        doctest::Contains("line 3"), std::runtime_error);
--- a/tests/soak/violations.h
+++ b/tests/soak/violations.h
@@ -54,10 +54,13 @@
   bool ServerOnly = false;   // affects only the machine's backend server
 };
 
-// ConfigVersion is a configuration version and when the store acknowledged it.
+// ConfigVersion is a configuration version and when the store acknowledged it:
+// first, and each time that the operator wrote it again after a restore of the
+// store had lost it.
 struct ConfigVersion {
   std::uint32_t Number = 0;
   Seconds AcknowledgedAt = 0;
+  std::vector<Seconds> WrittenAgainAt; // ascending
 };
 
 // DrainNotice is a backend server's announcement that it is leaving, which its
--- a/tests/soak/violations_test.cc
+++ b/tests/soak/violations_test.cc
@@ -127,6 +127,24 @@
   CHECK_FALSE(reportsViolation(Run, "in force"));
 }
 
+TEST_CASE(
+    "a version that a restore lost is due again once it is written again, "
+    "and a config regress after the restore is reported") {
+  Observations Run = goodRun();
+  Run.Versions.push_back({2, 120, {130, 133}});
+  for (Seconds InTime : {121.9, 130.1, 131.9, 134.9}) {
+    Run.Requests.push_back(makeVersionRequest(2, InTime, 404));
+    CHECK(findViolations(Run).empty());
+  }
+  for (Seconds Late : {122.1, 132.1, 135.1}) {
+    Run.Requests.push_back(makeVersionRequest(2, Late, 404));
+    CHECK(reportsViolation(Run, "in force: machine 0"));
+    Run.Requests.pop_back();
+  }
+  Run.Requests.push_back(makeVersionRequest(2, 130, 200));
+  CHECK(reportsViolation(Run, "no regress: machine 0 had version 2"));
+}
+
 TEST_CASE("retries beyond the fleet's budget are reported") {
   Observations Run = goodRun();
   for (int I = 0; I < 85; ++I)
