Stand-in of the platform: a feed request waits as long as it asks

Feed requests without changes were answered after 5 s, whatever waitMs said. Nodes ask for 10 s, so tests saw them learn of lost writes from the empty response sooner than on the platform. The stand-in now waits for waitMs, at most the protocol's 30 s, by the clock instead of by counted polls, which stretch on a busy machine.

--- a/tests/stand_ins/platform_server.cc
+++ b/tests/stand_ins/platform_server.cc
@@ -1,5 +1,7 @@
 #include "tests/stand_ins/platform_server.h"
 
+#include "tests/stand_ins/target.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,7 +10,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <utility>
 
 namespace currantgauge::stand_ins {
@@ -18,8 +22,9 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-// A feed request without changes gets an empty response after this time.
-constexpr std::chrono::milliseconds FeedTimeout{5000};
+// A feed request without changes gets an empty response after the time that it
+// names, at most this.
+constexpr std::chrono::milliseconds MaxFeedWait{30000};
 constexpr std::chrono::milliseconds FeedPollInterval{10};
 
 asio::awaitable<void> pause(std::uint32_t Millis) {
@@ -28,11 +33,18 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+std::chrono::milliseconds feedWaitOf(const HttpRequest &Request) {
+  RequestTarget Target = parseTarget(Request.target());
+  std::chrono::milliseconds Wait(
+      std::strtoul(Target.Query["waitMs"].c_str(), nullptr, 10));
+  return std::min(Wait, MaxFeedWait);
+}
+
 asio::awaitable<PlatformResponse> waitForFeed(PlatformState &Platform,
                                               const HttpRequest &Request) {
   std::uint64_t Era = Platform.Tables.Era;
-  for (auto Remaining = FeedTimeout; Remaining.count() > 0;
-       Remaining -= FeedPollInterval) {
+  auto End = std::chrono::steady_clock::now() + feedWaitOf(Request);
+  while (std::chrono::steady_clock::now() < End) {
     co_await pause(static_cast<std::uint32_t>(FeedPollInterval.count()));
     PlatformResponse Reply = resumeFeedRequest(
         Platform, Request, Era, std::chrono::steady_clock::now());
