Soak: a backend server listens on its machine's address, so its port stays free

Machines have addresses of their own; their servers now listen there, where only the machine's processes listen and no outgoing connection starts.

The new case of machines_test.cc binds the port on 127.0.0.1 between the lives.

--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -37,7 +37,7 @@
 const std::string BinaryFolder = CURRANTGAUGE_BINARY_DIR;
 
 // Nodes log to standard output, which goes to a file. Stand-ins print their
-// port there, which readPort() reads from a pipe.
+// port there, which readFirstLine() reads from a pipe.
 ChildPtr startWithLogFile(const std::string &Program,
                           const std::vector<std::string> &Arguments,
                           const std::string &LogPath) {
@@ -58,13 +58,13 @@
   return Started;
 }
 
-std::uint16_t readPort(detail::Child &Started) {
+nlohmann::json readFirstLine(detail::Child &Started) {
   std::string Line;
   std::getline(Started.Output, Line);
   auto First = nlohmann::json::parse(Line, nullptr, false);
   if (!First.is_object() || !First.contains("port"))
     throw std::runtime_error("stand-in did not print its port: " + Line);
-  return First["port"].get<std::uint16_t>();
+  return First;
 }
 
 void killProcess(const ChildPtr &Started) {
@@ -179,7 +179,7 @@
   Fleet.PlatformProcess =
       startWithPipe("platform", Arguments, Fleet.Folder + "/platform.log");
   Fleet.PlatformAddress =
-      "127.0.0.1:" + std::to_string(readPort(*Fleet.PlatformProcess));
+      "127.0.0.1:" + readFirstLine(*Fleet.PlatformProcess)["port"].dump();
 }
 
 NodeProcess &startNode(TestFleet &Fleet, const std::string &Name,
@@ -237,7 +237,7 @@
   Server.Name = Name;
   Server.Process = startWithPipe("backend_server", Arguments,
                                  Fleet.Folder + "/" + Name + ".log");
-  Server.Address = "127.0.0.1:" + std::to_string(readPort(*Server.Process));
+  Server.Address = readFirstLine(*Server.Process).at("address");
   return Server;
 }
 
--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -77,7 +77,7 @@
   Node.MetricsAddress = Host + ":9464"; // fixed in the settings template
   // The settings of the node need the server's address. The server listens, and
   // so has its port, before it first announces itself to the node.
-  std::vector<std::string> ServerFlags = {"--machines"};
+  std::vector<std::string> ServerFlags = {"--machines", "--host=" + Host};
   ServerFlags.insert(ServerFlags.end(), Flags.begin(), Flags.end());
   startServer(Fleet, "i-" + Number, Service, Node, ServerFlags);
   std::string PeerListener = Node.PeerAddress;
--- a/tests/integration/machines_test.cc
+++ b/tests/integration/machines_test.cc
@@ -6,9 +6,13 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <thread>
@@ -198,10 +202,12 @@
   // killed server at this address.
   NodeProcess UnreachableNode;
   UnreachableNode.AnnounceAddress = "127.0.0.1:1";
-  ServerProcess &Replacement = startServer(
-      Machines.Fleet, "i-9", "stocktally", UnreachableNode,
-      {"--machines",
-       "--port=" + Killed.Address.substr(Killed.Address.rfind(':') + 1)});
+  std::size_t Colon = Killed.Address.rfind(':');
+  ServerProcess &Replacement =
+      startServer(Machines.Fleet, "i-9", "stocktally", UnreachableNode,
+                  {"--machines", "--host=" + Killed.Address.substr(0, Colon),
+                   "--port=" + Killed.Address.substr(Colon + 1)});
+  REQUIRE(Replacement.Address == Killed.Address);
   RequestLoad Load(Machines, "POST", "/commits/9", 3);
   CHECK(waitUntil([&] { return Load.Succeeded > 100; }));
   CHECK(waitUntil([&] { return statsOf(Replacement)["misdirected"] > 0; }));
@@ -211,6 +217,28 @@
   CHECK(countFailures(Load) == 0);
 }
 
+TEST_CASE(
+    "machines: a server restarts at its address although the host's other "
+    "processes have taken the port") {
+  MachineFleet Machines;
+  addMachine(Machines, "north", "north-a", "cutlist");
+  ServerProcess &Server = serverOf(Machines, Machines.List[0]);
+  std::string Address = Server.Address;
+  std::size_t Colon = Address.rfind(':');
+  std::string Port = Address.substr(Colon + 1);
+  sendSignal(Server.Process, SIGKILL);
+  REQUIRE(waitForExit(Server.Process) != 0);
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor Other(
+      Io, {boost::asio::ip::address_v4::loopback(),
+           static_cast<std::uint16_t>(std::stoi(Port))});
+  restartServer(
+      Machines.Fleet, Server, "i-1-2", "cutlist",
+      nodeOf(Machines, Machines.List[0]),
+      {"--machines", "--host=" + Address.substr(0, Colon), "--port=" + Port});
+  CHECK(Server.Address == Address);
+}
+
 TEST_CASE("machines: a malformed heartbeat is refused and changes nothing") {
   MachineFleet Machines;
   startThreeMachines(Machines, listRoutes());
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -229,7 +229,8 @@
   MachineState &Machine = Run.MachineStates[Index];
   std::string Name = serverName(Index, ++Machine.ServerIncarnation);
   std::vector<std::string> Flags = serverFlags(Run, Name);
-  Flags.insert(Flags.end(), {"--machines", "--port=" + Machine.ServerPort});
+  Flags.insert(Flags.end(), {"--machines", "--host=" + Machine.ServerHost,
+                             "--port=" + Machine.ServerPort});
   integration::restartServer(Run.Machines.Fleet, serverAt(Run, Index), Name,
                              serviceOf(Index), nodeAt(Run, Index), Flags);
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -33,7 +33,8 @@
   FaultTarget PeerPath;
   FaultTarget StorePath;
   std::uint32_t ServerIncarnation = 1; // counts its starts
-  std::string ServerPort;              // kept across restarts
+  std::string ServerHost;              // kept across restarts, as ServerPort
+  std::string ServerPort;
   Seconds NodeStopTime = 0;
 };
 
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -25,7 +25,9 @@
     integration::addProxiedMachine(Run.Machines, Region, Domain, serviceOf(I),
                                    Flags);
     const std::string &Address = serverAt(Run, I).Address;
-    Run.MachineStates[I].ServerPort = Address.substr(Address.rfind(':') + 1);
+    std::size_t Colon = Address.rfind(':');
+    Run.MachineStates[I].ServerHost = Address.substr(0, Colon);
+    Run.MachineStates[I].ServerPort = Address.substr(Colon + 1);
   }
   writeNextVersion(Run);
   for (std::size_t I = 0; I < MachineCount; ++I)
--- a/tests/stand_ins/backend_server_main.cc
+++ b/tests/stand_ins/backend_server_main.cc
@@ -3,7 +3,8 @@
 //
 //   backend_server --name=cutlist-1 --service=cutlist --node=127.0.0.1:8083
 //
-// It prints {"port": N} on standard output and is controlled over HTTP:
+// It prints {"address": "IP:N", "port": N} on standard output and is controlled
+// over HTTP:
 //   POST /.control {"mode": "ok|stall|fail|slow|shed|reset|cut", "share": 1.0,
 //                   "work_ms": 5, "announce": true,
 //                   "state": "ready|leaving|gone"}
@@ -55,6 +56,7 @@
 DEFINE_string(node, "127.0.0.1:8083", "announce address of a node, IP:port");
 DEFINE_string(advertise, "",
               "address to announce, IP:port; empty: the listener's");
+DEFINE_string(host, "127.0.0.1", "IP address to listen on");
 DEFINE_int32(port, 0, "port to listen on; 0: any free port");
 DEFINE_int32(slots, 4,
              "announced number of requests that it can run at a time");
@@ -322,16 +324,15 @@
   ServerState Server;
   Server.WorkMillis = FLAGS_work_ms;
   tcp::acceptor Acceptor(Io,
-                         tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                         tcp::endpoint(asio::ip::make_address(FLAGS_host),
                                        static_cast<std::uint16_t>(FLAGS_port)));
   std::uint16_t Port = Acceptor.local_endpoint().port();
+  std::string Address = FLAGS_host + ":" + std::to_string(Port);
   stand_ins::AnnouncerState Announcer;
   Announcer.Name = FLAGS_name;
   Announcer.Service = FLAGS_service;
   Announcer.Node = FLAGS_node;
-  Announcer.Address = FLAGS_advertise.empty()
-                          ? "127.0.0.1:" + std::to_string(Port)
-                          : FLAGS_advertise;
+  Announcer.Address = FLAGS_advertise.empty() ? Address : FLAGS_advertise;
   Announcer.Slots = FLAGS_slots;
   Announcer.UsesMachineProtocol = FLAGS_machines;
   Announcer.ColdStartMillis = FLAGS_cold_start_ms;
@@ -342,7 +343,7 @@
   asio::co_spawn(Io, stand_ins::announceLoop(Announcer), asio::detached);
   asio::co_spawn(Io, stopOnSignal(Signals, Server, Announcer, Io),
                  asio::detached);
-  std::cout << Json{{"port", Port}}.dump() << std::endl;
+  std::cout << Json{{"address", Address}, {"port", Port}}.dump() << std::endl;
   Io.run();
   std::_Exit(0);
 }
