Integration test of a node that restarts while the store is empty

A restore may lose the configuration and the rows of table nodes together. A node that restarts then has only its peers; it serves the version that they serve.

--- a/tests/integration/restore_test.cc
+++ b/tests/integration/restore_test.cc
@@ -27,6 +27,8 @@
 constexpr std::uint64_t MaxStoreCallsPerNodeAndSecond = 5;
 // Between the moment of a copy and the writes before and after it.
 constexpr milliseconds CopyMargin{100};
+// Nodes that have just started look for others more often.
+constexpr milliseconds InitialSearchTime{3000};
 // Versions of the store beside those of the configuration that a restore loses.
 constexpr int LostStoreVersions = 10;
 
@@ -123,6 +125,12 @@
   controlStore(Fleet.Machines, restoreCommand(Fleet));
 }
 
+// Restores a copy of a time before the first write.
+void emptyStore(MachineFleet &Machines) {
+  constexpr std::uint32_t WholeLifeMillis = 3600 * 1000;
+  controlStore(Machines, {{"restore_ms", WholeLifeMillis}});
+}
+
 // The store is away for Outage and comes back from the copy.
 void restoreStoreAfterOutage(RestorableFleet &Fleet, milliseconds Outage) {
   json Command = restoreCommand(Fleet);
@@ -234,10 +242,8 @@
   RestorableFleet Fleet;
   startRestorableFleet(Fleet);
   MachineFleet &Machines = Fleet.Machines;
-  // Nodes that have just started look for others more often.
-  std::this_thread::sleep_for(StabilityWindow);
-  constexpr std::uint32_t WholeLifeMillis = 3600 * 1000;
-  controlStore(Machines, {{"restore_ms", WholeLifeMillis}});
+  std::this_thread::sleep_for(InitialSearchTime);
+  emptyStore(Machines);
   writeVersion(Machines, 2);
   Machine Added = addMachine(Machines, "south", "south-b", "asset-registry");
   json Routes = routesUpTo(3);
@@ -252,4 +258,18 @@
       RecoveryTime));
 }
 
+TEST_CASE("restore: a node that restarts while the store is empty serves what "
+          "its peers serve") {
+  RestorableFleet Fleet;
+  startRestorableFleet(Fleet);
+  MachineFleet &Machines = Fleet.Machines;
+  std::this_thread::sleep_for(InitialSearchTime);
+  emptyStore(Machines);
+  NodeProcess &Node = nodeOf(Machines, Machines.List[0]);
+  restartNode(Machines.Fleet, Node);
+  CHECK(waitUntil(
+      [&] { return servesVersion(Node, 1) && servesVersion(Node, 2); },
+      RecoveryTime));
+}
+
 } // namespace currantgauge::integration
