http: let a slow request not end the connection before earlier answers

A request that took longer than the read timeout to arrive closed its connection at once: the timeout of the stream closes the socket. Requests before it on the connection, read whole and passed on, got neither an answer nor a refusal, and the 408 of the slow one was never written.

The read timeout is now a timer of the session, which refuses the request that is being read. The writer answers the requests before it, writes the refusal and closes the connection.

The new test failed before on all three points: the earlier request was abandoned, and neither its answer nor the 408 arrived.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -49,16 +49,19 @@
   AsyncEvent RequestAnswered; // an answer was written, or the session ends
   asio::steady_timer IdleTimer;
   std::chrono::steady_clock::time_point IdleSince;
+  asio::steady_timer ReadTimer;
   bool AcceptsRequests = true; // more requests may be read
   bool Closing = false;        // nothing more is answered
   bool AwaitsRequest = false;  // no byte of the next request was read
+  bool ReadsRequest = false;   // only a part of the next request was read
   bool IdleExpired = false;    // the idle timer ended the wait for a request
 
   Session(tcp::socket Socket, CallerContext &Shared)
       : Context(Shared), Stream(std::move(Socket)),
         AnswerReady(this->Stream.get_executor()),
         RequestAnswered(this->Stream.get_executor()),
-        IdleTimer(this->Stream.get_executor()) {}
+        IdleTimer(this->Stream.get_executor()),
+        ReadTimer(this->Stream.get_executor()) {}
 };
 
 using SessionPtr = boost::intrusive_ptr<Session>;
@@ -174,8 +177,6 @@
   if (Error == beast::http::error::header_limit ||
       Error == beast::http::error::buffer_overflow)
     return base::Reason::HeaderTooLarge;
-  if (Error == beast::error::timeout)
-    return base::Reason::CallerTimeout;
   return base::Reason::BadRequest;
 }
 
@@ -203,6 +204,25 @@
   addRequest(S, std::move(Pending));
 }
 
+// Refuses the request that is being read when it takes too long. The stream's
+// own timeout would close the connection before earlier requests are answered.
+void startReadTimer(const SessionPtr &Self) {
+  Self->ReadsRequest = true;
+  Self->ReadTimer.expires_after(
+      std::chrono::microseconds(Self->Context.ReadMicros));
+  Self->ReadTimer.async_wait([Self](ErrorCode Error) {
+    if (Error || !Self->ReadsRequest || !Self->AcceptsRequests || Self->Closing)
+      return;
+    base::Reason Reason = base::Reason::CallerTimeout;
+    refuseInput(*Self, Reason, std::string(base::reasonText(Reason)));
+  });
+}
+
+void stopReadTimer(Session &S) {
+  S.ReadsRequest = false;
+  S.ReadTimer.cancel();
+}
+
 asio::awaitable<void> sendContinue(Session &S) {
   while (!S.Closing && !S.Requests.empty())
     co_await waitFor(S.RequestAnswered);
@@ -235,7 +255,8 @@
 // Reads the next request. Returns no error on success, eof or connection_reset
 // if the connection ends or fails before the first byte of the request, and
 // otherwise the error of the read or of the parser.
-asio::awaitable<ErrorCode> readRequest(Session &S, RequestParser &Parser) {
+asio::awaitable<ErrorCode> readRequest(SessionPtr Self, RequestParser &Parser) {
+  Session &S = *Self;
   Parser.header_limit(static_cast<std::uint32_t>(S.Context.HeaderBytes));
   Parser.body_limit(S.Context.BodyBytes.load());
   ErrorCode Error;
@@ -248,15 +269,20 @@
   if (!S.AcceptsRequests)
     co_return Error;
   S.IdleTimer.cancel();
-  S.Stream.expires_after(std::chrono::microseconds(S.Context.ReadMicros));
+  S.Stream.expires_never();
+  startReadTimer(Self);
   co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
                                           redirectError(Error));
-  if (!Error &&
-      beast::iequals(Parser.get()[beast::http::field::expect], "100-continue"))
+  if (!Error && beast::iequals(Parser.get()[beast::http::field::expect],
+                               "100-continue")) {
+    stopReadTimer(S); // its caller may have to wait for earlier answers
     co_await sendContinue(S);
+    startReadTimer(Self);
+  }
   if (!Error)
     co_await beast::http::async_read(S.Stream, S.Input, Parser,
                                      redirectError(Error));
+  stopReadTimer(S);
   co_return Error;
 }
 
@@ -320,7 +346,7 @@
     if (S.Closing)
       break;
     RequestParser Parser;
-    Error = co_await readRequest(S, Parser);
+    Error = co_await readRequest(Self, Parser);
     if (S.Closing || !S.AcceptsRequests)
       break;
     if (!Error) {
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -225,6 +225,21 @@
   CHECK(Text.find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("a request that takes too long to arrive doesn't end the connection "
+          "before earlier requests are answered") {
+  SessionFixture Fixture;
+  setCallerLimits(Fixture.Context, {{}, {}, base::milliseconds(50), {}});
+  Fixture.send(getRequest("/1") + "GET /2 HTTP/1.1\r\n");
+  Fixture.runUntilIdle();
+  Fixture.runUntilIdle();
+  REQUIRE(arrivedRequests(Fixture).size() == 1);
+  answerRequest(Fixture, 0, "first");
+  std::string Text = Fixture.readToEnd();
+  CHECK(connectionEnds(Fixture).empty());
+  CHECK(Text.find("first") != std::string::npos);
+  CHECK(Text.find("408 Request Timeout") != std::string::npos);
+}
+
 TEST_CASE("while the node stops the last answer closes the connection") {
   SessionFixture Fixture;
   Fixture.send(getRequest("/1") + getRequest("/2"));
