membership: a malformed row doesn't end a scan of the nodes table

A malformed row is left out of the result of a scan, and a page with fewer rows than were asked for counted as the last one. With more than 100 rows, one of another writer among those of a page therefore ended the scan there: the nodes behind it were never compared with, at any scan, so that a node that no gossip reached was not found. A result now says how many rows were skipped, and the scan ends only if these and the others don't fill the page.

"a scan goes on after a full page that holds a malformed row" failed before seeds.cc used the count: the cursor was empty.

--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -102,6 +102,7 @@
   std::uint64_t Revision = 0; // of the whole store when read; 0: unknown
   // Describes the first malformed row that was skipped; empty: no row was.
   std::string RowError;
+  std::uint32_t MalformedRows = 0; // that were skipped
 };
 
 // operationName() returns an operation's snake_case name for metrics.
--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -203,7 +203,8 @@
     onFirstScan(Node, Rows, Effects);
   if (!Succeeded)
     return true;
-  Table.ScanCursor = Rows.size() < RowsPerScan ? "" : Rows.back().Key;
+  bool AtEnd = Rows.size() + Answered.Result.MalformedRows < RowsPerScan;
+  Table.ScanCursor = AtEnd || Rows.empty() ? "" : Rows.back().Key;
   std::vector<base::StoreRow> NodeRows = takeNodeRows(Node, Rows, Effects);
   if (!NodeRows.empty())
     syncWithMissingNodes(Node, NodeRows, Effects);
--- a/currantgauge/membership/seeds_test.cc
+++ b/currantgauge/membership/seeds_test.cc
@@ -112,4 +112,20 @@
   CHECK(Logged == 1);
 }
 
+TEST_CASE("a scan goes on after a full page that holds a malformed row") {
+  core::State Node;
+  Node.Membership.Table.FirstScanDone = true;
+  Node.Membership.Table.Scans.insert(base::CallId(1));
+  core::StoreAnswered Answer;
+  Answer.Call = base::CallId(1);
+  Answer.Result.Status = base::StoreStatus::Done;
+  for (int Row = 101; Row < 200; ++Row)
+    Answer.Result.Rows.push_back(
+        {"node-" + std::to_string(Row), "10.0.0.9:8081", ""});
+  Answer.Result.MalformedRows = 1;
+  core::EffectList Effects;
+  CHECK(onStoreAnswered(Node, Answer, Effects));
+  CHECK(Node.Membership.Table.ScanCursor == "node-199");
+}
+
 } // namespace currantgauge::membership
