--- a/currantgauge/base/store.h
+++ b/currantgauge/base/store.h
@@ -106,6 +106,7 @@
   std::string RowError;
   // Revisions and ETags are comparable only within an era.
   StoreEra Era;
+  std::uint32_t MalformedRows = 0; // that were skipped
 };
 
 // operationName() returns an operation's snake_case name for metrics.
