membership: honor a leave that was announced to an earlier process

Callers' requests could reach a server that had announced its leave to its node (DRAIN), if that node started again before the server was gone. The other nodes tell the new process that the server is leaving, but it kept that only to announce the server as gone later: a ready announcement of the same incarnation that arrived before or after made the server ready.

noteOrphan() now keeps a leave as a departure, and marks a server that has announced itself already as leaving. The phase Gone is still not taken over, as it may only mean that the server was absent.

--- a/currantgauge/membership/servers.cc
+++ b/currantgauge/membership/servers.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/membership/digest.h"
 #include "currantgauge/membership/member.h"
+#include "currantgauge/routing/departures.h"
 #include "currantgauge/routing/registry.h"
 
 #include <algorithm>
@@ -21,13 +22,21 @@
   return It == Node.Routing.Servers.end() ? nullptr : &It->second;
 }
 
-// Records a server that other nodes attribute to this node although it is
-// unknown here, because it belonged to an earlier process of this node. The
-// server may announce itself here again until its lease would have expired.
+// Other nodes attribute a server to this node, as an earlier process of it did.
+// A leave that was announced to that process holds here too; the phase Gone may
+// only mean that the server was absent. An unknown server may announce itself
+// here again until its lease would have expired.
 void noteOrphan(core::State &Node, const routing::BackendRecord &Record) {
+  if (Record.Phase == routing::BackendPhase::Gone)
+    return;
+  if (Record.Phase == routing::BackendPhase::Leaving)
+    routing::noteDeparture(Node.Routing, Record.Name, Record.Incarnation,
+                           routing::BackendPhase::Leaving, Node.Now);
   const routing::BackendServer *Known = findServer(Node, Record.Name);
-  if (!Known && Record.Phase != routing::BackendPhase::Gone)
+  if (!Known)
     Node.Membership.Orphans[Record.Name] = Record;
+  else if (routing::markDeparted(Node.Routing, Record.Name, Node.Now))
+    queueRumour(Node.Membership, Known->Record);
 }
 
 bool isSameVersion(const routing::BackendRecord &A,
--- a/currantgauge/membership/servers.h
+++ b/currantgauge/membership/servers.h
@@ -20,7 +20,8 @@
 // change, which is then queued as a rumour: a new server with Priority, a
 // known one as Deferred if the change can wait, else with Priority but at least
 // as Deferred. Records of owners that are dead or have left are ignored; those
-// that name this node as owner are kept as orphans if the server is unknown.
+// that name this node as owner are kept as orphans if the server is unknown,
+// and a leave in them is honored.
 bool mergeBackend(core::State &Node, const routing::BackendRecord &Record,
                   RumourPriority Priority = RumourPriority::Urgent);
 
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -184,6 +184,20 @@
   return true;
 }
 
+bool markDeparted(RoutingState &State, const base::BackendName &Name,
+                  base::TimePoint Now) {
+  auto It = State.Servers.find(Name);
+  if (It == State.Servers.end() || It->second.Record.Owner != State.Self ||
+      It->second.Record.Phase != BackendPhase::Ready ||
+      departedPhase(State, Name, It->second.Record.Incarnation, Now) ==
+          BackendPhase::Ready)
+    return false;
+  It->second.Record.Phase = BackendPhase::Leaving;
+  ++It->second.Record.Revision;
+  markStale(State, It->second.Record.Service);
+  return true;
+}
+
 std::vector<BackendRecord> expireLeases(RoutingState &State,
                                         base::TimePoint Now) {
   std::vector<BackendRecord> GoneRecords;
--- a/currantgauge/routing/registry.h
+++ b/currantgauge/routing/registry.h
@@ -51,6 +51,11 @@
 // false if it was gone already or isn't owned.
 bool markAbsent(RoutingState &State, const base::BackendName &Name);
 
+// markDeparted() marks an owned server that is ready as leaving if it has
+// departed in its incarnation. Returns true when the record changed.
+bool markDeparted(RoutingState &State, const base::BackendName &Name,
+                  base::TimePoint Now);
+
 // expireLeases() marks owned servers gone whose lease has expired and returns
 // their records.
 std::vector<BackendRecord> expireLeases(RoutingState &State,
