http: an answer's chunk framing or trailers without end don't fill memory

A faulty server that writes a chunk size, a chunk extension, a trailer line or trailers without end filled the memory of its node until the deadline: the parser waits for the end of such a line and has no limit for it, and the input buffer had none either. The buffer is now bounded by 128 KiB; a full one ends the exchange as an answer that isn't valid HTTP: the request may have run, the connection is closed and the server's failure counts.

Without a reader of the pipe it is the reducer's deadline that ends the exchange, which these tests don't cover.

--- a/currantgauge/http/backend_pool.h
+++ b/currantgauge/http/backend_pool.h
@@ -13,6 +13,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,10 +22,14 @@
 
 namespace currantgauge::http {
 
+// MaxInputBytes bounds the bytes that are read ahead of the parser. The parser
+// itself has no limit for the framing of chunks and for trailers.
+constexpr std::size_t MaxInputBytes = 128 * 1024;
+
 // BackendConnection is one connection to a backend server.
 struct BackendConnection {
   boost::beast::tcp_stream Stream;
-  boost::beast::flat_buffer Input;
+  boost::beast::flat_buffer Input{MaxInputBytes};
   std::chrono::steady_clock::time_point CreatedAt;
   std::chrono::steady_clock::time_point IdleSince;
   // The server's keep-alive timeout minus a margin, see idleLimitOf().
--- /dev/null
+++ b/currantgauge/http/endless_answer_test.cc
@@ -0,0 +1,101 @@
+// Answers of a backend server that have no end.
+#include "currantgauge/http/fake_backend_test.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace currantgauge::http {
+namespace {
+
+constexpr std::size_t SentBytes = 4UL * 1024 * 1024;
+
+// Writes Start and then Piece again and again until the exchange ends or
+// SentBytes are written. Returns the largest capacity of the input buffer.
+std::size_t respondWithoutEnd(BackendFixture &Fixture,
+                              const TestExchange &Exchange,
+                              const std::string &Start,
+                              const std::string &Piece) {
+  std::string Text = Start;
+  while (Text.size() < SentBytes)
+    Text += Piece;
+  std::size_t Written = 0, Capacity = 0;
+  boost::system::error_code Error;
+  Fixture.Connections.at(0).non_blocking(true);
+  while (Written < Text.size() && !*Exchange.Result) {
+    Written += Fixture.Connections[0].write_some(
+        boost::asio::buffer(Text.data() + Written, Text.size() - Written),
+        Error);
+    if (Error && Error != boost::asio::error::would_block)
+      break;
+    Fixture.Io.restart();
+    Fixture.Io.run_for(std::chrono::milliseconds(1));
+    if (Exchange.Handle->Connection)
+      Capacity =
+          std::max(Capacity, Exchange.Handle->Connection->Input.capacity());
+    while (runtime::popPart(*Exchange.Pipe)) {
+    }
+  }
+  Fixture.runUntilIdle();
+  return Capacity;
+}
+
+const std::string Signed = "HTTP/1.1 200 OK\r\nSigned: x\r\nAttempt: 7\r\n";
+const std::string Chunked = Signed + "Transfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("an endless head ends the exchange at once") {
+  const std::pair<std::string, std::string> Answers[] = {
+      {"HTTP/1.1 200 OK\r\nX: ", "a"},
+      {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+      {"HTTP/1.1 200 ", "a"},
+      {"", "\x16garbage"},
+      {"", "no answer\r\n"}};
+  for (const auto &Answer : Answers) {
+    CAPTURE(Answer.first);
+    BackendFixture Fixture;
+    TestExchange Exchange = Fixture.start("7");
+    CHECK(respondWithoutEnd(Fixture, Exchange, Answer.first, Answer.second) <=
+          MaxInputBytes);
+    CHECK(mayHaveRun(Exchange));
+  }
+}
+
+TEST_CASE("the framing of a chunked body without end ends the exchange") {
+  const std::pair<std::string, std::string> Answers[] = {
+      {Chunked, "0"},
+      {Chunked + "1;", "a"},
+      {Chunked + "0\r\nX: ", "a"},
+      {Chunked + "0\r\n", "X: a\r\n"}};
+  for (const auto &Answer : Answers) {
+    CAPTURE(Answer.first);
+    BackendFixture Fixture;
+    TestExchange Exchange = Fixture.start("7");
+    CHECK(respondWithoutEnd(Fixture, Exchange, Answer.first, Answer.second) <=
+          MaxInputBytes);
+    CHECK(mayHaveRun(Exchange));
+  }
+}
+
+TEST_CASE("an endless body keeps the input small and ends at the deadline") {
+  for (const std::string Framing : {"", "Content-Length: 999999999999\r\n"}) {
+    CAPTURE(Framing);
+    BackendFixture Fixture;
+    TestExchange Exchange = Fixture.start("7", base::milliseconds(500));
+    CHECK(respondWithoutEnd(Fixture, Exchange, Signed + Framing + "\r\n",
+                            "abc") <= MaxInputBytes);
+    for (int Wait = 0; Wait < 50 && !*Exchange.Result; ++Wait) {
+      Fixture.runUntilIdle();
+      while (runtime::popPart(*Exchange.Pipe)) {
+      }
+    }
+    CHECK(mayHaveRun(Exchange));
+  }
+}
+
+} // namespace currantgauge::http
