http: no idle timeout while a body that was asked for is read

A caller that sent Expect: 100-continue behind an unanswered request lost it: the write of the earlier answer set the stream's timeout to the idle timeout, which then held for the read of the body and closed the connection without an answer.

The stream has no timeout again before that read, whose time the read timer bounds. The new test failed before: the request did not arrive.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -277,6 +277,7 @@
                                "100-continue")) {
     stopReadTimer(S); // its caller may have to wait for earlier answers
     co_await sendContinue(S);
+    S.Stream.expires_never(); // set by the writes of answers
     startReadTimer(Self);
   }
   if (!Error)
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -317,6 +317,21 @@
   CHECK(Error);
 }
 
+TEST_CASE("a body that the caller was told to send has the time of a request, "
+          "not the idle timeout") {
+  SessionFixture Fixture;
+  setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(200)});
+  Fixture.send(getRequest("/1") +
+               "POST /p HTTP/1.1\r\nHost: A.example:80\r\n"
+               "Content-Length: 6\r\nExpect: 100-continue\r\n\r\n");
+  answerRequest(Fixture, 0, "first");
+  CHECK(Fixture.readAvailable().find("100 Continue") != std::string::npos);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Fixture.runUntilIdle();
+  Fixture.send("abcdef");
+  CHECK(arrivedRequests(Fixture).size() == 2);
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
