http: no 408 for the request behind one that was read as its time ended

When the read timer expired in the poll in which its request completed, its handler was queued already, found the next request being read and refused that one with 408.

The handler compares the timer's expiry, which the next request has moved. The new test failed before: the second request was refused.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -211,7 +211,9 @@
   Self->ReadTimer.expires_after(
       std::chrono::microseconds(Self->Context.ReadMicros));
   Self->ReadTimer.async_wait([Self](ErrorCode Error) {
-    if (Error || !Self->ReadsRequest || !Self->AcceptsRequests || Self->Closing)
+    bool IsStale = Self->ReadTimer.expiry() > std::chrono::steady_clock::now();
+    if (Error || IsStale || !Self->ReadsRequest || !Self->AcceptsRequests ||
+        Self->Closing)
       return;
     base::Reason Reason = base::Reason::CallerTimeout;
     refuseInput(*Self, Reason, std::string(base::reasonText(Reason)));
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -332,6 +332,17 @@
   CHECK(arrivedRequests(Fixture).size() == 2);
 }
 
+TEST_CASE("the time of a request that was read in full doesn't end the next") {
+  SessionFixture Fixture;
+  setCallerLimits(Fixture.Context, {{}, {}, base::milliseconds(200), {}});
+  Fixture.send(PostHead);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Fixture.send("abcdefGET /2 HTTP/1.1\r\n");
+  Fixture.send("Host: A.example:80\r\n\r\n");
+  CHECK(arrivedRequests(Fixture).size() == 2);
+  CHECK(countEvents<core::InputRefused>(Fixture) == 0);
+}
+
 TEST_CASE("an idle connection is closed but not one that awaits an answer") {
   SessionFixture Fixture;
   setCallerLimits(Fixture.Context, {{}, {}, {}, base::milliseconds(20)});
