--- a/tests/integration/restore_test.cc
+++ b/tests/integration/restore_test.cc
@@ -160,9 +160,7 @@
   CHECK(allServeVersion(Fleet.Machines, 2));
 }
 
-// Listed in KNOWN-RED.txt, as are the other skipped cases.
-TEST_CASE("restore: nodes do not flood a store whose versions went back" *
-          doctest::skip()) {
+TEST_CASE("restore: nodes do not flood a store whose versions went back") {
   constexpr std::chrono::seconds Duration{3};
   RestorableFleet Fleet;
   startRestorableFleet(Fleet);
@@ -173,8 +171,7 @@
   CHECK(Calls <= maxStoreCalls(Fleet.Machines, Duration));
 }
 
-TEST_CASE("restore: nodes do not flood a store that was away and lost writes" *
-          doctest::skip()) {
+TEST_CASE("restore: nodes do not flood a store that was away and lost writes") {
   constexpr std::chrono::seconds Outage{2};
   constexpr std::chrono::seconds Duration{3};
   RestorableFleet Fleet;
@@ -200,8 +197,7 @@
 }
 
 TEST_CASE("restore: a version of the new history is not missed at a store "
-          "revision that the old history had" *
-          doctest::skip()) {
+          "revision that the old history had") {
   RestorableFleet Fleet;
   startRestorableFleet(Fleet, addProxiedMachine);
   for (const Machine &Machine : Fleet.Machines.List)
@@ -237,8 +233,7 @@
 }
 
 TEST_CASE("restore: a node that starts after the rows of the other nodes were "
-          "lost finds them" *
-          doctest::skip()) {
+          "lost finds them") {
   RestorableFleet Fleet;
   startRestorableFleet(Fleet);
   MachineFleet &Machines = Fleet.Machines;
