--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -239,8 +239,7 @@
 // Waits for the first bytes of the next request. A cancelled read leaves bytes
 // that have arrived since to the next one.
 asio::awaitable<ErrorCode> readFirstBytes(Session &S) {
-  ErrorCode Error;
-  ErrorCode Ignored;
+  ErrorCode Error, Ignored;
   S.Stream.expires_never();
   do {
     S.IdleExpired = false;
