Owners count the retries of the fleet's bound, not entries

Cause: each entry held slack / nodes / 2 of the fleet's retry bound (times a margin of 0.8) and spent the slack or what requests had earned, each only from one whole token. At 32 nodes with a slack of 62 it held 0.78 tokens and earned 0.4 to 0.9: no request whose server failed was ever tried again. The halves also did not bound a failure that followed calm traffic.

Change: the owner of a server counts first and repeated sends in spans, and sends a repeat only if every window that contains it stays within the ratio times half of the first sends of two windows plus its part of the slack, by servers. The sum over owners is the bound, without a message.

--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 3; // of one request
-// With a FleetRetryBound, attempts that reach backend servers are bounded
+// If owners keep the budget, attempts that reach backend servers are bounded
 // separately, so more owners may be tried.
 constexpr std::uint32_t MaxAttemptsWithFleetBound = 5;
 constexpr base::Duration FirstBackoff = base::milliseconds(5);
@@ -22,6 +22,9 @@
 constexpr double SampleWeight = 0.05;     // of one attempt in RefusedShare
 constexpr double RareRefusalShare = 0.1;  // of recent attempts
 constexpr double ShedRefusalShare = 0.25; // of recent attempts
+// Above this share of recent attempts refused for the retry budget, the service
+// fails faster than its budget allows, and no further owner is asked.
+constexpr double MaxBudgetRefusalShare = 0.25;
 // A refusal is quick within this time from the request's arrival at the entry.
 constexpr base::Duration QuickRefusalLimit = base::milliseconds(25);
 
@@ -51,16 +54,19 @@
 bool canRetry(const AdmissionState &State, const RetryQuery &Query) {
   const core::AttemptOutcome &Outcome = Query.Outcome;
   std::uint32_t Limit =
-      Query.Bound.Ratio > 0 ? MaxAttemptsWithFleetBound : MaxAttempts;
+      Query.OwnersKeepBudget ? MaxAttemptsWithFleetBound : MaxAttempts;
   if (Query.Committed || Query.Attempts >= Limit ||
       Query.Sends >= Query.Kind.Attempts || isFinal(Outcome.Reason))
     return false;
   if (Outcome.Verdict != base::Verdict::NotRun)
     return Query.Kind.Idempotent;
+  auto It = State.Budgets.find({Query.Kind.Service, Query.Kind.Rank});
+  if (Outcome.Reason == base::Reason::RetryBudget)
+    return It == State.Budgets.end() ||
+           It->second.BudgetRefusedShare <= MaxBudgetRefusalShare;
   if (!isLoadRefusal(Outcome.Reason) || Query.HasFreeSlotElsewhere ||
       Query.Now - Query.ArrivedAt < QuickRefusalLimit)
     return true;
-  auto It = State.Budgets.find({Query.Kind.Service, Query.Kind.Rank});
   return It == State.Budgets.end() ||
          It->second.RefusedShare < RareRefusalShare;
 }
@@ -85,53 +91,8 @@
   Budget.Tokens = std::min(Budget.Tokens + Share, Limit);
 }
 
-// Slack is divided evenly among the nodes. A node may use half of its part at
-// once and earns the other half during a window, so no window exceeds its part.
-// Tokens earned by requests decay with a time constant of half a window.
-void refill(SharedRetryBudget &Budget, const FleetRetryBound &Bound,
-            base::TimePoint Now) {
-  double NodeSlack = Bound.Slack / static_cast<double>(Bound.Nodes) / 2;
-  double Windows =
-      base::toSeconds(Now - Budget.UpdatedAt) / base::toSeconds(Bound.Window);
-  if (Budget.UpdatedAt == base::TimePoint{})
-    Budget.Slack = NodeSlack;
-  Budget.UpdatedAt = Now;
-  Budget.Slack = std::min(NodeSlack, Budget.Slack + NodeSlack * Windows);
-  Budget.Earned *= std::exp(-2 * Windows);
-}
-
-// While no attempt of a request has reached a backend server, the next one is
-// still the first that servers see, and takes no token.
-bool takeSharedToken(AdmissionState &State, const RetryQuery &Query) {
-  if (Query.Sends == 0)
-    return true;
-  SharedRetryBudget &Budget = State.SharedBudgets[Query.Kind.Service];
-  refill(Budget, Query.Bound, Query.Now);
-  double &Tokens = Budget.Earned >= 1 ? Budget.Earned : Budget.Slack;
-  if (Tokens < 1)
-    return false;
-  Tokens -= 1;
-  return true;
-}
-
 } // namespace
 
-void noteRequest(AdmissionState &State, const base::ServiceName &Service,
-                 const FleetRetryBound &Bound, base::TimePoint Now) {
-  if (Bound.Ratio <= 0)
-    return;
-  SharedRetryBudget &Budget = State.SharedBudgets[Service];
-  refill(Budget, Bound, Now);
-  Budget.Earned += Bound.Ratio;
-}
-
-void returnSharedToken(AdmissionState &State,
-                       const base::ServiceName &Service) {
-  auto It = State.SharedBudgets.find(Service);
-  if (It != State.SharedBudgets.end())
-    It->second.Earned += 1;
-}
-
 bool hasReachedServer(const core::AttemptOutcome &Outcome) {
   return Outcome.Verdict != base::Verdict::NotRun ||
          Outcome.Reason == base::Reason::BackendShed ||
@@ -174,8 +135,7 @@
       Query.Now + std::max(MinDelay, retryDelay(Query.Attempts + 1, Source));
   if (Plan.RetryAt + MinAttemptTime >= Query.Deadline)
     return Plan;
-  Plan.Retry = Query.Bound.Ratio > 0 ? takeSharedToken(State, Query)
-                                     : takeRetryToken(State, Query.Kind);
+  Plan.Retry = Query.OwnersKeepBudget || takeRetryToken(State, Query.Kind);
   if (!Plan.Retry)
     Plan.DeniedReason = base::Reason::RetryBudget;
   return Plan;
@@ -189,6 +149,9 @@
       Outcome.Verdict == base::Verdict::NotRun && isLoadRefusal(Outcome.Reason);
   Budget.RefusedShare +=
       ((Refused ? 1 : 0) - Budget.RefusedShare) * SampleWeight;
+  bool OverBudget = Outcome.Reason == base::Reason::RetryBudget;
+  Budget.BudgetRefusedShare +=
+      ((OverBudget ? 1 : 0) - Budget.BudgetRefusedShare) * SampleWeight;
   if (Outcome.Verdict == base::Verdict::Ran &&
       Outcome.Reason == base::Reason::None)
     noteSuccess(Budget, budgetShare(Config, Kind.Service), Now);
--- a/currantgauge/admission/retry.h
+++ b/currantgauge/admission/retry.h
@@ -15,20 +15,10 @@
 #include "currantgauge/config/model.h"
 #include "currantgauge/core/request.h"
 
-#include <cstddef>
 #include <cstdint>
 
 namespace currantgauge::admission {
 
-// FleetRetryBound limits the attempts that all nodes together send beyond the
-// first of each request: in any window, Ratio times its requests plus Slack.
-struct FleetRetryBound {
-  double Ratio = 0; // attempts per request; 0: not set
-  double Slack = 0; // attempts in a window
-  base::Duration Window = base::seconds(10);
-  std::size_t Nodes = 1; // sharing Slack
-};
-
 // RetryQuery holds the inputs of a retry decision.
 struct RetryQuery {
   const config::KindSettings &Kind;
@@ -38,8 +28,9 @@
   base::TimePoint ArrivedAt;  // of the request at this entry
   base::TimePoint Deadline;   // of the request
   base::TimePoint Now;
-  std::uint32_t Sends = 0;           // attempts that reached a backend server
-  FleetRetryBound Bound;             // not set: the service's budget applies
+  std::uint32_t Sends = 0; // attempts that reached a backend server
+  // Owners keep the budget (see fleet_retry.h) and refuse what exceeds it.
+  bool OwnersKeepBudget = false;
   bool HasFreeSlotElsewhere = false; // of an untried server, as far as known
 };
 
@@ -51,19 +42,11 @@
   base::Reason DeniedReason = base::Reason::None;
 };
 
-// planRetry() decides on a retry and takes a token of the budget for it.
+// planRetry() decides on a retry and takes a token of the budget for it, unless
+// owners keep the budget.
 RetryPlan planRetry(AdmissionState &State, const RetryQuery &Query,
                     base::Random &Source);
 
-// noteRequest() adds Bound.Ratio, what a request earns, to the node's shared
-// budget of a service. No effect if the bound is not set.
-void noteRequest(AdmissionState &State, const base::ServiceName &Service,
-                 const FleetRetryBound &Bound, base::TimePoint Now);
-
-// returnSharedToken() puts back into the shared budget the token taken for an
-// attempt that then reached no server.
-void returnSharedToken(AdmissionState &State, const base::ServiceName &Service);
-
 // noteOutcome() updates the budget of a kind's rank from an attempt's outcome.
 void noteOutcome(AdmissionState &State, const config::Configuration &Config,
                  const config::KindSettings &Kind,
--- a/currantgauge/admission/retry_test.cc
+++ b/currantgauge/admission/retry_test.cc
@@ -154,4 +154,49 @@
   CHECK(planRetry(State, Query, Source).Retry);
 }
 
+TEST_CASE("a refusal for the budget leads to another owner until most are") {
+  AdmissionState State;
+  config::Configuration Config;
+  base::Random Source(7);
+  config::KindSettings Kind = sampleKind();
+  core::AttemptOutcome Refused =
+      outcome(base::Verdict::NotRun, base::Reason::RetryBudget);
+  RetryQuery Query{.Kind = Kind,
+                   .Outcome = Refused,
+                   .Attempts = 2,
+                   .ArrivedAt = Start,
+                   .Deadline = Start + base::seconds(1),
+                   .Now = Start + base::milliseconds(300),
+                   .Sends = 1,
+                   .OwnersKeepBudget = true};
+  CHECK(planRetry(State, Query, Source).Retry);
+  for (int I = 0; I < 10; ++I)
+    noteOutcome(State, Config, Kind, Refused, Start);
+  CHECK_FALSE(planRetry(State, Query, Source).Retry);
+}
+
+TEST_CASE("where owners keep the budget an unsent attempt is tried again") {
+  AdmissionState State;
+  base::Random Source(7);
+  config::KindSettings Kind = sampleKind();
+  core::AttemptOutcome Refused =
+      outcome(base::Verdict::NotRun, base::Reason::BackendSuspect);
+  Refused.RetryAfter = base::seconds(1);
+  for (int I = 0; I < 100; ++I) {
+    RetryPlan Plan = planRetry(State,
+                               {.Kind = Kind,
+                                .Outcome = Refused,
+                                .Attempts = 1,
+                                .ArrivedAt = Start,
+                                .Deadline = Start + base::seconds(5),
+                                .Now = Start,
+                                .OwnersKeepBudget = true},
+                               Source);
+    CHECK(Plan.Retry);
+    // The owner's Retry-After is about its server: another owner is tried at
+    // once.
+    CHECK(Plan.RetryAt < Start + base::milliseconds(50));
+  }
+}
+
 } // namespace currantgauge::admission
--- a/currantgauge/admission/state.h
+++ b/currantgauge/admission/state.h
@@ -5,6 +5,7 @@
 #define CURRANTGAUGE_ADMISSION_STATE_H
 
 #include "currantgauge/admission/fair_schedule.h"
+#include "currantgauge/admission/fleet_retry.h"
 #include "currantgauge/admission/limits.h"
 #include "currantgauge/admission/link.h"
 #include "currantgauge/admission/queued_attempt.h"
@@ -68,14 +69,7 @@
   double Successes = 0; // decaying count
   base::TimePoint UpdatedAt;
   double RefusedShare = 0; // of recent attempts, by owners because of load
-};
-
-// SharedRetryBudget is this node's part of the fleet's retry bound for a
-// service, in attempts.
-struct SharedRetryBudget {
-  double Earned = 0;         // by requests, decaying
-  double Slack = 0;          // left of this node's part of the bound's Slack
-  base::TimePoint UpdatedAt; // zero: never
+  double BudgetRefusedShare = 0; // same, by owners without a retry budget
 };
 
 // PressureKey identifies a rank of a service at one owner.
@@ -96,10 +90,10 @@
 
 // AdmissionState is the admission state of a node.
 struct AdmissionState {
-  std::map<base::ServiceName, ServiceQueue> Queues; // at the owner
+  std::map<base::ServiceName, ServiceQueue> Queues;           // at the owner
+  std::map<base::ServiceName, FleetRetryBudget> FleetRetries; // at the owner
   // The members below are used at the entry.
   std::map<std::pair<base::ServiceName, base::RankName>, RetryBudget> Budgets;
-  std::map<base::ServiceName, SharedRetryBudget> SharedBudgets;
   std::map<PressureKey, KnownPressure> RankPressures;
   RateLimits Limits;
   LinkBudget Link;
--- a/currantgauge/config/node_settings.cc
+++ b/currantgauge/config/node_settings.cc
@@ -119,6 +119,7 @@
   if (Settings.RetryRatio < 0 || Settings.RetryRatio > 1)
     addFieldError(Retries, "ratio", " must be from 0 to 1");
   if (Settings.RetrySlack < 0)
+  readValue(Root, "first_start", Settings.FirstStart);
     addFieldError(Retries, "slack", " must not be below 0");
   if (Settings.RetryWindow == base::Duration{})
     addFieldError(Retries, "window", " must be above 0s");
--- a/currantgauge/config/node_settings.h
+++ b/currantgauge/config/node_settings.h
@@ -94,6 +94,7 @@
   std::string FeedTable;
   std::string FeedKey;
   bool AcceptsKeys = true; // honors callers' idempotency keys and action ids
+  bool FirstStart = false; // of the whole fleet; no node has run before
   // Folder of the configuration that an embedded node loads when it starts;
   // empty: none.
   std::string ConfigFolder;
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -128,12 +128,6 @@
          Outcome.Reason != base::Reason::None;
 }
 
-admission::FleetRetryBound makeRetryBound(const State &Node) {
-  admission::FleetRetryBound Bound = Node.Self.RetryBound;
-  Bound.Nodes = Node.Membership.LiveMembers + 1;
-  return Bound;
-}
-
 bool scheduleRetry(State &Node, EntryRequest &Request,
                    const AttemptOutcome &Outcome, EffectList &Effects) {
   if (Request.ServerCrashes >= MaxServerCrashes)
@@ -149,7 +143,7 @@
        .Deadline = Request.Deadline,
        .Now = Node.Now,
        .Sends = Request.Sends,
-       .Bound = makeRetryBound(Node),
+       .OwnersKeepBudget = Node.Self.RetryBound.Ratio > 0,
        .HasFreeSlotElsewhere =
            Refused && hasFreeSlotElsewhere(Node, Request, Effects)},
       Node.Random);
@@ -229,8 +223,6 @@
       Node.Admission, Config, *Kind, Arrival.Facts.Workspace, Node.Now);
   if (Reason != base::Reason::None)
     return refuseRequest(Node, Request, Reason, base::seconds(1), Effects);
-  admission::noteRequest(Node.Admission, Kind->Service, makeRetryBound(Node),
-                         Node.Now);
   setTimer(Node.Timers, Request.Deadline,
            RequestDeadline{Arrival.Facts.Request});
   Request.Fingerprint = actions::fingerprintOf(Request.Facts, *Kind);
@@ -293,8 +285,6 @@
   recordAttemptEnd(Node, *Request, Outcome, Effects);
   if (admission::hasReachedServer(Outcome))
     ++Request->Sends;
-  else if (Request->Sends > 0 && Node.Self.RetryBound.Ratio > 0)
-    admission::returnSharedToken(Node.Admission, Request->Kind.Service);
   if (Outcome.Verdict != base::Verdict::NotRun)
     Request->MayHaveRun = true;
   if (Outcome.ServerCrashed)
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -257,6 +257,7 @@
 } // namespace
 
 void onStarted(State &Node, const Started &, EffectList &Effects) {
+  Node.StartedAt = Node.Now;
   setTimer(Node.Timers, Node.Now + LeaseCheckInterval, LeaseCheck{});
   setTimer(Node.Timers, Node.Now, GossipRound{});
   setTimer(Node.Timers, Node.Now, ActionRound{});
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -5,8 +5,10 @@
 #include "currantgauge/admission/entry.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/queue.h"
+#include "currantgauge/admission/retry.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/owner_evidence.h"
+#include "currantgauge/core/owner_retries.h"
 #include "currantgauge/core/request_log.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
@@ -23,10 +25,6 @@
 // Share of StopLinger in which a stopping node accepts attempts of other nodes.
 // They must end within the rest of the stop limit.
 constexpr double PeerAcceptShare = 0.4;
-constexpr std::uint32_t HttpMisdirected = 421;
-constexpr std::uint32_t HttpTooManyRequests = 429;
-constexpr std::uint32_t HttpFirstServerError = 500;
-constexpr std::uint32_t HttpServiceUnavailable = 503;
 
 AttemptOutcome makeRefusal(base::Reason Reason, base::Duration RetryAfter) {
   AttemptOutcome Outcome;
@@ -42,37 +40,6 @@
     --Server->second.Running;
 }
 
-// The request did not run if no byte was sent or the server confirmed it
-// (ConfirmedNotRun). Otherwise a complete answer confirms that it ran; without
-// one, it may have run.
-AttemptOutcome makeOutcome(const ExchangeOutcome &Exchange) {
-  AttemptOutcome Outcome;
-  Outcome.Reason = Exchange.Reason;
-  Outcome.Status = Exchange.Status;
-  Outcome.RetryAfter = Exchange.RetryAfter;
-  Outcome.AnswerBytes = Exchange.AnswerBytes;
-  Outcome.Verdict = !Exchange.AnyByteSent     ? base::Verdict::NotRun
-                    : Exchange.AnswerComplete ? base::Verdict::Ran
-                                              : base::Verdict::MayHaveRun;
-  if (Exchange.ConfirmedNotRun) {
-    Outcome.Verdict = base::Verdict::NotRun;
-    Outcome.Reason = Exchange.Status == HttpMisdirected
-                         ? base::Reason::BackendMisdirected
-                         : base::Reason::BackendShed;
-    return Outcome;
-  }
-  if (!Exchange.AnswerComplete)
-    return Outcome;
-  bool Sheds = Exchange.Status == HttpTooManyRequests ||
-               (Exchange.Status == HttpServiceUnavailable &&
-                Exchange.RetryAfter > base::Duration{});
-  if (Sheds)
-    Outcome.Reason = base::Reason::BackendShed;
-  else if (Exchange.Status >= HttpFirstServerError)
-    Outcome.Reason = base::Reason::BackendError;
-  return Outcome;
-}
-
 routing::ChoiceQuery makeLocalQuery(const State &Node,
                                     const admission::QueuedAttempt &Attempt) {
   routing::ChoiceQuery Query;
@@ -84,6 +51,19 @@
 
 // queueAttempt() queues an attempt and ends those that it displaces. Returns a
 // refusal if the attempt can't be queued.
+// refuseToSend() returns a refusal if no owned server may be sent the attempt
+// now, whatever its slots.
+std::optional<AttemptOutcome>
+refuseToSend(State &Node, const admission::QueuedAttempt &Attempt) {
+  if (!mayRepeat(Node, Attempt.Facts))
+    return makeRefusal(base::Reason::RetryBudget, base::Duration{});
+  base::Duration Wait;
+  if (!routing::canOwnedServerAdmit(Node.Routing, makeLocalQuery(Node, Attempt),
+                                    Wait))
+    return makeRefusal(base::Reason::BackendSuspect, Wait);
+  return std::nullopt;
+}
+
 std::optional<AttemptOutcome> queueAttempt(State &Node,
                                            admission::QueuedAttempt &Attempt,
                                            EffectList &Effects) {
@@ -91,10 +71,8 @@
       routing::countOwnedSlots(Node.Routing, Attempt.Facts.Service, Node.Now);
   if (Slots.Servers == 0)
     return makeRefusal(base::Reason::NoBackend, base::seconds(1));
-  base::Duration Wait;
-  if (!routing::canOwnedServerAdmit(Node.Routing, makeLocalQuery(Node, Attempt),
-                                    Wait))
-    return makeRefusal(base::Reason::BackendSuspect, Wait);
+  if (auto Refused = refuseToSend(Node, Attempt))
+    return Refused;
   admission::EnqueueResult Queued = admission::enqueue(
       Node.Admission, *Node.Config.Current, Attempt, Slots.Open, Node.Now);
   for (base::AttemptId Victim : Queued.Victims)
@@ -221,15 +199,13 @@
                  Effects);
       continue;
     }
-    routing::ChoiceQuery Query = makeLocalQuery(Node, *Attempt);
-    base::Duration Wait;
-    if (!routing::canOwnedServerAdmit(Node.Routing, Query, Wait)) {
-      endAttempt(Node, Attempt->Facts.Attempt,
-                 makeRefusal(base::Reason::BackendSuspect, Wait), Effects);
+    if (auto Refused = refuseToSend(Node, *Attempt)) {
+      endAttempt(Node, Attempt->Facts.Attempt, *Refused, Effects);
       continue;
     }
     routing::BackendServer *Server = routing::chooseOwnedServer(
         Node.Routing, Query, Attempt->Facts.PreferredServer);
+    routing::ChoiceQuery Query = makeLocalQuery(Node, *Attempt);
     if (!Server)
       return;
     routing::tryAdmit(Node.Routing.Breakers[Server->Record.Name],
@@ -251,6 +227,7 @@
   Attempt.StartedAt = Node.Now;
   SendToBackend Send;
   Send.Attempt = Attempt.Facts.Attempt;
+  noteAttemptSent(Node, Attempt.Facts);
   Send.Server = Attempt.Server;
   Send.Address = Server.Record.Address;
   Send.TimeLeft = Attempt.Deadline - Node.Now;
@@ -289,6 +266,8 @@
   if (!Attempt->Server.empty()) {
     releaseSlot(Node, *Attempt);
     admission::finishRun(Node.Admission, *Attempt, Outcome, Node.Now);
+    if (!admission::hasReachedServer(Outcome))
+      undoAttemptSent(Node, *Attempt);
     // A server that confirms that it didn't run the request and sends no
     // Retry-After is assumed to have free slots and is not paused.
     bool ShouldPause = Outcome.Verdict != base::Verdict::NotRun ||
@@ -354,7 +333,7 @@
   if (It == Node.Owner.Attempts.end())
     return;
   base::ServiceName Service = It->second->Facts.Service;
-  AttemptOutcome Outcome = makeOutcome(Ended.Outcome);
+  AttemptOutcome Outcome = makeAttemptOutcome(Ended.Outcome);
   It->second->AnswerBytes = Ended.Outcome.AnswerBytes;
   actions::detectServerCrash(Node, *It->second, Ended.Outcome, Outcome,
                              Effects);
--- a/currantgauge/core/owner_evidence.cc
+++ b/currantgauge/core/owner_evidence.cc
@@ -9,6 +9,11 @@
 namespace currantgauge::core {
 namespace {
 
+constexpr std::uint32_t HttpMisdirected = 421;
+constexpr std::uint32_t HttpTooManyRequests = 429;
+constexpr std::uint32_t HttpFirstServerError = 500;
+constexpr std::uint32_t HttpServiceUnavailable = 503;
+
 // No process listens at the server's address, or a different server does: the
 // server is absent until it announces itself again.
 void markAbsentServer(State &Node, const base::BackendName &Name,
@@ -70,6 +75,37 @@
 
 } // namespace
 
+// The request did not run if no byte was sent or the server confirmed it
+// (ConfirmedNotRun). Otherwise a complete answer confirms that it ran; without
+// one, it may have run.
+AttemptOutcome makeAttemptOutcome(const ExchangeOutcome &Exchange) {
+  AttemptOutcome Outcome;
+  Outcome.Reason = Exchange.Reason;
+  Outcome.Status = Exchange.Status;
+  Outcome.RetryAfter = Exchange.RetryAfter;
+  Outcome.AnswerBytes = Exchange.AnswerBytes;
+  Outcome.Verdict = !Exchange.AnyByteSent     ? base::Verdict::NotRun
+                    : Exchange.AnswerComplete ? base::Verdict::Ran
+                                              : base::Verdict::MayHaveRun;
+  if (Exchange.ConfirmedNotRun) {
+    Outcome.Verdict = base::Verdict::NotRun;
+    Outcome.Reason = Exchange.Status == HttpMisdirected
+                         ? base::Reason::BackendMisdirected
+                         : base::Reason::BackendShed;
+    return Outcome;
+  }
+  if (!Exchange.AnswerComplete)
+    return Outcome;
+  bool Sheds = Exchange.Status == HttpTooManyRequests ||
+               (Exchange.Status == HttpServiceUnavailable &&
+                Exchange.RetryAfter > base::Duration{});
+  if (Sheds)
+    Outcome.Reason = base::Reason::BackendShed;
+  else if (Exchange.Status >= HttpFirstServerError)
+    Outcome.Reason = base::Reason::BackendError;
+  return Outcome;
+}
+
 void noteExchangeEvidence(State &Node, const base::BackendName &Name,
                           const AttemptOutcome &Outcome, EffectList &Effects) {
   markAbsentServer(Node, Name, Outcome.Reason, Effects);
--- a/currantgauge/core/owner_evidence.h
+++ b/currantgauge/core/owner_evidence.h
@@ -1,6 +1,8 @@
-// Evidence about a backend server from the end of an exchange, at its owner:
-// updates the circuit breaker and detects that the server is absent.
+// What the end of an exchange says, at its owner: about the attempt, and about
+// the backend server, whose circuit breaker it updates and whose absence it
+// detects.
 //
+//   AttemptOutcome Outcome = makeAttemptOutcome(Ended.Outcome);
 //   noteExchangeEvidence(Node, Attempt.Server, Outcome, Effects);
 #ifndef CURRANTGAUGE_CORE_OWNER_EVIDENCE_H
 #define CURRANTGAUGE_CORE_OWNER_EVIDENCE_H
@@ -12,6 +14,10 @@
 
 namespace currantgauge::core {
 
+// makeAttemptOutcome() returns the outcome of the attempt that the exchange was
+// for.
+AttemptOutcome makeAttemptOutcome(const ExchangeOutcome &Exchange);
+
 // noteExchangeEvidence() evaluates the outcome of an exchange with server Name.
 void noteExchangeEvidence(State &Node, const base::BackendName &Name,
                           const AttemptOutcome &Outcome, EffectList &Effects);
--- a/currantgauge/core/owner_test.cc
+++ b/currantgauge/core/owner_test.cc
@@ -158,4 +158,42 @@
   CHECK(all<EndAttempt>(Effects)[0].Outcome.Reason == base::Reason::NoBackend);
 }
 
+TEST_CASE("a repeat beyond the owner's part of the fleet's bound isn't sent") {
+  State Node = makeNodeWithOneSlot();
+  Node.Self.RetryBound.Ratio = 0.2;
+  Node.Self.RetryBound.Slack = 1;
+  Node.Self.FirstStart = true;
+  EffectList Effects;
+  for (std::uint64_t Sequence : {1, 2}) {
+    AttemptArrived Repeat = makeAttempt(Sequence);
+    Repeat.Facts.Number = 2;
+    applyEvent(Node, 10, Repeat, Effects);
+    CHECK(all<SendToBackend>(Effects).size() == (Sequence == 1 ? 1 : 0));
+    if (Sequence == 1)
+      applyEvent(Node, 20, makeExchangeEnd(1, 200), Effects);
+  }
+  REQUIRE(all<EndAttempt>(Effects).size() == 1);
+  CHECK(all<EndAttempt>(Effects)[0].Outcome.Verdict == base::Verdict::NotRun);
+  CHECK(all<EndAttempt>(Effects)[0].Outcome.Reason ==
+        base::Reason::RetryBudget);
+}
+
+TEST_CASE("a restarted owner sends no repeats from the slack for a window") {
+  State Node = makeNodeWithOneSlot();
+  Node.Self.RetryBound.Ratio = 0.2;
+  Node.Self.RetryBound.Slack = 10;
+  EffectList Effects;
+  applyEvent(Node, 5, Started{}, Effects);
+  applyEvent(Node, 6, makeAnnouncement(routing::BackendPhase::Ready), Effects);
+  AttemptArrived Repeat = makeAttempt(1);
+  Repeat.Facts.Number = 2;
+  applyEvent(Node, 9000, Repeat, Effects);
+  CHECK(all<SendToBackend>(Effects).empty());
+  applyEvent(Node, 10100, makeAnnouncement(routing::BackendPhase::Ready),
+             Effects);
+  Repeat.Facts.Attempt.Sequence = 2;
+  applyEvent(Node, 10100, Repeat, Effects);
+  CHECK(all<SendToBackend>(Effects).size() == 1);
+}
+
 } // namespace currantgauge::core
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -5,8 +5,8 @@
 #define CURRANTGAUGE_CORE_STATE_H
 
 #include "currantgauge/actions/state.h"
+#include "currantgauge/admission/fleet_retry.h"
 #include "currantgauge/admission/queued_attempt.h"
-#include "currantgauge/admission/retry.h"
 #include "currantgauge/admission/state.h"
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/random.h"
@@ -57,6 +57,7 @@
   // Requests are still accepted for this long after StopRequested.
   base::Duration StopLinger;
   bool AcceptsKeys = true; // honors callers' idempotency keys and action ids
+  bool FirstStart = false; // of the whole fleet; no node has run before
 };
 
 // EntryRequest is the state of a caller's request in flight at its entry.
@@ -114,6 +115,7 @@
   base::Random Random;
   base::TimePoint Now;
   base::UnixTime WallTime;
+  base::TimePoint StartedAt;
   bool Stopping = false;
   base::TimePoint StopRequestedAt; // meaningful if Stopping
   bool Ready = false;
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -32,9 +32,10 @@
 constexpr std::chrono::milliseconds FlushDelay{300};
 // How often the settings file is checked for changes made without a SIGHUP.
 constexpr std::chrono::seconds RereadInterval{5};
-// Share of the fleet's retry bound that is used, as nodes may disagree on the
-// number of members.
-constexpr double RetryMargin = 0.8;
+// Share of the fleet's retry bound that is used: nodes may disagree on the
+// number of servers, and calls that a repeated run makes count as repeats
+// themselves.
+constexpr double RetryMargin = 0.9;
 // How long an exiting process waits for a slow reader of its log.
 constexpr base::Duration LogFlushTimeout = base::milliseconds(200);
 
@@ -71,12 +72,13 @@
   Identity.StopLinger = Settings.StopLinger;
   Identity.RetryBound = {RetryMargin * Settings.RetryRatio,
                          RetryMargin * Settings.RetrySlack,
-                         Settings.RetryWindow, 1};
+                         Settings.RetryWindow};
   Identity.AcceptsKeys = Settings.AcceptsKeys;
   return Identity;
 }
 
 // Used for UniqueId::Origin, which is random so that the ids of two nodes
+  Identity.FirstStart = Settings.FirstStart;
 // differ even if both started in the same millisecond, and for the seed of the
 // reducer's random numbers.
 std::uint64_t drawRandomNumber() {
