After a failure, non-idempotent work goes to another server with a free slot

Cause: an owner's breaker opens after three failures in a row. At 1 to 5 requests a second a server, most of a failing spell is over by then, and each non-idempotent request sent meanwhile is lost.

Change: from a failure to the next success, for 2 s at most, the owner returns non-idempotent attempts unsent (backend_suspect) if their entry knows a server with a free slot; that entry sends it no such work for 0.5 s. Idempotent work goes on and proves the server. Nothing is refused where nobody has room, and an entry's fourth attempt is final.

The new test of the owner failed before: the attempt was sent.

--- a/currantgauge/core/entry_attempts.cc
+++ b/currantgauge/core/entry_attempts.cc
@@ -18,6 +18,8 @@
 // Per request. Each return costs a network round trip, but also reports the
 // load of one more owner.
 constexpr std::uint32_t MaxLongWaitReturns = 2;
+// Later attempts are final: the request would run out of attempts otherwise.
+constexpr std::uint32_t MaxReturnableAttempts = 3;
 // Round-trip time subtracted from the request's remaining time to get that of
 // an attempt, so that the owner's answer arrives before the entry gives up.
 constexpr base::Duration HopAllowance = base::milliseconds(5);
@@ -207,8 +209,9 @@
                  base::scale(Request.Deadline - Node.Now, TrialTimeShare),
              TrialTimeout{Request.Facts.Request, Request.CurrentAttempt});
   AttemptFacts Facts = makeAttemptFacts(Node, Request, Server->Record.Name);
-  Facts.ReturnOnLongWait =
-      Chosen.OtherHasFreeSlot && Request.LongWaitReturns < MaxLongWaitReturns;
+  Facts.ReturnOnLongWait = Chosen.OtherHasFreeSlot &&
+                           Request.LongWaitReturns < MaxLongWaitReturns &&
+                           Request.Attempts <= MaxReturnableAttempts;
   Effects.push_back(
       StartAttempt{std::move(Facts), Server->Record.Owner, Address});
 }
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -45,12 +45,12 @@
   routing::ChoiceQuery Query;
   Query.Service = Attempt.Facts.Service;
   Query.Idempotent = Attempt.Facts.Idempotent;
+  Query.AvoidsDoubt =
+      !Attempt.Facts.Idempotent && Attempt.Facts.ReturnOnLongWait;
   Query.Now = Node.Now;
   return Query;
 }
 
-// queueAttempt() queues an attempt and ends those that it displaces. Returns a
-// refusal if the attempt can't be queued.
 // refuseToSend() returns a refusal if no owned server may be sent the attempt
 // now, whatever its slots.
 std::optional<AttemptOutcome>
@@ -64,6 +64,8 @@
   return std::nullopt;
 }
 
+// queueAttempt() queues an attempt and ends those that it displaces. Returns a
+// refusal if the attempt can't be queued.
 std::optional<AttemptOutcome> queueAttempt(State &Node,
                                            admission::QueuedAttempt &Attempt,
                                            EffectList &Effects) {
@@ -203,9 +205,9 @@
       endAttempt(Node, Attempt->Facts.Attempt, *Refused, Effects);
       continue;
     }
+    routing::ChoiceQuery Query = makeLocalQuery(Node, *Attempt);
     routing::BackendServer *Server = routing::chooseOwnedServer(
         Node.Routing, Query, Attempt->Facts.PreferredServer);
-    routing::ChoiceQuery Query = makeLocalQuery(Node, *Attempt);
     if (!Server)
       return;
     routing::tryAdmit(Node.Routing.Breakers[Server->Record.Name],
@@ -225,9 +227,9 @@
   const routing::BackendServer &Server =
       Node.Routing.Servers.at(Attempt.Server);
   Attempt.StartedAt = Node.Now;
+  noteAttemptSent(Node, Attempt.Facts);
   SendToBackend Send;
   Send.Attempt = Attempt.Facts.Attempt;
-  noteAttemptSent(Node, Attempt.Facts);
   Send.Server = Attempt.Server;
   Send.Address = Server.Record.Address;
   Send.TimeLeft = Attempt.Deadline - Node.Now;
@@ -264,10 +266,10 @@
     Outcome.Load.Owner = Node.Self.Name;
   }
   if (!Attempt->Server.empty()) {
-    releaseSlot(Node, *Attempt);
-    admission::finishRun(Node.Admission, *Attempt, Outcome, Node.Now);
     if (!admission::hasReachedServer(Outcome))
       undoAttemptSent(Node, *Attempt);
+    releaseSlot(Node, *Attempt);
+    admission::finishRun(Node.Admission, *Attempt, Outcome, Node.Now);
     // A server that confirms that it didn't run the request and sends no
     // Retry-After is assumed to have free slots and is not paused.
     bool ShouldPause = Outcome.Verdict != base::Verdict::NotRun ||
--- a/currantgauge/core/owner_test.cc
+++ b/currantgauge/core/owner_test.cc
@@ -158,6 +158,31 @@
   CHECK(all<EndAttempt>(Effects)[0].Outcome.Reason == base::Reason::NoBackend);
 }
 
+TEST_CASE("after a failure non-idempotent work goes to another free server") {
+  for (bool OtherIsFree : {true, false})
+    for (bool Idempotent : {true, false}) {
+      CAPTURE(OtherIsFree);
+      CAPTURE(Idempotent);
+      State Node = makeNodeWithOneSlot();
+      EffectList Effects;
+      applyEvent(Node, 10, makeAttempt(1), Effects);
+      applyEvent(Node, 20, makeExchangeEnd(1, 500), Effects);
+      AttemptArrived Next = makeAttempt(2);
+      Next.Facts.Idempotent = Idempotent;
+      Next.Facts.ReturnOnLongWait = OtherIsFree;
+      applyEvent(Node, 30, Next, Effects);
+      bool Refused = OtherIsFree && !Idempotent;
+      REQUIRE(all<EndAttempt>(Effects).size() == (Refused ? 1 : 0));
+      CHECK(all<SendToBackend>(Effects).size() == (Refused ? 0 : 1));
+      if (Refused) {
+        CHECK(all<EndAttempt>(Effects)[0].Outcome.Verdict ==
+              base::Verdict::NotRun);
+        CHECK(all<EndAttempt>(Effects)[0].Outcome.Reason ==
+              base::Reason::BackendSuspect);
+      }
+    }
+}
+
 TEST_CASE("a repeat beyond the owner's part of the fleet's bound isn't sent") {
   State Node = makeNodeWithOneSlot();
   Node.Self.RetryBound.Ratio = 0.2;
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -55,7 +55,8 @@
   bool Permitted = false; // holds the single permission to run its action id
   // The entry knows another server with free slots: the owner should refuse
   // with LongWait if queueing would make the request miss its latency target
-  // (aim).
+  // (aim), and with BackendSuspect if the request is not idempotent and its
+  // server's last exchange failed.
   bool ReturnOnLongWait = false;
 };
 
--- a/currantgauge/routing/breaker.cc
+++ b/currantgauge/routing/breaker.cc
@@ -13,6 +13,8 @@
 constexpr std::uint32_t SuccessesToClose = 3;
 constexpr base::Duration InitialOpenDuration = base::milliseconds(300);
 constexpr base::Duration MaxOpenDuration = base::milliseconds(1200);
+// About as long as a spell in which a server fails most of its requests.
+constexpr base::Duration DoubtDuration = base::seconds(2);
 // A hanging trial must not block further trials.
 constexpr base::Duration TrialTimeout = base::seconds(3);
 
@@ -51,6 +53,7 @@
   switch (State.Phase) {
   case BreakerPhase::Closed:
     State.ConsecutiveFailures = Failed ? State.ConsecutiveFailures + 1 : 0;
+    State.LastFailureAt = Failed ? Now : State.LastFailureAt;
     if (State.ConsecutiveFailures < FailuresToOpen)
       return false;
     open(State, InitialOpenDuration, Now);
@@ -71,6 +74,11 @@
   return false;
 }
 
+bool isDoubtful(const Breaker &State, base::TimePoint Now) {
+  return State.Phase == BreakerPhase::Closed && State.ConsecutiveFailures > 0 &&
+         Now - State.LastFailureAt < DoubtDuration;
+}
+
 void noteInconclusiveEnd(Breaker &State) { State.TrialRunning = false; }
 
 base::Duration computeRetryDelay(const Breaker &State, base::TimePoint Now) {
--- a/currantgauge/routing/breaker.h
+++ b/currantgauge/routing/breaker.h
@@ -26,7 +26,8 @@
 struct Breaker {
   BreakerPhase Phase = BreakerPhase::Closed;
   std::uint32_t ConsecutiveFailures = 0; // of ended exchanges, while Closed
-  std::uint32_t TrialsPassed = 0;        // consecutive, while HalfOpen
+  base::TimePoint LastFailureAt;
+  std::uint32_t TrialsPassed = 0; // consecutive, while HalfOpen
   bool TrialRunning = false;
   base::TimePoint TrialStartedAt;
   base::TimePoint OpenUntil;
@@ -47,6 +48,11 @@
 // true when the breaker changed from closed to open or back to closed.
 bool noteEnd(Breaker &State, bool Failed, base::TimePoint Now);
 
+// isDoubtful() returns whether the last exchange failed, a short time ago. The
+// breaker is still closed, but the next request is more likely to fail than not
+// where servers fail in spells.
+bool isDoubtful(const Breaker &State, base::TimePoint Now);
+
 // noteInconclusiveEnd() records the end of an exchange that is no evidence on
 // the server's health; a half-open breaker may then admit another trial.
 void noteInconclusiveEnd(Breaker &State);
--- a/currantgauge/routing/breaker_test.cc
+++ b/currantgauge/routing/breaker_test.cc
@@ -30,6 +30,17 @@
   CHECK(computeRetryDelay(State, Start) > base::Duration{});
 }
 
+TEST_CASE("a server is doubtful from a failure to a success or for 2 s") {
+  Breaker State;
+  CHECK_FALSE(isDoubtful(State, Start));
+  fail(State, 1, Start);
+  CHECK(isDoubtful(State, Start));
+  CHECK(tryAdmit(State, false, Start));
+  CHECK_FALSE(isDoubtful(State, Start + base::seconds(2)));
+  noteEnd(State, false, Start);
+  CHECK_FALSE(isDoubtful(State, Start));
+}
+
 TEST_CASE("successful idempotent trials, one at a time, close the breaker") {
   Breaker State;
   fail(State, 3, Start);
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -271,6 +271,19 @@
   return chooseLastResort(Context, Source);
 }
 
+namespace {
+
+bool mayAdmit(const RoutingState &State, const ChoiceQuery &Query,
+              const base::BackendName &Name) {
+  auto Breaker = State.Breakers.find(Name);
+  if (Breaker == State.Breakers.end())
+    return true;
+  return wouldAdmit(Breaker->second, Query.Idempotent, Query.Now) &&
+         !(Query.AvoidsDoubt && isDoubtful(Breaker->second, Query.Now));
+}
+
+} // namespace
+
 bool canOwnedServerAdmit(const RoutingState &State, const ChoiceQuery &Query,
                          base::Duration &ShortestDelay) {
   bool AnyReady = false;
@@ -278,11 +291,10 @@
     const BackendServer &Server = State.Servers.at(Name);
     if (Server.Record.Service != Query.Service || !acceptsWork(Server))
       continue;
-    auto Breaker = State.Breakers.find(Name);
-    if (Breaker == State.Breakers.end() ||
-        wouldAdmit(Breaker->second, Query.Idempotent, Query.Now))
+    if (mayAdmit(State, Query, Name))
       return true;
-    base::Duration Delay = computeRetryDelay(Breaker->second, Query.Now);
+    base::Duration Delay =
+        computeRetryDelay(State.Breakers.at(Name), Query.Now);
     ShortestDelay = AnyReady ? std::min(ShortestDelay, Delay) : Delay;
     AnyReady = true;
   }
@@ -298,7 +310,7 @@
     if (Server.Record.Service != Query.Service || !acceptsWork(Server) ||
         Server.Record.Owner != State.Self ||
         Server.Running >= countOpenSlots(Server, Query.Now) ||
-        !wouldAdmit(State.Breakers[Name], Query.Idempotent, Query.Now))
+        !mayAdmit(State, Query, Name))
       continue;
     if (Name == Preferred)
       return &Server;
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -29,6 +29,7 @@
   std::uint32_t RankOrder = 0; // of its rank (priority); 0: most important
   double Worth = 1;            // divides the cost of crossing regions
   bool Idempotent = false;     // may serve as a trial request
+  bool AvoidsDoubt = false;    // owner: no server whose last exchange failed
   std::vector<base::BackendName> Tried; // or excluded: last resort only
   config::PlacementSettings Placement;  // costs of other nodes and regions
   base::TimePoint Now;
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -24,6 +24,9 @@
 // server whose breaker refused work. An entry without idempotent requests sends
 // others afterwards.
 constexpr base::Duration RecoveringDuration = base::seconds(2);
+// The same for a server whose breaker is closed, but whose last exchange failed
+// (see breaker.h). Other servers may run out of free slots sooner than that.
+constexpr base::Duration DoubtReportDuration = base::milliseconds(500);
 // Exchanges count as evidence after this time, even if the server announced a
 // longer cold start.
 constexpr base::Duration MaxColdStart = base::minutes(2);
@@ -309,7 +312,10 @@
   }
   if (Outcome.Reason == base::Reason::BackendSuspect) {
     It->second.AvoidUntil = Now + Outcome.RetryAfter;
-    It->second.RecoveringUntil = It->second.AvoidUntil + RecoveringDuration;
+    It->second.RecoveringUntil =
+        It->second.AvoidUntil + (Outcome.RetryAfter > base::Duration{}
+                                     ? RecoveringDuration
+                                     : DoubtReportDuration);
   } else if (Outcome.Reason == base::Reason::None &&
              Outcome.Verdict == base::Verdict::Ran) {
     It->second.RecoveringUntil = base::TimePoint();
