The limit of a stop follows the machines' grace time

Cause: the deploy template had a limit of 5.6 s, for a grace time of 6 s. This site has 10 s. Its nodes broke off what was unanswered 5.3 s after SIGTERM, while servers were at work and 4.7 s were left; and 5.6 s with 300 ms for the last answers and 200 ms for log lines left no time at 6 s.

Both keys together, a grace time without room and a linger beyond the limit are errors with their values.

--- a/currantgauge/config/node_settings.cc
+++ b/currantgauge/config/node_settings.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::uint32_t MaxTrafficThreads = 64;
+// From the limit of a graceful shutdown to the SIGKILL: the last answers (300
+// ms) and log lines (200 ms) are written, and timers may be late.
+constexpr base::Duration ExitAllowance = base::milliseconds(600);
 constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info", "warn",
                                                        "error"};
 
@@ -116,10 +119,10 @@
   readValue(Retries, "ratio", Settings.RetryRatio);
   readValue(Retries, "slack", Settings.RetrySlack);
   readValue(Retries, "window", Settings.RetryWindow);
+  readValue(Root, "first_start", Settings.FirstStart);
   if (Settings.RetryRatio < 0 || Settings.RetryRatio > 1)
     addFieldError(Retries, "ratio", " must be from 0 to 1");
   if (Settings.RetrySlack < 0)
-  readValue(Root, "first_start", Settings.FirstStart);
     addFieldError(Retries, "slack", " must not be below 0");
   if (Settings.RetryWindow == base::Duration{})
     addFieldError(Retries, "window", " must be above 0s");
@@ -180,7 +183,26 @@
   if (Settings.CallerReadTimeout == base::Duration{})
     addFieldError(Limits, "caller_read", " must be above 0s");
   if (Settings.StopLinger > Settings.StopLimit)
-    addFieldError(Limits, "stop_linger", " must not be above limits.stop");
+    addFieldError(Limits, "stop_linger",
+                  " must not be above the limit of a stop, " +
+                      std::to_string(base::toMillis(Settings.StopLimit)) +
+                      "ms");
+}
+
+// Reads the time from SIGTERM to SIGKILL, from which the limit of a graceful
+// shutdown follows.
+void readGrace(FieldMap &Limits, NodeSettings &Settings) {
+  if (!Limits.Fields.contains("grace"))
+    return;
+  if (Limits.Fields.contains("stop"))
+    addFieldError(Limits, "grace", " must not be set together with stop");
+  base::Duration Grace;
+  readValue(Limits, "grace", Grace);
+  Settings.StopLimit = Grace - ExitAllowance;
+  if (Grace <= ExitAllowance)
+    addFieldError(Limits, "grace",
+                  " must be above " +
+                      std::to_string(base::toMillis(ExitAllowance)) + "ms");
 }
 
 void readLimits(FieldMap &Root, NodeSettings &Settings) {
@@ -190,6 +212,7 @@
   readValue(Limits, "answer_buffer", Settings.AnswerBuffer);
   readValue(Limits, "caller_idle", Settings.CallerIdleTimeout);
   readValue(Limits, "caller_read", Settings.CallerReadTimeout);
+  readGrace(Limits, Settings);
   readValue(Limits, "stop", Settings.StopLimit);
   readValue(Limits, "stop_linger", Settings.StopLinger);
   checkLimits(Limits, Settings);
--- a/currantgauge/config/node_settings_test.cc
+++ b/currantgauge/config/node_settings_test.cc
@@ -73,6 +73,31 @@
   CHECK(Errors.size() == 7);
 }
 
+TEST_CASE("a shutdown ends before the process is killed, however long it has") {
+  for (std::int64_t Grace : {6, 10}) {
+    SettingsErrors Errors;
+    NodeSettings Settings = parseNodeSettings(
+        Identity + "limits: {grace: " + std::to_string(Grace) +
+            "s, stop_linger: 2s}\n",
+        "node.yaml", Errors);
+    CHECK(Errors.empty());
+    CHECK(Settings.StopLimit == base::seconds(Grace) - base::milliseconds(600));
+  }
+}
+
+TEST_CASE("a grace time that leaves no time to stop is refused") {
+  SettingsErrors Errors;
+  parseNodeSettings(Identity + "limits: {grace: 600ms}\n", "node.yaml", Errors);
+  CHECK(mentions(Errors, "limits.grace must be above 600ms"));
+  parseNodeSettings(Identity + "limits: {grace: 5s, stop: 4s}\n", "node.yaml",
+                    Errors);
+  CHECK(mentions(Errors, "limits.grace must not be set together with stop"));
+  parseNodeSettings(Identity + "limits: {grace: 2s, stop_linger: 2s}\n",
+                    "node.yaml", Errors);
+  CHECK(mentions(Errors, "limits.stop_linger must not be above the limit of a "
+                         "stop, 1400ms"));
+}
+
 TEST_CASE("a node advertises its listening address or a configured one") {
   SettingsErrors Errors;
   NodeSettings Implicit = parseNodeSettings(
