A stopping node waits for callers that are slow to take their answer

Test: a request is unanswered until its caller has taken the answer. The integration test with a whole process passes also without the change: on loopback the kernel takes what is left. So the cut itself was not reproduced.

--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -115,6 +115,7 @@
   S.Closing = true;
   for (const PendingRequestPtr &Pending : S.Requests)
     abandonRequest(S.Context, *Pending, End);
+  S.Context.Unanswered -= static_cast<std::int64_t>(S.Requests.size());
   S.Requests.clear();
   S.IdleTimer.cancel();
   ErrorCode Ignored;
@@ -163,6 +164,7 @@
       co_return endSession(S, endOfWrite(Error));
     Pending->Done = true;
     S.Requests.pop_front();
+    --S.Context.Unanswered;
     if (!KeepAlive)
       co_return finishSession(Self);
     notify(S.RequestAnswered);
@@ -190,6 +192,7 @@
 void addRequest(Session &S, PendingRequestPtr Pending) {
   S.IdleTimer.cancel();
   S.Requests.push_back(std::move(Pending));
+  ++S.Context.Unanswered;
   notify(S.AnswerReady);
 }
 
@@ -370,26 +373,8 @@
   S.Stream.close();
 }
 
-std::uint64_t valueOrDefault(base::ByteCount Value, base::ByteCount Default) {
-  return (Value > base::ByteCount{} ? Value : Default).Bytes;
-}
-
-std::int64_t valueOrDefault(base::Duration Value, base::Duration Default) {
-  return (Value > base::Duration{} ? Value : Default).Micros;
-}
-
 } // namespace
 
-void setCallerLimits(CallerContext &Context,
-                     const config::CallerLimits &Limits) {
-  const config::CallerLimits &Defaults = Context.DefaultLimits;
-  Context.HeaderBytes =
-      valueOrDefault(Limits.HeaderLimit, Defaults.HeaderLimit);
-  Context.BodyBytes = valueOrDefault(Limits.BodyLimit, Defaults.BodyLimit);
-  Context.IdleMicros = valueOrDefault(Limits.IdleTimeout, Defaults.IdleTimeout);
-  Context.ReadMicros = valueOrDefault(Limits.ReadTimeout, Defaults.ReadTimeout);
-}
-
 void startCallerSession(tcp::socket Socket, CallerContext &Context) {
   auto Executor = Socket.get_executor();
   SessionPtr Self(new Session(std::move(Socket), Context));
--- a/currantgauge/http/caller_session.h
+++ b/currantgauge/http/caller_session.h
@@ -31,6 +31,8 @@
   std::uint64_t Origin = 0; // of request ids: the node's incarnation
   std::atomic<std::uint64_t> LastSequence{0};
   std::atomic<bool> Stopping{false}; // answer pending requests, then close
+  // Requests that were read and whose answers aren't fully written.
+  std::atomic<std::int64_t> Unanswered{0};
   HttpDialect Dialect;
   base::ServiceName Service;    // of this VM, sent to backend servers
   base::ByteCount AnswerBuffer; // limit for each answer
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -191,6 +191,29 @@
         std::vector(2, core::ConnectionEnd::CallerClosed));
 }
 
+TEST_CASE("a request is unanswered until its caller has taken the answer") {
+  SessionFixture Fixture(16384);
+  CHECK(Fixture.Context.Unanswered == 0);
+  Fixture.send(getRequest("/1"));
+  CHECK(Fixture.Context.Unanswered == 1);
+  std::string Body(60000, 'a');
+  answerRequest(Fixture, 0, Body);
+  CHECK(Fixture.Context.Unanswered == 1);
+  std::string Text;
+  for (int Read = 0; Read < 100 && Text.size() < Body.size(); ++Read) {
+    Text += Fixture.readAvailable();
+    Fixture.runUntilIdle();
+  }
+  Text += Fixture.readAvailable();
+  CHECK(Fixture.Context.Unanswered == 0);
+  CHECK(Text.ends_with(Body));
+  Fixture.send(getRequest("/2"));
+  CHECK(Fixture.Context.Unanswered == 1);
+  Fixture.Caller.close();
+  Fixture.runUntilIdle();
+  CHECK(Fixture.Context.Unanswered == 0);
+}
+
 TEST_CASE("an abandoned request tells a reset from a close by the caller") {
   SessionFixture Fixture;
   Fixture.send(getRequest("/1"));
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -11,8 +11,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -28,8 +30,10 @@
 
 namespace asio = boost::asio;
 
-// Time to send the last answers before the process exits.
+// Time to send the last answers before the process exits, and how often it is
+// then checked whether slow callers have theirs.
 constexpr std::chrono::milliseconds FlushDelay{300};
+constexpr std::chrono::milliseconds FlushCheckInterval{20};
 // How often the settings file is checked for changes made without a SIGHUP.
 constexpr std::chrono::seconds RereadInterval{5};
 // Share of the fleet's retry bound that is used: nodes may disagree on the
@@ -74,11 +78,11 @@
                          RetryMargin * Settings.RetrySlack,
                          Settings.RetryWindow};
   Identity.AcceptsKeys = Settings.AcceptsKeys;
+  Identity.FirstStart = Settings.FirstStart;
   return Identity;
 }
 
 // Used for UniqueId::Origin, which is random so that the ids of two nodes
-  Identity.FirstStart = Settings.FirstStart;
 // differ even if both started in the same millisecond, and for the seed of the
 // reducer's random numbers.
 std::uint64_t drawRandomNumber() {
@@ -157,16 +161,26 @@
 // StopLatch makes only the first of several requests to stop take effect.
 struct StopLatch {
   asio::io_context &Main;
+  const std::atomic<std::int64_t> &Unanswered;
   int ExitCode = 0;
   bool Stopped = false;
+  bool LimitPassed = false; // slow callers are not waited for any longer
 };
 
+void stopOnceAnswered(StopLatch &Latch, std::chrono::milliseconds Delay) {
+  auto Timer = std::make_shared<asio::steady_timer>(Latch.Main, Delay);
+  Timer->async_wait([&Latch, Timer](auto) {
+    if (Latch.LimitPassed || Latch.Unanswered <= 0)
+      return Latch.Main.stop();
+    stopOnceAnswered(Latch, FlushCheckInterval);
+  });
+}
+
 void stopMain(StopLatch &Latch, int ExitCode) {
   if (std::exchange(Latch.Stopped, true))
     return;
   Latch.ExitCode = ExitCode;
-  auto Timer = std::make_shared<asio::steady_timer>(Latch.Main, FlushDelay);
-  Timer->async_wait([&Latch, Timer](auto) { Latch.Main.stop(); });
+  stopOnceAnswered(Latch, FlushDelay);
 }
 
 void waitForSignal(Node &Self, StopLatch &Latch, asio::signal_set &Signals,
@@ -186,8 +200,12 @@
     StopTimer.async_wait([&](boost::system::error_code TimerError) {
       if (TimerError)
         return;
-      telemetry::writeLog(Self.Logs,
-                          {core::LogLevel::Error, "stop_limit_passed", {}});
+      telemetry::writeLog(
+          Self.Logs,
+          {core::LogLevel::Error,
+           "stop_limit_passed",
+           {{"unanswered", std::to_string(Latch.Unanswered.load())}}});
+      Latch.LimitPassed = true;
       stopMain(Latch, 1);
     });
     waitForSignal(Self, Latch, Signals, StopTimer);
@@ -267,10 +285,10 @@
   asio::signal_set Signals(Main, SIGTERM, SIGINT);
   asio::steady_timer StopTimer(Main);
   std::signal(SIGPIPE, SIG_IGN);
-  StopLatch Latch{Main};
   // The node is never destroyed, because callbacks of libraries may still use
   // it while the process exits.
   Node &Self = *new Node;
+  StopLatch Latch{Main, Self.Callers.Unanswered};
   Self.Settings = Settings;
   Self.Protocols = Protocols;
   telemetry::startLog(Self.Logs, {Settings.LogLevel, Settings.Name.Value,
--- a/tests/integration/request_path_test.cc
+++ b/tests/integration/request_path_test.cc
@@ -1,11 +1,19 @@
 #include "tests/integration/callers.h"
 #include "tests/integration/fleet.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
+#include <functional>
 #include <future>
 #include <string>
+#include <thread>
 
 namespace currantgauge::integration {
 namespace {
@@ -20,6 +28,37 @@
   REQUIRE(waitForServers(Fleet, 1));
 }
 
+// readSlowly() sends a GET and reads the response at 400 KB a second until the
+// connection ends. Runs OnHead once the first bytes have arrived.
+std::string readSlowly(const std::string &Address, const std::string &Target,
+                       const std::function<void()> &OnHead) {
+  namespace asio = boost::asio;
+  asio::io_context Io;
+  asio::ip::tcp::socket Socket(Io);
+  std::size_t Colon = Address.rfind(':');
+  asio::ip::tcp::endpoint Node(
+      asio::ip::make_address(Address.substr(0, Colon)),
+      static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1))));
+  Socket.open(Node.protocol());
+  Socket.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
+  Socket.connect(Node);
+  std::string Request =
+      "GET " + Target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  asio::write(Socket, asio::buffer(Request));
+  std::string Text;
+  std::string Piece(8 * 1024, '\0');
+  boost::system::error_code Error;
+  while (true) {
+    std::size_t Size = Socket.read_some(asio::buffer(Piece), Error);
+    if (Error)
+      return Text;
+    if (Text.empty())
+      OnHead();
+    Text.append(Piece, 0, Size);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
 } // namespace
 
 TEST_CASE("a response is forwarded through two nodes") {
@@ -62,6 +101,18 @@
   }
 }
 
+TEST_CASE("a graceful stop ends after a slow caller has its whole answer") {
+  constexpr std::size_t AnswerBytes = 2'000'000;
+  TestFleet Fleet;
+  startTwoNodes(Fleet, {"--answer_bytes=" + std::to_string(AnswerBytes)});
+  std::string Text = readSlowly(Fleet.Nodes[0].CallerAddress, "/lists/7", [&] {
+    sendSignal(Fleet.Nodes[0].Process, SIGTERM);
+  });
+  CHECK(Text.starts_with("HTTP/1.1 200 "));
+  CHECK(Text.size() > AnswerBytes);
+  CHECK(waitForExit(Fleet.Nodes[0].Process) == 0);
+}
+
 TEST_CASE("the backend server never sees a refused request") {
   TestFleet Fleet;
   startTwoNodes(Fleet, {});
