--- a/currantgauge/http/endless_answer_test.cc
+++ b/currantgauge/http/endless_answer_test.cc
@@ -98,4 +98,28 @@
   }
 }
 
+TEST_CASE("an endless body that nobody reads fills a bounded queue") {
+  BackendFixture Fixture;
+  TestExchange Exchange = Fixture.start("7");
+  std::string Piece(64UL * 1024, 'a');
+  std::string Start = Signed + "\r\n";
+  Fixture.respond(0, Start);
+  Fixture.Connections[0].non_blocking(true);
+  boost::system::error_code Error;
+  std::size_t Written = 0;
+  for (int Round = 0; Round < 200; ++Round) {
+    Written +=
+        Fixture.Connections[0].write_some(boost::asio::buffer(Piece), Error);
+    Fixture.Io.restart();
+    Fixture.Io.run_for(std::chrono::milliseconds(1));
+  }
+  CHECK(Written < SentBytes * 4);
+  CHECK(Exchange.Pipe->Bytes <= runtime::MaxPipeBytes + Piece.size());
+  REQUIRE(Exchange.Handle->Connection);
+  CHECK(Exchange.Handle->Connection->Input.capacity() <= MaxInputBytes);
+  cancelExchange(Exchange.Handle, base::Reason::BackendTimeout);
+  Fixture.runUntilIdle();
+  CHECK(mayHaveRun(Exchange));
+}
+
 } // namespace currantgauge::http
