The configuration's watch lasts 10 to 30 s in fleets of 16 nodes or more

Cause: each node renewed its watch every 10 s.

Change: a random time from 10 s to the store's longest, 30 s. A connection that went silent is found by the first watch that ends, and all nodes hear of the newest version in every message. Small fleets keep 10 s.

--- a/currantgauge/config/feed.cc
+++ b/currantgauge/config/feed.cc
@@ -4,6 +4,7 @@
 #include "currantgauge/core/store_era.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,10 +12,15 @@
 namespace currantgauge::config {
 namespace {
 
-// The store answers a watch after this time even if nothing changed. A long
-// time costs few calls, but a silent connection goes unnoticed for as long.
-constexpr base::Duration WatchTimeout = base::seconds(10);
-// How much longer than WatchTimeout the node waits for the store's answer.
+// The store answers a watch after a random time in this range even if nothing
+// changed. A long time costs few calls, but a silent connection goes unnoticed
+// for as long. In a large fleet the watches that end first find it out for all:
+// every message between nodes names the newest version.
+constexpr base::Duration MinWatchTimeout = base::seconds(10);
+constexpr base::Duration MaxWatchTimeout = base::seconds(30);
+// Fleets below this size use MinWatchTimeout.
+constexpr std::size_t MinLargeFleet = 16;
+// How much longer than the watch the node waits for the store's answer.
 constexpr base::Duration WatchTimeoutMargin = base::milliseconds(1500);
 // Short, because a starting node can't serve before it has read the row.
 constexpr base::Duration ReadTimeout = base::milliseconds(1500);
@@ -22,6 +28,13 @@
 constexpr base::Duration BaseRetryDelay = base::milliseconds(200);
 constexpr base::Duration MaxRetryDelay = base::seconds(1);
 
+base::Duration drawWatchTimeout(core::State &Node) {
+  if (Node.Membership.LiveMembers + 1 < MinLargeFleet)
+    return MinWatchTimeout;
+  return MinWatchTimeout + base::scale(MaxWatchTimeout - MinWatchTimeout,
+                                       base::uniformUnit(Node.Random));
+}
+
 void callFeedStore(core::State &Node, FeedPhase Phase,
                    base::StoreOperation Operation, base::Duration Timeout,
                    core::EffectList &Effects) {
@@ -39,11 +52,12 @@
         Node, FeedPhase::Reading,
         base::ReadRow{Node.Self.Feed.Table, Node.Self.Feed.Key}, ReadTimeout,
         Effects);
+  base::Duration Timeout = drawWatchTimeout(Node);
   callFeedStore(
       Node, FeedPhase::Watching,
       base::WatchRows{Node.Self.Feed.Table, Feed.Revision,
-                      static_cast<std::uint32_t>(base::toMillis(WatchTimeout))},
-      WatchTimeout + WatchTimeoutMargin, Effects);
+                      static_cast<std::uint32_t>(base::toMillis(Timeout))},
+      Timeout + WatchTimeoutMargin, Effects);
 }
 
 // Parses one row at a time. Of the rows that arrive meanwhile, the newest is
