At the first start of a fleet nodes write their row without a scan

No earlier process can have left one, so the scan before the write is a call to the store for nothing, and a delay. first_start says so. The new test failed before: the settings key had no effect here.

--- a/currantgauge/membership/seeds.cc
+++ b/currantgauge/membership/seeds.cc
@@ -205,6 +205,9 @@
   syncWithSeeds(Node, Effects);
   if (Node.Self.Embedded || Node.Stopping)
     return;
+  // At the first start of the fleet no earlier process has left a row.
+  if (Node.Self.FirstStart)
+    Node.Membership.Table.FirstScanDone = true;
   checkRow(Node, Effects);
   writeRow(Node, Effects);
   scanRows(Node, Effects);
--- a/currantgauge/membership/seeds_test.cc
+++ b/currantgauge/membership/seeds_test.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/membership/seeds.h"
 
+#include "currantgauge/core/reduce.h"
 #include "currantgauge/membership/fake_network_test.h"
 
 #include <doctest/doctest.h>
@@ -66,6 +67,30 @@
 // Guards against every restarted node rewriting its row. A slow store runs the
 // writes to one partition one after another: 22 nodes killed together needed
 // two seconds to find each other.
+TEST_CASE("at the first start of the fleet a row is written without a scan") {
+  for (bool FirstStart : {true, false}) {
+    core::NodeIdentity Self;
+    Self.Name = base::NodeName("a");
+    Self.Incarnation = base::Incarnation(1);
+    Self.PeerAddress = base::NetAddress("10.0.0.1:80");
+    Self.FirstStart = FirstStart;
+    core::State Node = core::makeState(Self, 7);
+    core::EffectList Effects;
+    core::reduce(Node, core::Event{base::TimePoint{1}, {}, core::Started{}},
+                 Effects);
+    core::reduce(Node, core::Event{base::TimePoint{2}, {}, core::TimerFired{}},
+                 Effects);
+    std::size_t Writes = 0, Scans = 0;
+    for (const core::Effect &Effect : Effects)
+      if (const auto *Call = std::get_if<core::CallStore>(&Effect)) {
+        Writes += std::holds_alternative<base::WriteRows>(Call->Operation);
+        Scans += std::holds_alternative<base::ScanRows>(Call->Operation);
+      }
+    CHECK(Writes == (FirstStart ? 1 : 0));
+    CHECK(Scans == (FirstStart ? 0 : 1));
+  }
+}
+
 TEST_CASE("nodes killed together find each other by their existing rows") {
   FakeNetwork Net;
   addNodes(Net, 12);
