Fleets of 64 nodes or more probe in shuffled order in one round of four

Cause: each node pings its ring successor and one random member a second.

Change: the shuffled probe, and the one to another region with it, runs in one round of four from 64 live members on. Ring probes find dead nodes as before, and urgent rumours are sent at once.

Virtual time, 200 nodes idle: 4.1 messages a second and node (MEMBERSHIP.md) to 2.6. The bounds of the existing tests at 200 nodes hold (convergence, a leaving server within 3 s).

--- a/currantgauge/membership/detector.cc
+++ b/currantgauge/membership/detector.cc
@@ -24,6 +24,12 @@
 // On average one round in this many probes another region; every round if there
 // are no peers in this one.
 constexpr std::uint64_t RoundsPerRemoteProbe = 4;
+// A fleet of this size probes in shuffled order in one round of this many on
+// average: each such probe is of a peer that is mostly far away and needs a new
+// connection. Ring probes find dead nodes at any size, and rumours that can't
+// wait are sent at once.
+constexpr std::size_t LargeFleet = 64;
+constexpr std::uint64_t RoundsPerShuffledProbe = 4;
 // One round in this many also pings a dead member, so that the fleet reunites
 // after a partition.
 constexpr std::uint64_t RoundsPerDeadProbe = 5;
@@ -57,6 +63,9 @@
 
 std::optional<base::NodeName> pickProbeTarget(core::State &Node) {
   MembershipState &State = Node.Membership;
+  if (State.LiveMembers >= LargeFleet &&
+      base::uniformBelow(Node.Random, RoundsPerShuffledProbe) != 0)
+    return std::nullopt;
   bool HasRegionPeers = countRegionPeers(State) > 0;
   if (!HasRegionPeers ||
       base::uniformBelow(Node.Random, RoundsPerRemoteProbe) == 0)
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -58,6 +58,29 @@
   }
 }
 
+TEST_CASE("a large fleet sends few messages between failure domains") {
+  FakeNetwork Net;
+  addNodes(Net, 200);
+  run(Net, base::seconds(30));
+  REQUIRE(hasConverged(Net));
+  std::uint64_t Messages = 0, CrossDomainBytes = 0;
+  for (const auto &Each : Net.Nodes) {
+    Messages -= Each->Messages;
+    CrossDomainBytes -= Each->CrossDomainBytes;
+  }
+  constexpr std::int64_t Seconds = 20;
+  run(Net, base::seconds(Seconds));
+  for (const auto &Each : Net.Nodes) {
+    Messages += Each->Messages;
+    CrossDomainBytes += Each->CrossDomainBytes;
+  }
+  double PerNode = 1.0 / (200 * Seconds);
+  MESSAGE("a second and node: ", static_cast<double>(Messages) * PerNode,
+          " messages, ", static_cast<double>(CrossDomainBytes) * PerNode,
+          " bytes to other domains");
+  CHECK(static_cast<double>(Messages) * PerNode < 3);
+}
+
 TEST_CASE("all nodes detect a killed node and forget its servers") {
   FakeNetwork Net;
   addNodes(Net, 24);
