Integration tests fill in the template's sections

The deploy template has one since owners count retries (first_start), which the tests' renderer did not know: from on all tests of "machines" ended with map::at. Sections of switches are filled in; the tests' fleets start for the first time, and a node that is started again has the settings without first_start, as on the machines.

--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -1,6 +1,7 @@
 #include "tests/integration/fleet.h"
 
 #include "currantgauge/base/text.h"
+#include "tests/integration/settings_file.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -234,6 +235,7 @@
 
 void restartNode(TestFleet &Fleet, NodeProcess &Node) {
   killProcess(Node.Process);
+  removeFirstStart(Node.SettingsPath);
   launchNode(Fleet, Node, {});
 }
 
--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -36,9 +36,26 @@
   return Text.str();
 }
 
-// Supports only plain values, because the template has no sections.
-std::string fillTemplate(const std::string &Template,
+// fillSections() keeps the sections of switches that are on, and drops others.
+std::string fillSections(std::string Template,
                          const std::map<std::string, std::string> &Values) {
+  for (std::size_t Open; (Open = Template.find("{{#")) != std::string::npos;) {
+    std::size_t NameEnd = Template.find("}}", Open);
+    std::string Name = Template.substr(Open + 3, NameEnd - Open - 3);
+    std::string Close = "{{/" + Name + "}}";
+    std::size_t End = Template.find(Close, Open);
+    std::string Section = Values.at(Name) == "true"
+                              ? Template.substr(NameEnd + 2, End - NameEnd - 2)
+                              : "";
+    Template.replace(Open, End + Close.size() - Open, Section);
+  }
+  return Template;
+}
+
+// Supports plain values, and sections of switches.
+std::string fillTemplate(std::string Template,
+                         const std::map<std::string, std::string> &Values) {
+  Template = fillSections(std::move(Template), Values);
   std::string Text;
   std::size_t Position = 0;
   for (std::size_t Open;
@@ -105,6 +122,8 @@
                     {"ipAddress", Host},
                     {"internalPortRange.0", OperatorsPort},
                     {"platform.address", Store},
+                    {"bootstrap", "true"},
+                    {"bounds.gracePeriodS", "6"},
                     {"bounds.retryBudgetRatio", "0.2"},
                     {"bounds.retryBudgetSlack", "56"},
                     {"bounds.budgetWindowS", "10"}});
