--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Builds the programs of the cases into build-review/. A program holds its
+# stand-ins of the store, the targets and the clients; the node is the one that
+# the build of the deploy file has put into target/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+CXX=${CXX:-c++}
+FLAGS=(-std=c++20 -O1 -g -Wall -Wextra -Wno-missing-field-initializers -I. -pthread)
+mkdir -p build-review
+"$CXX" "${FLAGS[@]}" -c review/lab/net.cc -o build-review/net.o
+"$CXX" "${FLAGS[@]}" -c review/lab/lab.cc -o build-review/lab.o
+for Source in review/*/case.cc; do
+  Number=$(basename "$(dirname "$Source")")
+  "$CXX" "${FLAGS[@]}" "$Source" build-review/net.o build-review/lab.o -o "build-review/case-$Number"
+done
