--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -22,38 +22,12 @@
 constexpr int OtherClients = 8;
 constexpr Millis StabilityWindow{3000};
 
-struct Fleet {
-  Store Platform;
-  Target Servers[2];
-  std::vector<Node> Nodes;
+struct Trial {
+  Fleet Machines;
   std::atomic<bool> Ended{false}; // the platform has killed a process
   std::atomic<long> PeakMb{0};
 };
 
-void startFleet(Lab &Bench, Fleet &All) {
-  const char *Services[] = {"cutlist", "stocktally"};
-  startStore(All.Platform);
-  for (int I = 0; I < 2; ++I) {
-    std::string Host = newHost();
-    Target &Server = All.Servers[I];
-    Server.Id = "i-" + std::to_string(I + 1);
-    Server.Service = Services[I];
-    Server.Slots = 16;
-    startTarget(Server, Host);
-    All.Nodes.push_back(makeNode(
-        All.Platform, Host,
-        {"n" + std::to_string(I + 1), Services[I], "north-a", Server.Address}));
-    startNode(Bench, All.Nodes.back(), FirstStart::Yes);
-  }
-  std::thread([&All] {
-    while (true) {
-      for (int I = 0; I < 2; ++I)
-        sendPing(All.Nodes[I].Control, makeHeartbeat(All.Servers[I], "ready"));
-      std::this_thread::sleep_for(Millis(1500));
-    }
-  }).detach();
-}
-
 long residentMb(pid_t Pid) {
   std::ifstream File("/proc/" + std::to_string(Pid) + "/status");
   for (std::string Line; std::getline(File, Line);)
@@ -63,10 +37,10 @@
 }
 
 // The platform: ends a process that exceeds its memory.
-void watchMemory(Lab &Bench, Fleet &All) {
+void watchMemory(Lab &Bench, Trial &All) {
   std::thread([&] {
     while (true) {
-      for (Node &Process : All.Nodes) {
+      for (const Node &Process : All.Machines.Nodes) {
         long Used = residentMb(Process.Pid);
         All.PeakMb = std::max<long>(All.PeakMb, Used);
         if (Used <= MemoryMb || All.Ended)
@@ -84,8 +58,8 @@
 
 // A client with a kept connection. Counts requests that were passed on to the
 // target and whose connection closed without an answer.
-int useConnection(Lab &Bench, Fleet &All, Clock::time_point End) {
-  Connection Link{openConnection(All.Nodes[0].Outbound, Millis(1000)), ""};
+int useConnection(Lab &Bench, Fleet &Machines, Clock::time_point End) {
+  Connection Link{openConnection(Machines.Nodes[0].Outbound, Millis(1000)), ""};
   int Lost = 0;
   while (Clock::now() < End && Lost == 0) {
     std::string Attempt = newAttemptId();
@@ -95,7 +69,7 @@
             Link.Fd,
             formatRequest({"POST", "/commits/7", "an order", 4000}, Attempt)) &&
         readMessage(Link, Answer, Clock::now() + Millis(6000));
-    std::vector<Run> Runs = runsOf(All.Servers[0]);
+    std::vector<Run> Runs = runsOf(Machines.Servers[0]);
     bool PassedOn = std::any_of(Runs.begin(), Runs.end(), [&](const Run &Item) {
       return Item.Attempt == Attempt;
     });
@@ -116,11 +90,14 @@
 
 int main(int, char **Values) {
   static Lab Bench;
-  static Fleet All;
+  static Trial All;
+  Fleet &Machines = All.Machines;
   openLab(Bench, Values[1], std::chrono::seconds(60));
-  startFleet(Bench, All);
+  startFleet(Bench, Machines,
+             {{"cutlist", "north-a", 16}, {"stocktally", "north-a", 16}},
+             Millis(1500));
   writeConfig(
-      All.Platform,
+      Machines.Platform,
       makeDocument(
           "r7",
           {{"commit", makeRoute("/commits/", "cutlist", "non_idempotent")},
@@ -128,27 +105,29 @@
           {"cutlist", "stocktally"}));
   const Request Small{"POST", "/tally/7", "a list", 4000};
   bool Started =
-      waitReady(All.Nodes[0]) && waitReady(All.Nodes[1]) &&
-      waitUntil([&] { return sendRequest(All.Nodes[0], Small).Status == 200; },
-                Millis(10000));
+      allReady(Machines) &&
+      waitUntil(
+          [&] { return sendRequest(Machines.Nodes[0], Small).Status == 200; },
+          Millis(10000));
   if (!Started)
     closeLab(Bench, CouldNotRun);
   sleepUntil(Clock::now() + StabilityWindow);
   watchMemory(Bench, All);
-  All.Servers[0].WorkMillis = 300;
+  Machines.Servers[0].WorkMillis = 300;
   auto End = Clock::now() + Millis(8000);
   std::atomic<int> Lost{0};
   std::vector<std::thread> Threads;
   for (int I = 0; I < OtherClients; ++I)
-    Threads.emplace_back([&] { Lost += useConnection(Bench, All, End); });
+    Threads.emplace_back([&] { Lost += useConnection(Bench, Machines, End); });
   sleepUntil(Clock::now() + Millis(2000));
   std::size_t Size = Bench.Trouble ? MaxBodyBytes : SmallBodyBytes;
   note(Bench, std::to_string(LargeBodies) + " clients of n1 send bodies of " +
                   std::to_string(Size) + " bytes");
   for (int I = 0; I < LargeBodies; ++I)
     Threads.emplace_back([&] {
-      Answer Got = sendRequest(
-          All.Nodes[0], {"POST", "/tally/7", std::string(Size, 'x'), 4000});
+      Answer Got =
+          sendRequest(Machines.Nodes[0],
+                      {"POST", "/tally/7", std::string(Size, 'x'), 4000});
       note(Bench, "POST /tally/7 " + Got.Attempt + " with " +
                       std::to_string(Size) + " bytes -> " +
                       std::to_string(Got.Status));
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -18,41 +18,13 @@
 constexpr int RetriesAllowed = 3;
 constexpr int OtherClients = 2;
 
-struct Fleet {
-  Store Platform;
-  Target Servers[3];
-  std::vector<Node> Nodes;
-  std::vector<Clock::time_point> Crashes;
+struct Trial {
+  Fleet Machines;
   std::mutex Lock;
+  std::vector<Clock::time_point> Crashes;
 };
 
-void startFleet(Lab &Bench, Fleet &All) {
-  const char *Services[] = {"cutlist", "cutlist", "stocktally"};
-  const char *Zones[] = {"north-a", "north-b", "north-b"};
-  startStore(All.Platform);
-  for (int I = 0; I < 3; ++I) {
-    std::string Host = newHost();
-    Target &Server = All.Servers[I];
-    Server.Id = "i-" + std::to_string(I + 1);
-    Server.Service = Services[I];
-    startTarget(Server, Host);
-    All.Nodes.push_back(makeNode(
-        All.Platform, Host,
-        {"n" + std::to_string(I + 1), Services[I], Zones[I], Server.Address}));
-    startNode(Bench, All.Nodes.back(), FirstStart::Yes);
-  }
-  std::thread([&All] {
-    while (true) {
-      for (int I = 0; I < 3; ++I)
-        if (!isEnded(All.Servers[I]))
-          sendPing(All.Nodes[I].Control,
-                   makeHeartbeat(All.Servers[I], "ready"));
-      std::this_thread::sleep_for(Millis(500));
-    }
-  }).detach();
-}
-
-void noteCrash(Lab &Bench, Fleet &All, Target &Server) {
+void noteCrash(Lab &Bench, Trial &All, Target &Server) {
   {
     std::lock_guard<std::mutex> Guard(All.Lock);
     All.Crashes.push_back(Clock::now());
@@ -70,11 +42,16 @@
 
 int main(int, char **Values) {
   static Lab Bench;
-  static Fleet All;
+  static Trial All;
+  Fleet &Machines = All.Machines;
   openLab(Bench, Values[1], std::chrono::seconds(110));
-  startFleet(Bench, All);
+  startFleet(Bench, Machines,
+             {{"cutlist", "north-a"},
+              {"cutlist", "north-b"},
+              {"stocktally", "north-b"}},
+             Millis(500));
   writeConfig(
-      All.Platform,
+      Machines.Platform,
       makeDocument(
           "r7",
           {{"commit", makeRoute("/commits/", "cutlist", "non_idempotent")},
@@ -83,7 +60,7 @@
   const Request Order{"POST", "/commits/7", "an order", 4000};
   const Request Tally{"POST", "/tally/7", "a count", 4000};
   bool Started = true;
-  for (const Node &Process : All.Nodes)
+  for (const Node &Process : Machines.Nodes)
     Started = Started && waitReady(Process) &&
               waitUntil(
                   [&] {
@@ -95,18 +72,18 @@
     closeLab(Bench, CouldNotRun);
   sleepUntil(Clock::now() + StabilityWindow);
   if (Bench.Trouble)
-    for (Target &Server : All.Servers)
+    for (Target &Server : Machines.Servers)
       Server.OnCrash = [&Server] { noteCrash(Bench, All, Server); };
 
   std::atomic<bool> Done{false};
   std::mutex Lock;
   std::vector<Answer> Others;
   std::vector<std::thread> Threads;
-  All.Servers[2].WorkMillis = 200;
+  Machines.Servers[2].WorkMillis = 200;
   for (int I = 0; I < OtherClients; ++I)
     Threads.emplace_back([&] {
       while (!Done) {
-        Answer Got = sendRequest(All.Nodes[0], Tally);
+        Answer Got = sendRequest(Machines.Nodes[0], Tally);
         std::lock_guard<std::mutex> Guard(Lock);
         Others.push_back(Got);
         std::this_thread::sleep_for(Millis(20));
@@ -115,7 +92,7 @@
   std::vector<Answer> Poison;
   for (int I = 0; I < Sends; ++I) {
     Answer Got = sendRequest(
-        All.Nodes[0], {"POST", "/tally/13", "a count that CRASHes", 4000});
+        Machines.Nodes[0], {"POST", "/tally/13", "a count that CRASHes", 4000});
     note(Bench, "POST /tally/13 " + Got.Attempt + " -> " +
                     std::to_string(Got.Status) + " " + Got.Body);
     Poison.push_back(Got);
@@ -129,7 +106,7 @@
   Clock::time_point Third = Clock::time_point::max();
   if (All.Crashes.size() >= CrashesToCount)
     Third = All.Crashes[CrashesToCount - 1];
-  for (Target &Server : All.Servers)
+  for (Target &Server : Machines.Servers)
     for (const Run &Item : runsOf(Server)) {
       bool IsPoison = Item.Path == "/tally/13";
       Late += IsPoison && Third < Clock::time_point::max() &&
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,9 +7,10 @@
 CXX=${CXX:-c++}
 FLAGS=(-std=c++20 -O1 -g -Wall -Wextra -Wno-missing-field-initializers -I. -pthread)
 mkdir -p build-review
-"$CXX" "${FLAGS[@]}" -c review/lab/net.cc -o build-review/net.o
-"$CXX" "${FLAGS[@]}" -c review/lab/lab.cc -o build-review/lab.o
+for Part in net lab config_change; do
+  "$CXX" "${FLAGS[@]}" -c review/lab/$Part.cc -o build-review/$Part.o
+done
 for Source in review/*/case.cc; do
   Number=$(basename "$(dirname "$Source")")
-  "$CXX" "${FLAGS[@]}" "$Source" build-review/net.o build-review/lab.o -o "build-review/case-$Number"
+  "$CXX" "${FLAGS[@]}" "$Source" build-review/{net,lab,config_change}.o -o "build-review/case-$Number"
 done
--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -558,6 +558,39 @@
   return waitUntil([&] { return isReady(Process); }, Millis(15000));
 }
 
+void startFleet(Lab &Bench, Fleet &All,
+                const std::vector<MachineParams> &Machines,
+                Millis PingInterval) {
+  startStore(All.Platform);
+  for (const MachineParams &Params : Machines) {
+    std::string Number = std::to_string(All.Servers.size() + 1);
+    std::string Host = newHost();
+    Target &Server = All.Servers.emplace_back();
+    Server.Id = "i-" + Number;
+    Server.Service = Params.Service;
+    Server.Slots = Params.Slots;
+    startTarget(Server, Host);
+    All.Nodes.push_back(
+        makeNode(All.Platform, Host,
+                 {"n" + Number, Params.Service, Params.Zone, Server.Address}));
+  }
+  for (std::size_t I = 0; I < All.Nodes.size(); ++I) {
+    startNode(Bench, All.Nodes[I], FirstStart::Yes);
+    std::thread([&Server = All.Servers[I], Control = All.Nodes[I].Control,
+                 PingInterval] {
+      while (true) {
+        if (Server.SendsPings && !isEnded(Server))
+          sendPing(Control, makeHeartbeat(Server, "ready"));
+        std::this_thread::sleep_for(PingInterval);
+      }
+    }).detach();
+  }
+}
+
+bool allReady(const Fleet &All) {
+  return std::all_of(All.Nodes.begin(), All.Nodes.end(), waitReady);
+}
+
 std::string newAttemptId() {
   static std::atomic<int> Count{0};
   return "c" + std::to_string(::getpid()) + "-" + std::to_string(++Count);
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -18,6 +18,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -119,6 +120,7 @@
   // If set, a request whose body contains CRASH ends the target, as endTarget()
   // does, and this is called.
   std::function<void()> OnCrash;
+  std::atomic<bool> SendsPings{true};
 };
 
 void startTarget(Target &Server, const std::string &Host);
@@ -183,6 +185,29 @@
 // waitReady() returns false if the node isn't ready in 15 s.
 bool waitReady(const Node &Process);
 
+// MachineParams are a machine's target and place.
+struct MachineParams {
+  std::string Service;
+  std::string Zone;
+  int Slots = 4;
+};
+
+// Fleet is a store and machines, each with a target and a node.
+struct Fleet {
+  Store Platform;
+  std::deque<Target> Servers; // i-1, i-2, ...
+  std::vector<Node> Nodes;    // n1, n2, ...
+};
+
+// startFleet() starts all processes for the first time, and the pings of the
+// targets.
+void startFleet(Lab &Bench, Fleet &All,
+                const std::vector<MachineParams> &Machines,
+                Millis PingInterval);
+
+// allReady() returns false if a node isn't ready in 15 s.
+bool allReady(const Fleet &All);
+
 // Request is what a client sends.
 struct Request {
   std::string Method = "GET";
