--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
-// A faulty target answers one request with small chunks without end, until the
-// caller closes. The platform ends the process that exceeds its memory, and the
-// requests of other clients that it had passed on end with it.
+// A faulty target answers four requests with small chunks without end, until
+// its caller closes. The platform ends the process that exceeds its memory, and
+// the requests of other clients that it had passed on end with it.
 #include "review/lab/memory.h"
 
 #include <thread>
@@ -10,6 +10,7 @@
 using namespace currantgauge::review;
 
 constexpr std::size_t ChunksPerWrite = 8192;
+constexpr int Readers = 4; // as many as the target has slots
 constexpr int OtherClients = 8;
 constexpr Millis StabilityWindow{3000};
 
@@ -73,9 +74,12 @@
       Lost += useConnection(Bench, All.Nodes[1], All.Servers[0], End);
     });
   sleepUntil(Clock::now() + Millis(2000));
-  Answer Got = sendRequest(All.Nodes[0], {"GET", "/tally/13", "", 4000});
-  note(Bench, "GET /tally/13 " + Got.Attempt + " at n1 -> " +
-                  (Got.Status == 0 ? "cut" : std::to_string(Got.Status)));
+  for (int I = 0; I < Readers; ++I)
+    Threads.emplace_back([&] {
+      Answer Got = sendRequest(All.Nodes[0], {"GET", "/tally/13", "", 4000});
+      note(Bench, "GET /tally/13 " + Got.Attempt + " at n1 -> " +
+                      (Got.Status == 0 ? "cut" : std::to_string(Got.Status)));
+    });
   for (std::thread &Thread : Threads)
     Thread.join();
   note(Bench, "peak of a node: " + std::to_string(Watch.PeakMb) + " MB");
