Pieces of an answer use memory by their size

Cause: readBody() made a string of 16 KiB for each read of an answer and kept its capacity after cutting it to what was read. A read ends at the end of a chunk, and the pipe's bound counts the bytes of the body alone, so that 32,768 pieces of 8 bytes could wait in it: 512 MB an answer.

Fix: the read buffer is one an exchange, a piece is a string of its own size, and the pipe merges pieces up to 16 KiB, in the recorded answer too. So a queued part can't cost much more than its bytes, whatever the server's chunks are.

Test: http: small chunks that nobody reads use little memory.

--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -180,22 +180,23 @@
 asio::awaitable<bool> readBody(Exchange &E, AnswerParser &Parser,
                                BodyHandling Handling) {
   ErrorCode Error;
+  std::string Buffer(ChunkBytes, '\0');
   while (!Parser.is_done()) {
     while (Handling == BodyHandling::Forward && !runtime::hasRoom(*E.Pipe) &&
            E.Handle->CancelReason == base::Reason::None)
       co_await waitFor(*E.PipeHasRoom);
-    std::string Chunk(ChunkBytes, '\0');
-    Parser.get().body().data = Chunk.data();
-    Parser.get().body().size = Chunk.size();
+    Parser.get().body().data = Buffer.data();
+    Parser.get().body().size = Buffer.size();
     co_await beast::http::async_read_some(E.Connection->Stream,
                                           E.Connection->Input, Parser,
                                           redirectError(Error));
     if (Error == beast::http::error::need_buffer)
       Error = {};
-    Chunk.resize(ChunkBytes - Parser.get().body().size);
-    if (Handling == BodyHandling::Forward && !Chunk.empty()) {
-      E.Outcome.AnswerBytes.Bytes += Chunk.size();
-      runtime::pushPart(*E.Pipe, runtime::AnswerChunk{std::move(Chunk)});
+    std::size_t Size = Buffer.size() - Parser.get().body().size;
+    if (Handling == BodyHandling::Forward && Size > 0) {
+      E.Outcome.AnswerBytes.Bytes += Size;
+      runtime::pushPart(*E.Pipe,
+                        runtime::AnswerChunk{std::string(Buffer, 0, Size)});
     }
     if (Error) {
       setFailure(E, Error, true);
--- a/currantgauge/http/endless_answer_test.cc
+++ b/currantgauge/http/endless_answer_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -44,6 +46,11 @@
   return Capacity;
 }
 
+// Returns the bytes of the heap that are in use, whatever they are used for.
+std::size_t allocatedBytes() {
+  return ::mallinfo2().uordblks + ::mallinfo2().hblkhd;
+}
+
 const std::string Signed = "HTTP/1.1 200 OK\r\nSigned: x\r\nAttempt: 7\r\n";
 const std::string Chunked = Signed + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -122,4 +129,30 @@
   CHECK(mayHaveRun(Exchange));
 }
 
+// An answer in chunks of 8 bytes grew the process by 512 MB, since each piece
+// that waited in the pipe kept the capacity of a whole read.
+TEST_CASE("small chunks that nobody reads use little memory") {
+  BackendFixture Fixture;
+  TestExchange Exchange = Fixture.start("7");
+  std::string Text = Chunked;
+  while (Text.size() < SentBytes)
+    Text += "8\r\nxxxxxxxx\r\n";
+  std::size_t Before = allocatedBytes();
+  Fixture.Connections[0].non_blocking(true);
+  boost::system::error_code Error;
+  std::size_t Written = 0;
+  for (int Round = 0; Round < 400; ++Round) {
+    Written += Fixture.Connections[0].write_some(
+        boost::asio::buffer(Text.data() + Written, Text.size() - Written),
+        Error);
+    Fixture.Io.restart();
+    Fixture.Io.run_for(std::chrono::milliseconds(1));
+  }
+  CHECK(Exchange.Pipe->Bytes >= runtime::MaxPipeBytes);
+  CHECK(allocatedBytes() - Before < 4 * runtime::MaxPipeBytes);
+  cancelExchange(Exchange.Handle, base::Reason::BackendTimeout);
+  Fixture.runUntilIdle();
+  CHECK(mayHaveRun(Exchange));
+}
+
 } // namespace currantgauge::http
--- a/currantgauge/runtime/answer_pipe.cc
+++ b/currantgauge/runtime/answer_pipe.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/runtime/answer_pipe.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace currantgauge::runtime {
@@ -10,6 +11,29 @@
   return Chunk ? Chunk->Bytes.size() : 0;
 }
 
+// Appends the bytes of From to To without growing its capacity beyond
+// MaxChunkBytes. Returns false if they don't fit.
+bool mergeChunk(std::string &To, const std::string &From) {
+  std::size_t Size = To.size() + From.size();
+  if (Size > MaxChunkBytes)
+    return false;
+  if (Size > To.capacity())
+    To.reserve(std::min(MaxChunkBytes, std::max(Size, 2 * To.capacity())));
+  To += From;
+  return true;
+}
+
+// A queued part costs far more memory than its bytes if these are few, and a
+// backend server chooses the size of the pieces.
+template <typename PartList> void appendPart(PartList &Parts, AnswerPart Part) {
+  auto *Chunk = std::get_if<AnswerChunk>(&Part);
+  auto *Last =
+      Parts.empty() ? nullptr : std::get_if<AnswerChunk>(&Parts.back());
+  if (Chunk && Last && mergeChunk(Last->Bytes, Chunk->Bytes))
+    return;
+  Parts.push_back(std::move(Part));
+}
+
 // Stops recording and discards what was recorded when the answer exceeds
 // MaxRecordedBytes, because a truncated answer is useless.
 void recordPart(AnswerPipe &Pipe, const AnswerPart &Part) {
@@ -21,7 +45,7 @@
     Pipe.Recorded.clear();
     return;
   }
-  Pipe.Recorded.push_back(Part);
+  appendPart(Pipe.Recorded, Part);
 }
 
 // A cancelled pipe always has room, because its reader may never pop the parts
@@ -51,7 +75,7 @@
       recordPart(Pipe, Part);
     if (!Pipe.Cancelled || Pipe.Ended) {
       Pipe.Bytes += getBodySize(Part);
-      Pipe.Parts.push_back(std::move(Part));
+      appendPart(Pipe.Parts, std::move(Part));
     }
     HasRoom = hasRoomLocked(Pipe);
     WakeCallback = Pipe.WakeReader;
--- a/currantgauge/runtime/answer_pipe.h
+++ b/currantgauge/runtime/answer_pipe.h
@@ -44,6 +44,8 @@
 // MaxPipeBytes is the number of queued body bytes at which the writer has to
 // wait.
 constexpr std::size_t MaxPipeBytes = 256 * 1024;
+// MaxChunkBytes is the size up to which queued pieces of a body are merged.
+constexpr std::size_t MaxChunkBytes = 16 * 1024;
 // MaxRecordedBytes is the body size of the largest answer that is recorded, to
 // be replayed to later requests.
 constexpr std::size_t MaxRecordedBytes = 256 * 1024;
@@ -68,7 +70,8 @@
 
 using AnswerPipePtr = boost::intrusive_ptr<AnswerPipe>;
 
-// pushPart() appends a part. Returns false if the writer should wait for
+// pushPart() appends a part. A piece of the body is merged into the one queued
+// before it, up to MaxChunkBytes. Returns false if the writer should wait for
 // WakeWriter before it pushes the next one. Parts after an AnswerEnd are
 // dropped. After cancelPipe() all parts but AnswerEnd are only recorded, if
 // Record is set.
