A silent connection to the store is noticed while it matters

Cause: a node learns of a version by one watch, which lasts 10 s, in fleets of 16 nodes and more up to 30 s. Nothing shows its connection's silence before, and when all nodes' connections are silent, none can tell the others.

Fix: a watch lasts 100 ms for each node of the fleet, at least 1 s, at most 30 s. Up to 22 nodes each notices the silence in 2.7 s; in larger fleets a watch ends somewhere every 100 ms. The first watch without an answer is repeated at once, on a new connection.

--- a/currantgauge/config/feed.cc
+++ b/currantgauge/config/feed.cc
@@ -4,7 +4,7 @@
 #include "currantgauge/core/store_era.h"
 
 #include <algorithm>
-#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,16 +12,18 @@
 namespace currantgauge::config {
 namespace {
 
-// The store answers a watch after a random time in this range even if nothing
-// changed. A long time costs few calls, but a silent connection goes unnoticed
-// for as long. In a large fleet the watches that end first find it out for all:
-// every message between nodes names the newest version.
-constexpr base::Duration MinWatchTimeout = base::seconds(10);
-constexpr base::Duration MaxWatchTimeout = base::seconds(30);
-// Fleets below this size use MinWatchTimeout.
-constexpr std::size_t MinLargeFleet = 16;
+// The store answers a watch after this time even if nothing changed. A longer
+// time costs fewer calls, but a connection that went silent is unnoticed for as
+// long. So the time grows with the fleet, whose nodes inform each other:
+// somewhere a watch ends every WatchEndInterval.
+constexpr base::Duration WatchEndInterval = base::milliseconds(100);
+constexpr base::Duration MinWatchTimeout = base::seconds(1);
+constexpr base::Duration MaxWatchTimeout = base::seconds(30); // the store's
+// Share of the watch that is drawn at random, so that watches that started
+// together end apart.
+constexpr double RandomWatchShare = 0.25;
 // How much longer than the watch the node waits for the store's answer.
-constexpr base::Duration WatchTimeoutMargin = base::milliseconds(1500);
+constexpr base::Duration WatchTimeoutMargin = base::milliseconds(500);
 // Short, because a starting node can't serve before it has read the row.
 constexpr base::Duration ReadTimeout = base::milliseconds(1500);
 // The delay before a retry doubles with each failure, up to MaxRetryDelay.
@@ -29,10 +31,11 @@
 constexpr base::Duration MaxRetryDelay = base::seconds(1);
 
 base::Duration drawWatchTimeout(core::State &Node) {
-  if (Node.Membership.LiveMembers + 1 < MinLargeFleet)
-    return MinWatchTimeout;
-  return MinWatchTimeout + base::scale(MaxWatchTimeout - MinWatchTimeout,
-                                       base::uniformUnit(Node.Random));
+  auto FleetSize = static_cast<std::int64_t>(Node.Membership.LiveMembers + 1);
+  base::Duration Longest = std::clamp(WatchEndInterval * FleetSize,
+                                      MinWatchTimeout, MaxWatchTimeout);
+  return base::scale(Longest,
+                     1 - RandomWatchShare * base::uniformUnit(Node.Random));
 }
 
 void callFeedStore(core::State &Node, FeedPhase Phase,
@@ -173,7 +176,11 @@
   noteReachable(Node, IsAnswered, Effects);
   if (Feed.CallEra != Node.Store.Era)
     Feed.Rereads = 0;
-  if (!IsAnswered)
+  // The connection of a watch that isn't answered may have gone silent, while
+  // new ones work.
+  if (!IsAnswered && !IsRead && Feed.Failures == 1)
+    readOrWatch(Node, Effects);
+  else if (!IsAnswered)
     scheduleRetry(Node, Feed.Failures);
   else if (Result.Status == base::StoreStatus::HistoryLost ||
            core::isOfOlderEra(Node.Store, Result))
