A call between nodes on a silent connection is repeated on a new one

Cause: a message on a connection gone silent was lost, and so were all that followed until gRPC's keep-alive ended the connection after 4 s; a version was fetched no sooner either.

Change: a message without an answer for 500 ms is repeated once on a new connection, a fetch of a version after 1 s. Messages have no further effect when they arrive twice.

--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -36,7 +36,10 @@
 constexpr int KeepaliveTimeoutMillis = 2000;
 constexpr int InitialReconnectMillis = 100;
 constexpr int MaxReconnectMillis = 1000;
-constexpr base::Duration DeliverTimeout = base::milliseconds(1000);
+// A call that isn't answered in time is repeated once, on a new connection, as
+// its own may have gone silent. A round trip between regions takes 16 ms.
+constexpr base::Duration DeliverTimeout = base::milliseconds(500);
+constexpr base::Duration FirstFetchTimeout = base::seconds(1);
 constexpr base::Duration FetchTimeout = base::seconds(5);
 // Time within which the owner must acknowledge a call, before the request is
 // sent to it; otherwise the connection counts as unresponsive. A round trip
@@ -351,12 +354,12 @@
   grpc::ClientContext Context;
   v1::PeerMessage Request;
   v1::DeliverReply Reply;
-  std::function<void(bool)> Callback;
+  std::function<void(const grpc::Status &, v1::PeerMessage)> Callback;
 
   void OnDone(const grpc::Status &Status) override {
     runtime::annotateAcquire(this);
     std::unique_ptr<DeliverCall> Self(this);
-    this->Callback(Status.ok());
+    this->Callback(Status, std::move(this->Request));
   }
 };
 
@@ -364,15 +367,13 @@
   grpc::ClientContext Context;
   v1::FetchConfigRequest Request;
   v1::FetchConfigReply Reply;
-  std::function<void(std::optional<config::ConfigDelta>)> Callback;
+  std::function<void(const grpc::Status &, const v1::FetchConfigReply &)>
+      Callback;
 
   void OnDone(const grpc::Status &Status) override {
     runtime::annotateAcquire(this);
     std::unique_ptr<FetchCall> Self(this);
-    config::ConfigDelta Delta;
-    bool Success = Status.ok() && this->Reply.found() &&
-                   fromWire(this->Reply.delta(), Delta);
-    this->Callback(Success ? std::optional(std::move(Delta)) : std::nullopt);
+    this->Callback(Status, this->Reply);
   }
 };
 
@@ -381,36 +382,84 @@
   Reactor->StartCall();
 }
 
-} // namespace
+bool isTimeout(const grpc::Status &Status) {
+  return Status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+}
 
-void deliver(PeerClient &Client, const base::NetAddress &Address,
-             const membership::PeerMessage &Message,
-             std::function<void(bool)> Callback) {
+// IsRepeat says whether the message was already sent once. A message that
+// arrives twice has no further effect.
+enum class IsRepeat { No, Yes };
+
+void deliverWire(PeerClient &Client, const base::NetAddress &Address,
+                 v1::PeerMessage Message, IsRepeat Repeat,
+                 std::function<void(bool)> Callback) {
+  ChannelPtr Used = channelTo(Client, Address);
   auto *Call = new DeliverCall;
-  toWire(Message, Call->Request);
-  Call->Callback = std::move(Callback);
+  Call->Request = std::move(Message);
+  Call->Callback = [&Client, Address, Used, Repeat,
+                    Callback = std::move(Callback)](const grpc::Status &Status,
+                                                    v1::PeerMessage Sent) {
+    if (!isTimeout(Status))
+      return Callback(Status.ok());
+    replaceChannel(Client, Address, Used);
+    if (Repeat == IsRepeat::Yes)
+      return Callback(false);
+    deliverWire(Client, Address, std::move(Sent), IsRepeat::Yes, Callback);
+  };
   Call->Context.set_deadline(deadlineAfter(DeliverTimeout));
   // Records repeat names and addresses. gRPC sends a message uncompressed if
   // that is smaller.
   Call->Context.set_compression_algorithm(GRPC_COMPRESS_DEFLATE);
-  channelTo(Client, Address)
-      ->Stub->async()
-      ->Deliver(&Call->Context, &Call->Request, &Call->Reply, Call);
+  Used->Stub->async()->Deliver(&Call->Context, &Call->Request, &Call->Reply,
+                               Call);
   startUnaryCall(Call);
 }
 
-void fetchConfig(
+void fetchWire(
     PeerClient &Client, const base::NetAddress &Address,
-    base::ConfigVersion KnownVersion,
+    base::ConfigVersion KnownVersion, IsRepeat Repeat,
     std::function<void(std::optional<config::ConfigDelta>)> Callback) {
+  ChannelPtr Used = channelTo(Client, Address);
   auto *Call = new FetchCall;
   Call->Request.set_have(KnownVersion.Value);
-  Call->Callback = std::move(Callback);
-  Call->Context.set_deadline(deadlineAfter(FetchTimeout));
-  channelTo(Client, Address)
-      ->Stub->async()
-      ->FetchConfig(&Call->Context, &Call->Request, &Call->Reply, Call);
+  Call->Callback =
+      [&Client, Address, KnownVersion, Used, Repeat,
+       Callback = std::move(Callback)](const grpc::Status &Status,
+                                       const v1::FetchConfigReply &Reply) {
+        if (isTimeout(Status)) {
+          replaceChannel(Client, Address, Used);
+          if (Repeat == IsRepeat::No)
+            return fetchWire(Client, Address, KnownVersion, IsRepeat::Yes,
+                             Callback);
+        }
+        config::ConfigDelta Delta;
+        bool Success =
+            Status.ok() && Reply.found() && fromWire(Reply.delta(), Delta);
+        Callback(Success ? std::optional(std::move(Delta)) : std::nullopt);
+      };
+  Call->Context.set_deadline(deadlineAfter(
+      Repeat == IsRepeat::Yes ? FetchTimeout : FirstFetchTimeout));
+  Used->Stub->async()->FetchConfig(&Call->Context, &Call->Request, &Call->Reply,
+                                   Call);
   startUnaryCall(Call);
 }
 
+} // namespace
+
+void deliver(PeerClient &Client, const base::NetAddress &Address,
+             const membership::PeerMessage &Message,
+             std::function<void(bool)> Callback) {
+  v1::PeerMessage Wire;
+  toWire(Message, Wire);
+  deliverWire(Client, Address, std::move(Wire), IsRepeat::No,
+              std::move(Callback));
+}
+
+void fetchConfig(
+    PeerClient &Client, const base::NetAddress &Address,
+    base::ConfigVersion KnownVersion,
+    std::function<void(std::optional<config::ConfigDelta>)> Callback) {
+  fetchWire(Client, Address, KnownVersion, IsRepeat::No, std::move(Callback));
+}
+
 } // namespace currantgauge::peer
