--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -75,8 +75,11 @@
   Window.Start = now();
   Window.End = Forever;
   Window.Planned = isPlanned(Entry.Kind);
+  // A store whose open connections went silent isn't disturbed itself: new
+  // connections work.
   Window.AffectsStore =
-      &Target == &Run.Store || Entry.Kind == FaultKind::StoreCut;
+      (&Target == &Run.Store && Entry.Kind != FaultKind::StoreSilence) ||
+      Entry.Kind == FaultKind::StoreCut;
   Window.Machine = &Target == &Run.Store ? AllMachines : Entry.Machine;
   Window.EndsNode = isNodeTermination(Entry.Kind);
   Window.ServerOnly = &Target == &Run.MachineStates[Entry.Machine].Server;
@@ -99,6 +102,11 @@
                                         : Version.WrittenAgainAt.back();
 }
 
+void silenceStore(SoakRun &Run) {
+  for (const integration::NodeProcess &Node : Run.Machines.Fleet.Nodes)
+    integration::silenceOpenConnections(Node.StoreProxy);
+}
+
 void restoreStore(SoakRun &Run, Millis Age) {
   Seconds CopyTime = now() - std::chrono::duration<double>(Age).count();
   controlStore(Run, {{"outage", "refuse"}, {"restore_ms", Age.count()}});
@@ -222,6 +230,8 @@
     return sendLateHeartbeat(Run, Index);
   case FaultKind::StoreRestored:
     return restoreStore(Run, copyAge(Entry));
+  case FaultKind::StoreSilence:
+    return silenceStore(Run);
   }
 }
 
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -43,10 +43,19 @@
     KindInfo{FaultKind::ConfigChange, "config_change", 0},
     KindInfo{FaultKind::LateHeartbeat, "late_heartbeat", 0},
     KindInfo{FaultKind::StoreRestored, "store_restored", 3000},
+    KindInfo{FaultKind::StoreSilence, "store_silence", 0},
 };
 
 static_assert(KindTable.size() == static_cast<std::size_t>(LastFaultKind) + 1);
 
+// Kinds that the generator draws from. Later kinds are added to some plans
+// separately, so that a seed keeps the rest of its plan.
+constexpr std::size_t DrawnKinds =
+    static_cast<std::size_t>(FaultKind::StoreRestored) + 1;
+constexpr std::uint64_t SilenceOneIn = 4; // seeds
+// From the silence to the version: the machines are in touch again when it is
+// due.
+constexpr Millis SilenceToChange{1500};
 constexpr int FirstFaultMillis = 1000; // no fault before this time
 // Between the starts of two faults; MaxSeriesGapMillis within a series.
 constexpr int MinGapMillis = 50;
@@ -62,6 +71,18 @@
   return std::uniform_int_distribution<>(Min, std::max(Min, Max))(Random);
 }
 
+void addSilence(std::vector<Fault> &Plan, std::mt19937_64 &Random,
+                Millis Length) {
+  Millis Start(drawInt(Random, FirstFaultMillis,
+                       static_cast<int>((Length - SilenceToChange).count())));
+  Plan.push_back({Start, FaultKind::StoreSilence, 0, Millis(0)});
+  Plan.push_back(
+      {Start + SilenceToChange, FaultKind::ConfigChange, 0, Millis(0)});
+  std::stable_sort(
+      Plan.begin(), Plan.end(),
+      [](const Fault &A, const Fault &B) { return A.StartTime < B.StartTime; });
+}
+
 } // namespace
 
 std::string faultName(FaultKind Kind) {
@@ -84,7 +105,7 @@
   int StartMillis = FirstFaultMillis;
   while (StartMillis < Length.count()) {
     const KindInfo &Info = KindTable[std::uniform_int_distribution<std::size_t>(
-        0, KindTable.size() - 1)(Random)];
+        0, DrawnKinds - 1)(Random)];
     bool IsSeries = drawInt(Random, 1, SeriesOneIn) == 1;
     int Count = IsSeries ? drawInt(Random, 2, MaxSeriesLength) : 1;
     for (int I = 0; I < Count && StartMillis < Length.count(); ++I) {
@@ -100,6 +121,8 @@
                              I + 1 < Count ? MaxSeriesGapMillis : MaxGapMillis);
     }
   }
+  if (Seed % SilenceOneIn == SilenceOneIn - 1)
+    addSilence(Plan, Random, Length);
   return Plan;
 }
 
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -41,10 +41,11 @@
   PeerDelay,     // 100 ms in each direction on peer connections to a node
   ConfigChange,  // a new configuration version is written
   LateHeartbeat, // a heartbeat of an incarnation that has ended
-  StoreRestored  // the store is away and comes back from a copy; see copyAge()
+  StoreRestored, // the store is away and comes back from a copy; see copyAge()
+  StoreSilence   // open connections to the store stop delivering for good
 };
 
-constexpr FaultKind LastFaultKind = FaultKind::StoreRestored;
+constexpr FaultKind LastFaultKind = FaultKind::StoreSilence;
 
 // Fault is one entry of a plan. Machine counts from 0 and makes no difference
 // for kinds that affect the whole store (except copyAge()), all nodes or the
@@ -69,7 +70,8 @@
 Millis copyAge(const Fault &Entry);
 
 // makePlan() generates a plan for Length, sorted by start time. Faults are
-// single or in series of one kind and may overlap.
+// single or in series of one kind and may overlap. Every fourth seed adds a
+// StoreSilence followed by a ConfigChange.
 std::vector<Fault> makePlan(std::uint64_t Seed, Millis Length,
                             std::size_t MachineCount);
 
