A trial is abandoned only while its rank is rarely refused

Cause, as far as known: the entry abandons a trial of an ejected server at half of its request's time, if another server seems to have a free slot.

Change: a trial is abandoned only if less than a tenth of the recent attempts of the rank were refused because of load or of the retry budget.

Test: core: a trial is not abandoned while attempts of its rank are refused (before: both cases were cancelled).

--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -112,6 +112,14 @@
          It->second.RefusedShare > ShedRefusalShare;
 }
 
+bool areRefusalsRare(const AdmissionState &State,
+                     const config::KindSettings &Kind) {
+  auto It = State.Budgets.find({Kind.Service, Kind.Rank});
+  return It == State.Budgets.end() ||
+         (It->second.RefusedShare < RareRefusalShare &&
+          It->second.BudgetRefusedShare < RareRefusalShare);
+}
+
 bool takeRetryToken(AdmissionState &State, const config::KindSettings &Kind) {
   RetryBudget &Budget = State.Budgets[{Kind.Service, Kind.Rank}];
   if (Budget.Tokens < 1)
--- a/currantgauge/admission/retry.h
+++ b/currantgauge/admission/retry.h
@@ -56,6 +56,11 @@
 // of load: a large share of this entry's recent attempts, whatever the owner.
 bool isRankShed(const AdmissionState &State, const config::KindSettings &Kind);
 
+// areRefusalsRare() returns whether a retry for the rank will probably not be
+// refused because of load or of the retry budget.
+bool areRefusalsRare(const AdmissionState &State,
+                     const config::KindSettings &Kind);
+
 // takeRetryToken() takes a token of the budget of a kind's service and rank.
 // Returns false if none is left.
 bool takeRetryToken(AdmissionState &State, const config::KindSettings &Kind);
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -312,13 +312,14 @@
 }
 
 // A trial (an attempt that tests an ejected server) is abandoned only in favor
-// of another attempt. If none is permitted, or no other server has a free slot,
-// the trial may still succeed and continues. A stopping node abandons no
-// trials.
+// of another attempt. If none is permitted, no other server has a free slot, or
+// owners refuse part of the rank, the trial may still succeed and continues. A
+// stopping node abandons no trials.
 void onTrialTimeout(State &Node, const TrialTimeout &Due, EffectList &Effects) {
   EntryRequest *Request = findRequest(Node, Due.Request);
   if (!Request || Request->CurrentAttempt != Due.Attempt ||
       Request->Committed || Node.Stopping ||
+      !admission::areRefusalsRare(Node.Admission, Request->Kind) ||
       !hasFreeSlotElsewhere(Node, *Request, Effects))
     return;
   AttemptOutcome TimeoutOutcome;
--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -193,6 +193,22 @@
   CHECK_FALSE(find<CancelAttempt>(Effects));
 }
 
+// LOST on trayworks-grown: trials were abandoned while owners refused what came
+// in their place; a SIGTERM between the two made it a request that was given up
+// while its server worked.
+TEST_CASE("a trial is not abandoned while attempts of its rank are refused") {
+  for (bool OverBudget : {false, true}) {
+    State Node = makeTwoNodeFleet("north");
+    startTrial(Node);
+    admission::RetryBudget &Budget =
+        Node.Admission.Budgets[{TestService, TestRank}];
+    (OverBudget ? Budget.BudgetRefusedShare : Budget.RefusedShare) = 0.15;
+    EffectList Effects;
+    reduce(Node, Event{HalfTime, {}, TimerFired{}}, Effects);
+    CHECK_FALSE(find<CancelAttempt>(Effects));
+  }
+}
+
 TEST_CASE("a stopping node abandons no trial") {
   State Node = makeTwoNodeFleet("north");
   startTrial(Node);
