Bodies of requests and the fake caller have files of their own

The reading of a body within its memory moves to caller_body.cc, the test's fixture to fake_caller_test.h, the tests of memory to caller_body_test.cc.

--- /dev/null
+++ b/currantgauge/http/caller_body_test.cc
@@ -0,0 +1,60 @@
+// The memory that the messages of callers use.
+#include "currantgauge/http/caller_body.h"
+
+#include "currantgauge/http/fake_caller_test.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace currantgauge::http {
+
+// Bodies of several callers at once exceeded the memory of the process.
+TEST_CASE("a body without memory for it is refused as not run") {
+  const std::string Chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+  std::string Chunks;
+  for (int I = 0; I < 15; ++I)
+    Chunks += Chunk;
+  const std::string Head = "POST /p HTTP/1.1\r\nHost: A.example:80\r\n";
+  for (const std::string &Text :
+       {Head + "Content-Length: 60000\r\n\r\n" + std::string(1000, 'x'),
+        Head + "Transfer-Encoding: chunked\r\n\r\n" + Chunks}) {
+    SessionFixture Fixture;
+    runtime::MemoryBudget Memory;
+    Memory.Limit = base::ByteCount{100000};
+    Fixture.Context.BodyMemory = &Memory;
+    runtime::MemoryHold Others;
+    REQUIRE(runtime::tryHold(Others, Memory, base::ByteCount{50000}));
+    Fixture.send(Text);
+    std::string Answer = Fixture.readToEnd();
+    CHECK(Answer.starts_with("HTTP/1.1 503"));
+    CHECK(Answer.find("Retry-After: 1") != std::string::npos);
+    CHECK(Answer.find("memory_limit") != std::string::npos);
+    CHECK(arrivedRequests(Fixture).empty());
+    CHECK(Memory.Used == 50000);
+  }
+}
+
+TEST_CASE("the memory of a body is held until its request is gone") {
+  SessionFixture Fixture;
+  runtime::MemoryBudget Memory;
+  Fixture.Context.BodyMemory = &Memory;
+  Fixture.send(PostHead + "abcdef");
+  REQUIRE(arrivedRequests(Fixture).size() == 1);
+  CHECK(Memory.Used == 6);
+  Fixture.Posted.clear();
+  CHECK(Memory.Used == 0);
+}
+
+TEST_CASE(
+    "while callers hold all memory for answers, less of each is buffered") {
+  SessionFixture Fixture;
+  runtime::MemoryBudget Memory;
+  Memory.Limit = base::ByteCount{1000};
+  Fixture.Context.AnswerMemory = &Memory;
+  Fixture.send(getRequest("/a"));
+  answerRequest(Fixture, 0, std::string(20000, 'x'));
+  CHECK(countEvents<core::AnswerBufferFull>(Fixture) == 1);
+}
+
+} // namespace currantgauge::http
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -3,6 +3,7 @@
 #include "currantgauge/http/answer_writer.h"
 #include "currantgauge/http/await.h"
 #include "currantgauge/http/caller_answer.h"
+#include "currantgauge/http/caller_body.h"
 #include "currantgauge/http/caller_request.h"
 #include "currantgauge/http/fields.h"
 #include "currantgauge/http/pending_request.h"
@@ -19,7 +20,6 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -37,9 +37,6 @@
 // Requests of one connection that may be unanswered at a time.
 constexpr std::size_t PipelineLimit = 32;
 constexpr std::size_t ReadBytes = 4096; // size of a request's first read
-// Bytes of a body for which memory is held ahead of a read. A read of the
-// parser takes at most 64 KiB.
-constexpr std::size_t BodyStepBytes = 128 * 1024;
 // Time for a caller to close its connection after the last answer.
 constexpr std::chrono::seconds LingerTime{1};
 
@@ -71,8 +68,6 @@
 };
 
 using SessionPtr = boost::intrusive_ptr<Session>;
-using RequestParser = beast::http::request_parser<beast::http::string_body>;
-
 std::chrono::microseconds idleTimeout(const CallerContext &Context) {
   return std::chrono::microseconds(Context.IdleMicros);
 }
@@ -264,59 +259,6 @@
   co_return Error;
 }
 
-// A body that the memory never suffices for is too large.
-std::uint64_t getBodyLimit(const CallerContext &Context) {
-  std::uint64_t Limit = Context.BodyBytes;
-  return Context.BodyMemory ? std::min(Limit, Context.BodyMemory->Limit.Bytes)
-                            : Limit;
-}
-
-// Grows the buffer of a body without a length, so that the parser doesn't:
-// while it grows, both the old and the new buffer are held.
-bool growBuffer(CallerContext &Context, std::string &Body,
-                runtime::MemoryHold &Hold) {
-  if (Body.capacity() - Body.size() >= BodyStepBytes)
-    return true;
-  std::size_t Before = Body.capacity();
-  std::size_t After = Before + std::max(2 * BodyStepBytes, Before / 2);
-  if (!runtime::tryHold(Hold, *Context.BodyMemory,
-                        base::ByteCount{Before + After}))
-    return false;
-  Body.reserve(After);
-  return runtime::tryHold(Hold, *Context.BodyMemory, base::ByteCount{After});
-}
-
-// Holds the memory for the next read of a body. Returns false if there is none.
-bool holdBody(CallerContext &Context, RequestParser &Parser,
-              runtime::MemoryHold &Hold) {
-  if (!Context.BodyMemory)
-    return true;
-  std::string &Body = Parser.get().body();
-  auto Length = Parser.content_length();
-  if (!Length)
-    return growBuffer(Context, Body, Hold);
-  return runtime::tryHold(Hold, *Context.BodyMemory,
-                          base::ByteCount{std::min<std::uint64_t>(
-                              *Length, Body.size() + BodyStepBytes)});
-}
-
-// A length for which there is no memory now is refused before it is read.
-asio::awaitable<ErrorCode> readBody(Session &S, RequestParser &Parser,
-                                    runtime::MemoryHold &Hold) {
-  ErrorCode Error;
-  auto Length = Parser.content_length();
-  if (Length && S.Context.BodyMemory &&
-      !runtime::hasMemory(*S.Context.BodyMemory, base::ByteCount{*Length}))
-    co_return asio::error::no_memory;
-  while (!Error && !Parser.is_done()) {
-    if (!holdBody(S.Context, Parser, Hold))
-      co_return asio::error::no_memory;
-    co_await beast::http::async_read_some(S.Stream, S.Input, Parser,
-                                          redirectError(Error));
-  }
-  co_return Error;
-}
-
 // Reads the next request. Returns no error on success, eof or connection_reset
 // if the connection ends or fails before the first byte of the request, and
 // otherwise the error of the read or of the parser.
@@ -347,7 +289,8 @@
     startReadTimer(Self);
   }
   if (!Error)
-    Error = co_await readBody(S, Parser, Hold);
+    Error = co_await readBody(S.Stream, S.Input, Parser, S.Context.BodyMemory,
+                              Hold);
   stopReadTimer(S);
   co_return Error;
 }
