A small body in chunks holds only what it needs

A body without a length grew its buffer to 256 KiB at once and held that until its request ended: an allocation for each chunked request, and 512 small ones at a time exhausted the memory for all, with 503 for the next.

Change: the memory for the doubling of the string is held during a read and released after the last one; no buffer is reserved ahead. The bound stays: what a read may need is held before it.

--- a/currantgauge/http/caller_body.cc
+++ b/currantgauge/http/caller_body.cc
@@ -20,30 +20,15 @@
 // parser takes at most 64 KiB.
 constexpr std::size_t BodyStepBytes = 128 * 1024;
 
-// Grows the buffer of a body without a length, so that the parser doesn't:
-// while it grows, both the old and the new buffer are held.
-bool growBuffer(std::string &Body, runtime::MemoryBudget &Memory,
-                runtime::MemoryHold &Hold) {
-  if (Body.capacity() - Body.size() >= BodyStepBytes)
-    return true;
-  std::size_t Before = Body.capacity();
-  std::size_t After = Before + std::max(2 * BodyStepBytes, Before / 2);
-  if (!runtime::tryHold(Hold, Memory, base::ByteCount{Before + After}))
-    return false;
-  Body.reserve(After);
-  return runtime::tryHold(Hold, Memory, base::ByteCount{After});
-}
-
-// Holds the memory for the next read of a body. Returns false if there is none.
-bool holdBody(RequestParser &Parser, runtime::MemoryBudget &Memory,
-              runtime::MemoryHold &Hold) {
-  std::string &Body = Parser.get().body();
-  auto Length = Parser.content_length();
-  if (!Length)
-    return growBuffer(Body, Memory, Hold);
-  return runtime::tryHold(Hold, Memory,
-                          base::ByteCount{std::min<std::uint64_t>(
-                              *Length, Body.size() + BodyStepBytes)});
+// Returns the memory that a body may need during the next read. While the
+// string of a body without a length doubles, its old and new buffer exist.
+std::uint64_t neededBytes(RequestParser &Parser) {
+  const std::string &Body = Parser.get().body();
+  std::uint64_t Next = Body.size() + BodyStepBytes;
+  if (auto Length = Parser.content_length())
+    return std::min(*Length, Next);
+  std::uint64_t Capacity = Body.capacity();
+  return Next <= Capacity ? Capacity : Capacity + std::max(2 * Capacity, Next);
 }
 
 } // namespace
@@ -67,11 +52,17 @@
       !runtime::hasMemory(*Memory, base::ByteCount{*Length}))
     co_return asio::error::no_memory;
   while (!Error && !Parser.is_done()) {
-    if (Memory && !holdBody(Parser, *Memory, Hold))
+    if (Memory &&
+        !runtime::tryHold(Hold, *Memory, base::ByteCount{neededBytes(Parser)}))
       co_return asio::error::no_memory;
     co_await beast::http::async_read_some(Stream, Input, Parser,
                                           redirectError(Error));
   }
+  // Releases what was held for growth.
+  if (Memory)
+    runtime::tryHold(
+        Hold, *Memory,
+        std::min(Hold.Size, base::ByteCount{Parser.get().body().capacity()}));
   co_return Error;
 }
 
--- a/currantgauge/http/caller_body_test.cc
+++ b/currantgauge/http/caller_body_test.cc
@@ -46,6 +46,19 @@
   CHECK(Memory.Used == 0);
 }
 
+// Each body in chunks held 256 KiB until its request ended, so that a few
+// hundred small ones exhausted the memory for all.
+TEST_CASE("a small body in chunks holds little memory") {
+  SessionFixture Fixture;
+  runtime::MemoryBudget Memory;
+  Fixture.Context.BodyMemory = &Memory;
+  Fixture.send("POST /p HTTP/1.1\r\nHost: A.example:80\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n");
+  REQUIRE(arrivedRequests(Fixture).size() == 1);
+  CHECK(arrivedRequests(Fixture)[0]->Message->Body == "abcdef");
+  CHECK(Memory.Used < 100);
+}
+
 TEST_CASE(
     "while callers hold all memory for answers, less of each is buffered") {
   SessionFixture Fixture;
