Channels and unary calls between nodes have files of their own

The channels move to channels.cc; deliver() and fetchConfig() to unary_calls.cc, where one try and its repetition serve both. The calls that await their acknowledgement have a lock of their own. makeEnd() serves the owner's refusal too, and the tests of the folder share their free endpoint.

--- a/currantgauge/peer/answer_codec.cc
+++ b/currantgauge/peer/answer_codec.cc
@@ -59,6 +59,15 @@
   }
 }
 
+runtime::AnswerEnd makeEnd(base::Verdict Verdict, base::Reason Reason,
+                           base::Duration RetryAfter) {
+  runtime::AnswerEnd End;
+  End.Outcome.Verdict = Verdict;
+  End.Outcome.Reason = Reason;
+  End.Outcome.RetryAfter = RetryAfter;
+  return End;
+}
+
 void toWire(const runtime::RequestMessage &From, v1::ForwardRequest &To) {
   To.set_method(From.Method);
   To.set_target(From.Target);
--- a/currantgauge/peer/answer_codec.h
+++ b/currantgauge/peer/answer_codec.h
@@ -16,6 +16,10 @@
 // bytes of a chunk out of From.
 bool fromWire(v1::AnswerPart &From, runtime::AnswerPart &To);
 
+// makeEnd() returns the end of an attempt that has no answer.
+runtime::AnswerEnd makeEnd(base::Verdict Verdict, base::Reason Reason,
+                           base::Duration RetryAfter = {});
+
 // BodyPartsKey is in the initial metadata of an owner that accepts the body of
 // a request in several messages.
 constexpr char BodyPartsKey[] = "body-parts";
--- a/currantgauge/peer/client.cc
+++ b/currantgauge/peer/client.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/peer/client.h"
 
 #include "currantgauge/peer/answer_codec.h"
+#include "currantgauge/peer/channels.h"
 #include "currantgauge/peer/codec.h"
 #include "currantgauge/peer/generated/peer.grpc.pb.h"
 #include "currantgauge/runtime/tsan_annotations.h"
@@ -8,17 +9,13 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <grpcpp/alarm.h>
-#include <grpcpp/channel.h>
 #include <grpcpp/client_context.h>
-#include <grpcpp/create_channel.h>
-#include <grpcpp/security/credentials.h>
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <deque>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -28,19 +25,9 @@
 namespace currantgauge::peer {
 namespace {
 
-constexpr int MaxMessageBytes = 80 * 1024 * 1024;
 // Size of the parts in which the body of a request is sent, so that at most one
 // part is copied at a time.
 constexpr std::size_t BodyPartBytes = 256 * 1024;
-constexpr int KeepaliveMillis = 2000;
-constexpr int KeepaliveTimeoutMillis = 2000;
-constexpr int InitialReconnectMillis = 100;
-constexpr int MaxReconnectMillis = 1000;
-// A call that isn't answered in time is repeated once, on a new connection, as
-// its own may have gone silent. A round trip between regions takes 16 ms.
-constexpr base::Duration DeliverTimeout = base::milliseconds(500);
-constexpr base::Duration FirstFetchTimeout = base::seconds(1);
-constexpr base::Duration FetchTimeout = base::seconds(5);
 // Time within which the owner must acknowledge a call, before the request is
 // sent to it; otherwise the connection counts as unresponsive. A round trip
 // between regions takes 16 ms.
@@ -49,27 +36,6 @@
 // by this time and only takes effect if the owner is gone.
 constexpr base::Duration ForwardGracePeriod = base::milliseconds(200);
 
-// gRPC takes wall-clock deadlines and converts them to durations at once, so
-// that later steps of the clock have no effect.
-std::chrono::system_clock::time_point deadlineAfter(base::Duration Delay) {
-  return std::chrono::system_clock::now() +
-         std::chrono::microseconds(Delay.Micros);
-}
-
-struct Channel {
-  std::shared_ptr<grpc::Channel> Connection;
-  std::unique_ptr<v1::Peer::Stub> Stub;
-};
-
-using ChannelPtr = std::shared_ptr<Channel>;
-
-runtime::AnswerEnd makeEnd(base::Verdict Verdict, base::Reason Reason) {
-  runtime::AnswerEnd End;
-  End.Outcome.Verdict = Verdict;
-  End.Outcome.Reason = Reason;
-  return End;
-}
-
 // CallPhase resolves the race between the owner's acknowledgement and the
 // timeout or end of the call: the request is sent only if the acknowledgement
 // comes first.
@@ -87,7 +53,7 @@
   std::size_t BodySent = 0; // or being sent
   v1::AnswerPart Wire;
   runtime::AnswerPipePtr Pipe;
-  ChannelPtr OwnerChannel;
+  detail::ChannelPtr OwnerChannel;
   std::atomic<CallPhase> Phase{CallPhase::AwaitingAck};
   std::mutex Lock;
   // Reading is paused until the pipe has room; a gRPC hold keeps the call open.
@@ -197,69 +163,24 @@
   boost::intrusive_ptr<ForwardCall> Call;
 };
 
-// Channels holds the channels and the calls that await their acknowledgement.
-// One timer serves all calls, as one per call costs more than the rest of the
-// call's bookkeeping.
-struct Channels {
+// AckQueue holds the calls that await their acknowledgement. One timer serves
+// all calls, as one per call costs more than the rest of the call's
+// bookkeeping.
+struct AckQueue {
   std::mutex Lock;
-  std::map<base::NetAddress, ChannelPtr> ByAddress;
-  std::deque<PendingAck> PendingAcks;    // by Deadline
-  std::unique_ptr<grpc::Alarm> AckTimer; // null if not set
+  std::deque<PendingAck> Pending;     // by Deadline
+  std::unique_ptr<grpc::Alarm> Timer; // null if not set
 };
 
 } // namespace detail
 
-PeerClient::PeerClient() : Channels(std::make_unique<detail::Channels>()) {}
+PeerClient::PeerClient()
+    : Channels(std::make_unique<detail::Channels>()),
+      Acks(std::make_unique<detail::AckQueue>()) {}
 PeerClient::~PeerClient() = default;
 
 namespace {
 
-// Channels don't share connections, so that another channel to the same address
-// opens a new connection.
-ChannelPtr openChannel(const base::NetAddress &Address) {
-  grpc::ChannelArguments Arguments;
-  Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMillis);
-  Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMillis);
-  Arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-  Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
-                   InitialReconnectMillis);
-  Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MaxReconnectMillis);
-  Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaxReconnectMillis);
-  // Messages are far smaller than the flow-control windows that bandwidth
-  // probes would enlarge.
-  Arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
-  Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-  Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  Arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
-  auto NewChannel = std::make_shared<Channel>();
-  NewChannel->Connection = grpc::CreateCustomChannel(
-      Address.Value, grpc::InsecureChannelCredentials(), Arguments);
-  NewChannel->Stub = v1::Peer::NewStub(NewChannel->Connection);
-  return NewChannel;
-}
-
-ChannelPtr channelTo(PeerClient &Client, const base::NetAddress &Address) {
-  std::lock_guard<std::mutex> Guard(Client.Channels->Lock);
-  ChannelPtr &Result = Client.Channels->ByAddress[Address];
-  if (!Result)
-    Result = openChannel(Address);
-  return Result;
-}
-
-// Replaces a channel, so that later calls use a new connection; calls in flight
-// keep the old one. A channel that isn't in state READY is kept, as it
-// reconnects by itself.
-void replaceChannel(PeerClient &Client, const base::NetAddress &Address,
-                    const ChannelPtr &Unresponsive) {
-  if (Unresponsive->Connection->GetState(false) != GRPC_CHANNEL_READY)
-    return;
-  std::lock_guard<std::mutex> Guard(Client.Channels->Lock);
-  ChannelPtr &Current = Client.Channels->ByAddress[Address];
-  if (Current == Unresponsive)
-    Current = openChannel(Address);
-}
-
 void setAckTimer(PeerClient &Client);
 
 // Cancels calls that were not acknowledged in time, whose requests have not
@@ -267,8 +188,8 @@
 void onAckTimer(PeerClient &Client) {
   std::vector<detail::PendingAck> Unresponsive;
   {
-    std::lock_guard<std::mutex> Guard(Client.Channels->Lock);
-    auto &PendingAcks = Client.Channels->PendingAcks;
+    std::lock_guard<std::mutex> Guard(Client.Acks->Lock);
+    auto &PendingAcks = Client.Acks->Pending;
     auto Now = std::chrono::steady_clock::now();
     while (!PendingAcks.empty() &&
            (PendingAcks.front().Call->Phase != CallPhase::AwaitingAck ||
@@ -282,7 +203,8 @@
     setAckTimer(Client);
   }
   for (const detail::PendingAck &Pending : Unresponsive) {
-    replaceChannel(Client, Pending.Address, Pending.Call->OwnerChannel);
+    detail::replaceChannel(*Client.Channels, Pending.Address,
+                           Pending.Call->OwnerChannel);
     Pending.Call->Context.TryCancel();
   }
 }
@@ -290,28 +212,28 @@
 // Requires the caller to hold the lock. Creates a new alarm, because an alarm
 // can't be set again in its own callback.
 void setAckTimer(PeerClient &Client) {
-  detail::Channels &Channels = *Client.Channels;
-  Channels.AckTimer.reset();
-  if (Channels.PendingAcks.empty())
+  detail::AckQueue &Acks = *Client.Acks;
+  Acks.Timer.reset();
+  if (Acks.Pending.empty())
     return;
-  Channels.AckTimer = std::make_unique<grpc::Alarm>();
+  Acks.Timer = std::make_unique<grpc::Alarm>();
   auto TimeLeft = std::chrono::duration_cast<std::chrono::microseconds>(
-      Channels.PendingAcks.front().Deadline - std::chrono::steady_clock::now());
-  Channels.AckTimer->Set(deadlineAfter(base::microseconds(TimeLeft.count())),
-                         [&Client](bool Expired) {
-                           if (Expired)
-                             onAckTimer(Client);
-                         });
+      Acks.Pending.front().Deadline - std::chrono::steady_clock::now());
+  Acks.Timer->Set(detail::deadlineAfter(base::microseconds(TimeLeft.count())),
+                  [&Client](bool Expired) {
+                    if (Expired)
+                      onAckTimer(Client);
+                  });
 }
 
 void awaitAck(PeerClient &Client, const base::NetAddress &Address,
               boost::intrusive_ptr<ForwardCall> Call) {
-  std::lock_guard<std::mutex> Guard(Client.Channels->Lock);
-  Client.Channels->PendingAcks.push_back(
+  std::lock_guard<std::mutex> Guard(Client.Acks->Lock);
+  Client.Acks->Pending.push_back(
       {std::chrono::steady_clock::now() +
            std::chrono::microseconds(AckTimeout.Micros),
        Address, std::move(Call)});
-  if (!Client.Channels->AckTimer)
+  if (!Client.Acks->Timer)
     setAckTimer(Client);
 }
 
@@ -320,7 +242,8 @@
 void forward(PeerClient &Client, const base::NetAddress &Address,
              const core::AttemptFacts &Facts,
              runtime::RequestMessagePtr Message, runtime::AnswerPipePtr Pipe) {
-  ChannelPtr OwnerChannel = channelTo(Client, Address);
+  detail::ChannelPtr OwnerChannel =
+      detail::channelTo(*Client.Channels, Address);
   // No call is started in this state, the only one in which it is certain that
   // nothing would be sent.
   if (OwnerChannel->Connection->GetState(true) ==
@@ -337,7 +260,7 @@
   toWire(*Message, Call->Request);
   Call->Message = std::move(Message);
   Call->Context.set_deadline(
-      deadlineAfter(Facts.TimeLeft + ForwardGracePeriod));
+      detail::deadlineAfter(Facts.TimeLeft + ForwardGracePeriod));
   runtime::setWakeWriter(*Pipe, [Call] { Call->resume(); });
   OwnerChannel->Stub->async()->Forward(&Call->Context, Call.get());
   Call->startRead();
@@ -347,119 +270,4 @@
   awaitAck(Client, Address, Call);
 }
 
-namespace {
-
-// DeliverCall and FetchCall delete themselves in OnDone().
-struct DeliverCall : grpc::ClientUnaryReactor {
-  grpc::ClientContext Context;
-  v1::PeerMessage Request;
-  v1::DeliverReply Reply;
-  std::function<void(const grpc::Status &, v1::PeerMessage)> Callback;
-
-  void OnDone(const grpc::Status &Status) override {
-    runtime::annotateAcquire(this);
-    std::unique_ptr<DeliverCall> Self(this);
-    this->Callback(Status, std::move(this->Request));
-  }
-};
-
-struct FetchCall : grpc::ClientUnaryReactor {
-  grpc::ClientContext Context;
-  v1::FetchConfigRequest Request;
-  v1::FetchConfigReply Reply;
-  std::function<void(const grpc::Status &, const v1::FetchConfigReply &)>
-      Callback;
-
-  void OnDone(const grpc::Status &Status) override {
-    runtime::annotateAcquire(this);
-    std::unique_ptr<FetchCall> Self(this);
-    this->Callback(Status, this->Reply);
-  }
-};
-
-template <typename Call> void startUnaryCall(Call *Reactor) {
-  runtime::annotateRelease(Reactor);
-  Reactor->StartCall();
-}
-
-bool isTimeout(const grpc::Status &Status) {
-  return Status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
-}
-
-// IsRepeat says whether the message was already sent once. A message that
-// arrives twice has no further effect.
-enum class IsRepeat { No, Yes };
-
-void deliverWire(PeerClient &Client, const base::NetAddress &Address,
-                 v1::PeerMessage Message, IsRepeat Repeat,
-                 std::function<void(bool)> Callback) {
-  ChannelPtr Used = channelTo(Client, Address);
-  auto *Call = new DeliverCall;
-  Call->Request = std::move(Message);
-  Call->Callback = [&Client, Address, Used, Repeat,
-                    Callback = std::move(Callback)](const grpc::Status &Status,
-                                                    v1::PeerMessage Sent) {
-    if (!isTimeout(Status))
-      return Callback(Status.ok());
-    replaceChannel(Client, Address, Used);
-    if (Repeat == IsRepeat::Yes)
-      return Callback(false);
-    deliverWire(Client, Address, std::move(Sent), IsRepeat::Yes, Callback);
-  };
-  Call->Context.set_deadline(deadlineAfter(DeliverTimeout));
-  // Records repeat names and addresses. gRPC sends a message uncompressed if
-  // that is smaller.
-  Call->Context.set_compression_algorithm(GRPC_COMPRESS_DEFLATE);
-  Used->Stub->async()->Deliver(&Call->Context, &Call->Request, &Call->Reply,
-                               Call);
-  startUnaryCall(Call);
-}
-
-void fetchWire(
-    PeerClient &Client, const base::NetAddress &Address,
-    base::ConfigVersion KnownVersion, IsRepeat Repeat,
-    std::function<void(std::optional<config::ConfigDelta>)> Callback) {
-  ChannelPtr Used = channelTo(Client, Address);
-  auto *Call = new FetchCall;
-  Call->Request.set_have(KnownVersion.Value);
-  Call->Callback =
-      [&Client, Address, KnownVersion, Used, Repeat,
-       Callback = std::move(Callback)](const grpc::Status &Status,
-                                       const v1::FetchConfigReply &Reply) {
-        if (isTimeout(Status)) {
-          replaceChannel(Client, Address, Used);
-          if (Repeat == IsRepeat::No)
-            return fetchWire(Client, Address, KnownVersion, IsRepeat::Yes,
-                             Callback);
-        }
-        config::ConfigDelta Delta;
-        bool Success =
-            Status.ok() && Reply.found() && fromWire(Reply.delta(), Delta);
-        Callback(Success ? std::optional(std::move(Delta)) : std::nullopt);
-      };
-  Call->Context.set_deadline(deadlineAfter(
-      Repeat == IsRepeat::Yes ? FetchTimeout : FirstFetchTimeout));
-  Used->Stub->async()->FetchConfig(&Call->Context, &Call->Request, &Call->Reply,
-                                   Call);
-  startUnaryCall(Call);
-}
-
-} // namespace
-
-void deliver(PeerClient &Client, const base::NetAddress &Address,
-             const membership::PeerMessage &Message,
-             std::function<void(bool)> Callback) {
-  v1::PeerMessage Wire;
-  toWire(Message, Wire);
-  deliverWire(Client, Address, std::move(Wire), IsRepeat::No,
-              std::move(Callback));
-}
-
-void fetchConfig(
-    PeerClient &Client, const base::NetAddress &Address,
-    base::ConfigVersion KnownVersion,
-    std::function<void(std::optional<config::ConfigDelta>)> Callback) {
-  fetchWire(Client, Address, KnownVersion, IsRepeat::No, std::move(Callback));
-}
-
 } // namespace currantgauge::peer
--- a/currantgauge/peer/forward_body_test.cc
+++ b/currantgauge/peer/forward_body_test.cc
@@ -1,25 +1,20 @@
 // The bodies of requests that an entry sends to an owner in several messages.
 #include "currantgauge/peer/client.h"
+#include "currantgauge/peer/loopback_test.h"
 #include "currantgauge/peer/server.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 #include <chrono>
 #include <cstddef>
 #include <future>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 
 namespace currantgauge::peer {
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-
 constexpr std::size_t LargeBytes = 3UL * 1024 * 1024 + 7;
 
 // OwnerFixture runs an owner that answers each attempt and keeps its body.
@@ -42,12 +37,7 @@
       End.Outcome.Verdict = base::Verdict::Ran;
       runtime::pushPart(*Pipe, End);
     };
-    asio::io_context Io;
-    this->Address = base::NetAddress(
-        "127.0.0.1:" +
-        std::to_string(tcp::acceptor(Io, {asio::ip::address_v4::loopback(), 0})
-                           .local_endpoint()
-                           .port()));
+    this->Address = toAddress(freeEndpoint());
     std::error_code Error;
     this->Server = startPeerServer(this->Address, std::move(Handlers), Error);
     REQUIRE(this->Server);
--- a/currantgauge/peer/server.cc
+++ b/currantgauge/peer/server.cc
@@ -112,11 +112,9 @@
     if (Memory &&
         !tryHold(this->Message->Hold, *Memory, this->Facts.BodyBytes)) {
       this->wakeOnAnswer();
-      runtime::AnswerEnd Refusal;
-      Refusal.Outcome.Verdict = base::Verdict::NotRun;
-      Refusal.Outcome.Reason = base::Reason::MemoryLimit;
-      Refusal.Outcome.RetryAfter = base::seconds(1);
-      runtime::pushPart(*this->Pipe, Refusal);
+      runtime::pushPart(*this->Pipe,
+                        makeEnd(base::Verdict::NotRun,
+                                base::Reason::MemoryLimit, base::seconds(1)));
       return false;
     }
     this->Message->Body.reserve(
--- a/currantgauge/peer/silent_channel_test.cc
+++ b/currantgauge/peer/silent_channel_test.cc
@@ -1,7 +1,8 @@
 // Calls between nodes over a connection that has gone silent, while new ones
 // work.
-#include "currantgauge/peer/client.h"
+#include "currantgauge/peer/loopback_test.h"
 #include "currantgauge/peer/server.h"
+#include "currantgauge/peer/unary_calls.h"
 #include "tests/stand_ins/fault_proxy.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -15,7 +16,6 @@
 #include <future>
 #include <memory>
 #include <optional>
-#include <string>
 #include <thread>
 #include <utility>
 
@@ -42,8 +42,7 @@
   std::thread ProxyThread;
 
   SilentFixture() {
-    tcp::endpoint Target(asio::ip::address_v4::loopback(), 0);
-    Target = tcp::acceptor(this->Io, Target).local_endpoint();
+    tcp::endpoint Target = freeEndpoint();
     PeerHandlers Handlers;
     Handlers.Deliver = [this](membership::PeerMessage) { ++this->Delivered; };
     Handlers.FetchConfig = [](base::ConfigVersion) {
@@ -52,12 +51,11 @@
       return std::optional(Delta);
     };
     std::error_code Error;
-    this->Server = startPeerServer(
-        base::NetAddress("127.0.0.1:" + std::to_string(Target.port())),
-        std::move(Handlers), Error);
+    this->Server =
+        startPeerServer(toAddress(Target), std::move(Handlers), Error);
     REQUIRE(this->Server);
     auto &Route = stand_ins::addRoute(this->Io, this->Proxy, 0, Target);
-    this->Address = base::NetAddress("127.0.0.1:" + std::to_string(Route.Port));
+    this->Address = toAddress(loopback(Route.Port));
     this->ProxyThread = std::thread([this] { this->Io.run(); });
   }
 
--- a/currantgauge/peer/traffic_test.cc
+++ b/currantgauge/peer/traffic_test.cc
@@ -1,7 +1,8 @@
 // Measures the bytes that calls between nodes send, through a counting proxy.
 #include "currantgauge/membership/size.h"
-#include "currantgauge/peer/client.h"
+#include "currantgauge/peer/loopback_test.h"
 #include "currantgauge/peer/server.h"
+#include "currantgauge/peer/unary_calls.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,15 +23,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-tcp::endpoint loopback(unsigned short Port = 0) {
-  return tcp::endpoint(asio::ip::address_v4::loopback(), Port);
-}
-
-unsigned short freePort() {
-  asio::io_context Io;
-  return tcp::acceptor(Io, loopback()).local_endpoint().port();
-}
-
 // CountingProxy forwards one connection and counts the bytes of the caller.
 struct CountingProxy {
   explicit CountingProxy(unsigned short Port)
@@ -94,19 +86,17 @@
 } // namespace
 
 TEST_CASE("rumours are compressed to less than half of their size") {
-  unsigned short Port = freePort();
+  tcp::endpoint Target = freeEndpoint();
   std::atomic<std::size_t> Records{0};
   PeerHandlers Handlers;
   Handlers.Deliver = [&](membership::PeerMessage Message) {
     Records += Message.Backends.size();
   };
   std::error_code Error;
-  auto Server = startPeerServer(
-      base::NetAddress("127.0.0.1:" + std::to_string(Port)), Handlers, Error);
+  auto Server = startPeerServer(toAddress(Target), Handlers, Error);
   REQUIRE(Server);
-  CountingProxy Proxy(Port);
-  base::NetAddress Address(
-      "127.0.0.1:" + std::to_string(Proxy.Acceptor.local_endpoint().port()));
+  CountingProxy Proxy(Target.port());
+  base::NetAddress Address = toAddress(Proxy.Acceptor.local_endpoint());
   std::thread ProxyThread([&] { run(Proxy); });
   constexpr std::size_t Count = 12;
   constexpr std::size_t Calls = 10;
--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/runtime/effects.h"
 
 #include "currantgauge/config/assemble.h"
+#include "currantgauge/peer/unary_calls.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
