--- a/currantgauge/runtime/answer_pipe.cc
+++ b/currantgauge/runtime/answer_pipe.cc
@@ -51,8 +51,7 @@
 // The bytes of a pipe are held even beyond the budget, as its writer has to
 // push what it has already read.
 bool hasBudgetLocked(const AnswerPipe &Pipe) {
-  return !Pipe.Budget || (Pipe.Hold.Size.Bytes >= Pipe.Bytes &&
-                          hasMemory(*Pipe.Budget, base::ByteCount{}));
+  return !Pipe.Budget || Pipe.Hold.Size.Bytes >= Pipe.Bytes;
 }
 
 void updateHoldLocked(AnswerPipe &Pipe) {
--- a/currantgauge/runtime/memory_budget.cc
+++ b/currantgauge/runtime/memory_budget.cc
@@ -28,7 +28,7 @@
   std::uint64_t More = Size.Bytes - Hold.Size.Bytes;
   std::uint64_t Used = Budget.Used;
   do {
-    if (More > Budget.Limit.Bytes || Used > Budget.Limit.Bytes - More)
+    if (More > Budget.Limit.Bytes - Used)
       return false;
   } while (!Budget.Used.compare_exchange_weak(Used, Used + More));
   Hold.Size = Size;
@@ -36,8 +36,7 @@
 }
 
 bool hasMemory(const MemoryBudget &Budget, base::ByteCount Size) {
-  std::uint64_t Used = Budget.Used;
-  return Used <= Budget.Limit.Bytes && Size.Bytes <= Budget.Limit.Bytes - Used;
+  return Size.Bytes <= Budget.Limit.Bytes - Budget.Used;
 }
 
 } // namespace currantgauge::runtime
--- a/currantgauge/runtime/memory_budget.h
+++ b/currantgauge/runtime/memory_budget.h
@@ -18,7 +18,7 @@
 // before the budget is used.
 struct MemoryBudget {
   base::ByteCount Limit{std::numeric_limits<std::uint64_t>::max()};
-  std::atomic<std::uint64_t> Used{0}; // bytes
+  std::atomic<std::uint64_t> Used{0}; // bytes, never above Limit
 };
 
 // MemoryHold is a part of a budget that is in use until the hold is destroyed.
