One piece sets the TCP options of connections to servers and to the store

The store's client had written again what the backend client's setSocketOptions() did, with probes besides. The same values as before; http_test and store_test pass.

--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -4,6 +4,7 @@
 #include "currantgauge/http/backend_answer.h"
 #include "currantgauge/http/fields.h"
 #include "currantgauge/http/listener.h"
+#include "currantgauge/runtime/tcp_options.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,10 +16,6 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -41,7 +38,7 @@
 // Maximum number of late answers to other attempts that one exchange skips.
 constexpr int StaleAnswerLimit = 4;
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
-constexpr unsigned UserTimeoutMillis = 5000; // TCP_USER_TIMEOUT
+constexpr std::chrono::milliseconds UserTimeout{5000};
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::uint32_t AnswerHeaderLimitBytes = 64 * 1024;
 
@@ -58,13 +55,6 @@
   core::ExchangeOutcome Outcome;
 };
 
-void setSocketOptions(tcp::socket &Socket) {
-  ErrorCode Ignored;
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-               &UserTimeoutMillis, sizeof(UserTimeoutMillis));
-}
-
 asio::awaitable<bool> connect(Exchange &E) {
   auto Endpoint = parseEndpoint(E.Params.Address);
   if (!Endpoint) {
@@ -83,7 +73,7 @@
     E.Outcome.SuspectedCrash = Error == asio::error::connection_refused;
     co_return false;
   }
-  setSocketOptions(E.Connection->Stream.socket());
+  runtime::setTcpOptions(E.Connection->Stream.socket(), UserTimeout);
   co_return true;
 }
 
--- a/currantgauge/store/store_client.cc
+++ b/currantgauge/store/store_client.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/store/store_client.h"
 
+#include "currantgauge/runtime/tcp_options.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,10 +11,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -32,8 +30,8 @@
 constexpr unsigned HttpTooManyRequests = 429;
 // A connection fails when the service's host has acknowledged nothing for this
 // long: of data that was sent, or of the probes of an idle connection.
-constexpr int ProbeSeconds = 1; // TCP_KEEPIDLE and TCP_KEEPINTVL
-constexpr int UserTimeoutMillis = 2500;
+constexpr std::chrono::milliseconds UserTimeout{2500};
+constexpr std::chrono::seconds ProbeInterval{1};
 // Each try of a read gets the remaining time divided by this, so that after a
 // try on an unresponsive connection there is time for another one.
 constexpr int ReadTryDivisor = 3;
@@ -98,20 +96,6 @@
     Client.Idle.push_back(IdleConnection{std::move(Stream), Clock::now()});
 }
 
-void setOption(tcp::socket &Socket, int Level, int Name, int Value) {
-  // Without the option, only the timeout of a call shows a lost connection.
-  (void)::setsockopt(Socket.native_handle(), Level, Name, &Value,
-                     sizeof(Value));
-}
-
-void setSocketOptions(tcp::socket &Socket) {
-  setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
-  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-  setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, ProbeSeconds);
-  setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, ProbeSeconds);
-  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMillis);
-}
-
 asio::awaitable<StreamPtr> connect(StoreClient &Client,
                                    Clock::time_point Deadline) {
   StreamPtr Stream = popIdle(Client);
@@ -121,7 +105,8 @@
   Stream->expires_at(Deadline);
   co_await Stream->async_connect(parseEndpoint(Client.Address),
                                  asio::use_awaitable);
-  setSocketOptions(Stream->socket());
+  runtime::setTcpOptions(Stream->socket(), UserTimeout);
+  runtime::probeWhenIdle(Stream->socket(), ProbeInterval);
   co_return Stream;
 }
 
