--- a/currantgauge/admission/retry.cc
+++ b/currantgauge/admission/retry.cc
@@ -47,6 +47,15 @@
   }
 }
 
+// budgetOf() returns the budget of a kind's service and rank, without refusals
+// if there is none yet.
+const RetryBudget &budgetOf(const AdmissionState &State,
+                            const config::KindSettings &Kind) {
+  static const RetryBudget Unused;
+  auto It = State.Budgets.find({Kind.Service, Kind.Rank});
+  return It == State.Budgets.end() ? Unused : It->second;
+}
+
 // While refusals because of load are rare, another owner may accept the
 // request. When they are common, an early response is worth more than a second
 // attempt, unless the refusal came quickly or another server appears to have a
@@ -60,15 +69,13 @@
     return false;
   if (Outcome.Verdict != base::Verdict::NotRun)
     return Query.Kind.Idempotent;
-  auto It = State.Budgets.find({Query.Kind.Service, Query.Kind.Rank});
+  const RetryBudget &Budget = budgetOf(State, Query.Kind);
   if (Outcome.Reason == base::Reason::RetryBudget)
-    return It == State.Budgets.end() ||
-           It->second.BudgetRefusedShare <= MaxBudgetRefusalShare;
+    return Budget.BudgetRefusedShare <= MaxBudgetRefusalShare;
   if (!isLoadRefusal(Outcome.Reason) || Query.HasFreeSlotElsewhere ||
       Query.Now - Query.ArrivedAt < QuickRefusalLimit)
     return true;
-  return It == State.Budgets.end() ||
-         It->second.RefusedShare < RareRefusalShare;
+  return Budget.RefusedShare < RareRefusalShare;
 }
 
 // budgetShare() returns the tokens that a success adds to the retry budget.
@@ -107,17 +114,14 @@
 }
 
 bool isRankShed(const AdmissionState &State, const config::KindSettings &Kind) {
-  auto It = State.Budgets.find({Kind.Service, Kind.Rank});
-  return It != State.Budgets.end() &&
-         It->second.RefusedShare > ShedRefusalShare;
+  return budgetOf(State, Kind).RefusedShare > ShedRefusalShare;
 }
 
 bool areRefusalsRare(const AdmissionState &State,
                      const config::KindSettings &Kind) {
-  auto It = State.Budgets.find({Kind.Service, Kind.Rank});
-  return It == State.Budgets.end() ||
-         (It->second.RefusedShare < RareRefusalShare &&
-          It->second.BudgetRefusedShare < RareRefusalShare);
+  const RetryBudget &Budget = budgetOf(State, Kind);
+  return Budget.RefusedShare < RareRefusalShare &&
+         Budget.BudgetRefusedShare < RareRefusalShare;
 }
 
 bool takeRetryToken(AdmissionState &State, const config::KindSettings &Kind) {
