--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -30,7 +30,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
--- a/currantgauge/http/caller_session_test.cc
+++ b/currantgauge/http/caller_session_test.cc
@@ -21,7 +21,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 // Answers one request, so that the idle timeout of 200 ms is in force.
 void startIdleTime(SessionFixture &Fixture) {
