A request is quarantined after three crashes of one server

Cause: the replicated record held the names of crashed servers, so that a server that starts again under its name counted once, and two different ones were needed.

The record now holds name and incarnation of each crash, and three crashes of any servers quarantine a request, besides two different servers as before. A complete response between crashes clears a suspicion as before.

Test: a request is quarantined after one server crashed on it three times; before, records were unique by server.

--- a/currantgauge/actions/quarantine.cc
+++ b/currantgauge/actions/quarantine.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,8 +15,12 @@
 namespace {
 
 using membership::QuarantineRecord;
+using membership::ServerCrash;
 
-constexpr std::size_t CrashesToQuarantine = 2; // different backend servers
+constexpr std::size_t ServersToQuarantine = 2; // different backend servers
+// Of any servers. More than of different ones, as a server may also crash again
+// for a reason of its own.
+constexpr std::size_t CrashesToQuarantine = 3;
 constexpr base::Duration SuspicionLifetime = base::minutes(10);
 constexpr std::size_t MaxQuarantineRecords = 10000;
 constexpr std::size_t MaxCrashHints = 1000;
@@ -24,7 +29,13 @@
 constexpr base::Duration MaxAnnouncementDelay = base::milliseconds(500);
 
 bool isConfirmed(const QuarantineRecord &Record) {
-  return !Record.Cleared && Record.Crashed.size() >= CrashesToQuarantine;
+  if (Record.Cleared)
+    return false;
+  std::set<base::BackendName> Servers;
+  for (const ServerCrash &Crash : Record.Crashes)
+    Servers.insert(Crash.Server);
+  return Servers.size() >= ServersToQuarantine ||
+         Record.Crashes.size() >= CrashesToQuarantine;
 }
 
 std::string fingerprintText(base::Fingerprint Fingerprint) {
@@ -35,10 +46,11 @@
   return Text;
 }
 
-std::string joinNames(const std::vector<base::BackendName> &Names) {
+// Names a server once for each of its crashes.
+std::string joinNames(const std::vector<ServerCrash> &Crashes) {
   std::string Text;
-  for (const base::BackendName &Name : Names)
-    Text += (Text.empty() ? "" : ", ") + Name.Value;
+  for (const ServerCrash &Crash : Crashes)
+    Text += (Text.empty() ? "" : ", ") + Crash.Server.Value;
   return Text;
 }
 
@@ -58,27 +70,27 @@
                     {{"fingerprint", fingerprintText(Record.Fingerprint)},
                      {"service", Record.Service.Value},
                      {"kind", Record.Kind.Value},
-                     {"servers", joinNames(Record.Crashed)}}});
+                     {"servers", joinNames(Record.Crashes)}}});
 }
 
-// addCrash() adds a server to a record. After a clearing it starts a new record
+// addCrash() adds a crash to a record. After a clearing it starts a new record
 // with a later time, because the later of a cleared and an open record
 // prevails.
-void addCrash(QuarantineRecord &Record, const base::BackendName &Server,
+void addCrash(QuarantineRecord &Record, const ServerCrash &Crash,
               base::UnixTime WallTime) {
   if (Record.Cleared) {
     Record.Cleared = false;
-    Record.Crashed.clear();
+    Record.Crashes.clear();
     WallTime.Millis = std::max(WallTime.Millis, Record.Since.Millis + 1);
   }
   Record.Since = std::max(Record.Since, WallTime);
-  Record.Crashed.push_back(Server);
-  std::sort(Record.Crashed.begin(), Record.Crashed.end());
+  Record.Crashes.push_back(Crash);
+  std::sort(Record.Crashes.begin(), Record.Crashes.end());
 }
 
-bool contains(const std::vector<base::BackendName> &Names,
-              const base::BackendName &Name) {
-  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+bool contains(const std::vector<ServerCrash> &Crashes,
+              const ServerCrash &Crash) {
+  return std::find(Crashes.begin(), Crashes.end(), Crash) != Crashes.end();
 }
 
 void noteCrash(core::State &Node, const CrashHint &Hint,
@@ -92,9 +104,10 @@
   Record.Fingerprint = Hint.Fingerprint;
   Record.Service = Hint.Service;
   Record.Kind = Hint.Kind;
-  if (!Record.Cleared && contains(Record.Crashed, Hint.Server))
+  ServerCrash Crash{Hint.Server, Hint.Incarnation};
+  if (!Record.Cleared && contains(Record.Crashes, Crash))
     return;
-  addCrash(Record, Hint.Server, Node.WallTime);
+  addCrash(Record, Crash, Node.WallTime);
   notifyPeers(Node, Record);
   if (!WasConfirmed && isConfirmed(Record))
     logQuarantine(Record, Effects);
@@ -107,9 +120,10 @@
       return true;
   auto It = State.Quarantine.find(Fingerprint);
   return It != State.Quarantine.end() && !It->second.Cleared &&
-         std::any_of(
-             It->second.Crashed.begin(), It->second.Crashed.end(),
-             [&](const base::BackendName &Name) { return Name != ThisServer; });
+         std::any_of(It->second.Crashes.begin(), It->second.Crashes.end(),
+                     [&](const ServerCrash &Crash) {
+                       return Crash.Server != ThisServer;
+                     });
 }
 
 } // namespace
@@ -209,7 +223,7 @@
                         : isConfirmed(Record) ? "quarantined"
                                               : "suspected";
     Table.Rows.push_back({fingerprintText(Fingerprint), Record.Service.Value,
-                          Record.Kind.Value, joinNames(Record.Crashed),
+                          Record.Kind.Value, joinNames(Record.Crashes),
                           std::to_string(Record.Since.Millis), Phase});
   }
   Reply.Tables.push_back(std::move(Table));
--- a/currantgauge/actions/quarantine.h
+++ b/currantgauge/actions/quarantine.h
@@ -1,5 +1,6 @@
 // Quarantine of requests that crash backend servers. A request that was running
-// when two different servers crashed is refused in the whole fleet.
+// when two different servers crashed, or at three crashes of one server, is
+// refused in the whole fleet.
 //
 //   if (isQuarantined(State, Fingerprint)) refuse(Reason::Quarantined);
 #ifndef CURRANTGAUGE_ACTIONS_QUARANTINE_H
--- a/currantgauge/actions/quarantine_test.cc
+++ b/currantgauge/actions/quarantine_test.cc
@@ -69,6 +69,28 @@
   CHECK(listQuarantine(Node.Actions).Tables[0].Rows[0].back() == "quarantined");
 }
 
+// BUDGET: a request crashed the only server of its service each time that the
+// server had started again, as a server was counted once.
+TEST_CASE("a request is quarantined after one server crashed on it three "
+          "times") {
+  core::State Node = makeNode();
+  crashServer(Node, "s1");
+  crashServer(Node, "s1");
+  CHECK_FALSE(isQuarantined(Node.Actions, Fingerprint));
+  crashServer(Node, "s1");
+  CHECK(isQuarantined(Node.Actions, Fingerprint));
+}
+
+TEST_CASE("two broken connections to one process are one crash") {
+  core::State Node = makeNode();
+  crashServer(Node, "s1");
+  breakConnection(Node, "s1");
+  breakConnection(Node, "s1");
+  announce(Node, "s1", 3);
+  CHECK(Node.Actions.Quarantine.at(Fingerprint).Crashes.size() == 2);
+  CHECK_FALSE(isQuarantined(Node.Actions, Fingerprint));
+}
+
 TEST_CASE("a crash before a byte was sent is no evidence against the request") {
   core::State Node = makeNode();
   CHECK_FALSE(breakConnection(Node, "s1", false).ServerCrashed);
--- a/currantgauge/membership/digest.cc
+++ b/currantgauge/membership/digest.cc
@@ -89,8 +89,9 @@
   std::uint64_t Hash =
       hashNumber(static_cast<std::uint64_t>(Record.Since.Millis),
                  hashNumber(Record.Cleared, hashKey(Key)));
-  for (const base::BackendName &Name : Record.Crashed)
-    Hash = hashText(Name.Value, Hash);
+  for (const ServerCrash &Crash : Record.Crashes)
+    Hash =
+        hashText(Crash.Server.Value, hashNumber(Crash.Incarnation.Value, Hash));
   setHash(State.RecordDigest, Key, Hash);
 }
 
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -257,9 +257,9 @@
 
 TEST_CASE("merging quarantine records is commutative") {
   QuarantineRecord First, Second, Cleared;
-  First.Crashed = {base::BackendName("a")};
+  First.Crashes = {{base::BackendName("a"), base::Incarnation(1)}};
   First.Since = base::UnixTime{1000};
-  Second.Crashed = {base::BackendName("b")};
+  Second.Crashes = {{base::BackendName("b"), base::Incarnation(1)}};
   Second.Since = base::UnixTime{1500};
   Cleared = First;
   Cleared.Cleared = true;
@@ -286,7 +286,7 @@
   run(Net, base::seconds(10));
   QuarantineRecord Record;
   Record.Fingerprint = base::Fingerprint(77);
-  Record.Crashed = {base::BackendName("cutlist-1")};
+  Record.Crashes = {{base::BackendName("cutlist-1"), base::Incarnation(1)}};
   Record.Since = base::UnixTime{1000};
   mergeQuarantine(Net.Nodes[3]->Node, Record);
   auto CountCleared = [&](bool Cleared) {
--- a/currantgauge/membership/message.h
+++ b/currantgauge/membership/message.h
@@ -28,14 +28,21 @@
   base::ConfigVersion Version; // in force at that node
 };
 
+// ServerCrash is the crash of one process of a backend server.
+struct ServerCrash {
+  base::BackendName Server;
+  base::Incarnation Incarnation;
+  auto operator<=>(const ServerCrash &) const = default;
+};
+
 // QuarantineRecord is the replicated quarantine of a request that crashed
 // backend servers.
 struct QuarantineRecord {
   base::Fingerprint Fingerprint;
   base::ServiceName Service;
   base::KindName Kind;
-  std::vector<base::BackendName> Crashed;
-  base::UnixTime Since; // last crash, or clearing by an operator
+  std::vector<ServerCrash> Crashes; // ordered
+  base::UnixTime Since;             // last crash, or clearing by an operator
   bool Cleared = false;
 };
 
--- a/currantgauge/membership/servers.cc
+++ b/currantgauge/membership/servers.cc
@@ -108,16 +108,13 @@
       Known = Record;
     return ReplacesKnown;
   }
-  std::vector<base::BackendName> CrashedServers = Known.Crashed;
-  CrashedServers.insert(CrashedServers.end(), Record.Crashed.begin(),
-                        Record.Crashed.end());
-  std::sort(CrashedServers.begin(), CrashedServers.end());
-  CrashedServers.erase(
-      std::unique(CrashedServers.begin(), CrashedServers.end()),
-      CrashedServers.end());
+  std::vector<ServerCrash> Crashes = Known.Crashes;
+  Crashes.insert(Crashes.end(), Record.Crashes.begin(), Record.Crashes.end());
+  std::sort(Crashes.begin(), Crashes.end());
+  Crashes.erase(std::unique(Crashes.begin(), Crashes.end()), Crashes.end());
   base::UnixTime Since = std::max(Known.Since, Record.Since);
-  bool Changed = CrashedServers != Known.Crashed || Since != Known.Since;
-  Known.Crashed = std::move(CrashedServers);
+  bool Changed = Crashes != Known.Crashes || Since != Known.Since;
+  Known.Crashes = std::move(Crashes);
   Known.Since = Since;
   return Changed;
 }
--- a/currantgauge/membership/size.cc
+++ b/currantgauge/membership/size.cc
@@ -53,10 +53,11 @@
   return Items.empty() ? 0 : lengthDelimited(Items.size() * sizeof(Item));
 }
 
-std::size_t packedVarints(const std::vector<std::uint32_t> &Items) {
+template <typename Item>
+std::size_t packedVarints(const std::vector<Item> &Items) {
   std::size_t Size = 0;
-  for (std::uint32_t Item : Items)
-    Size += varintSize(Item);
+  for (Item Value : Items)
+    Size += varintSize(Value);
   return Items.empty() ? 0 : lengthDelimited(Size);
 }
 
@@ -101,8 +102,12 @@
                      field(Record.Service.Value) + field(Record.Kind.Value) +
                      zigzagField(Record.Since.Millis) +
                      field(std::uint64_t{Record.Cleared});
-  for (const base::BackendName &Name : Record.Crashed)
-    Size += lengthDelimited(Name.Value.size());
+  std::vector<std::uint64_t> Incarnations;
+  for (const ServerCrash &Crash : Record.Crashes) {
+    Size += lengthDelimited(Crash.Server.Value.size());
+    Incarnations.push_back(Crash.Incarnation.Value);
+  }
+  Size += packedVarints(Incarnations);
   return lengthDelimited(Size);
 }
 
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -125,8 +125,10 @@
   To.set_fingerprint(From.Fingerprint.Value);
   To.set_service(From.Service.Value);
   To.set_kind(From.Kind.Value);
-  for (const base::BackendName &Name : From.Crashed)
-    To.add_crashed(Name.Value);
+  for (const membership::ServerCrash &Crash : From.Crashes) {
+    To.add_crashed(Crash.Server.Value);
+    To.add_crashed_lives(Crash.Incarnation.Value);
+  }
   To.set_since_millis(From.Since.Millis);
   To.set_cleared(From.Cleared);
 }
@@ -136,8 +138,12 @@
   To.Fingerprint.Value = From.fingerprint();
   To.Service.Value = From.service();
   To.Kind.Value = From.kind();
-  for (const std::string &Name : From.crashed())
-    To.Crashed.emplace_back(Name);
+  // A node of an earlier version sends no incarnations.
+  for (int I = 0; I < From.crashed_size(); ++I)
+    To.Crashes.push_back(
+        {base::BackendName(From.crashed(I)),
+         base::Incarnation(I < From.crashed_lives_size() ? From.crashed_lives(I)
+                                                         : 0)});
   To.Since.Millis = From.since_millis();
   To.Cleared = From.cleared();
   return true;
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -45,7 +45,8 @@
                 base::milliseconds(400)};
   membership::QuarantineRecord &Quarantine = Message.Quarantine.emplace_back();
   Quarantine.Fingerprint = base::Fingerprint(77);
-  Quarantine.Crashed = {base::BackendName("cutlist-1")};
+  Quarantine.Crashes = {
+      {base::BackendName("cutlist-1"), base::Incarnation(300)}};
   Quarantine.Since = base::UnixTime{1234};
   Quarantine.Cleared = true;
   return Message;
@@ -90,7 +91,11 @@
   CHECK(Decoded.Backends.at(0).FailShare == 0.05);
   CHECK(Decoded.Backends.at(0).LateShare == 0.15);
   CHECK(Decoded.Backends.at(0).Times == sampleMessage().Backends[0].Times);
-  CHECK(Decoded.Quarantine.at(0).Crashed.size() == 1);
+  REQUIRE(Decoded.Quarantine.at(0).Crashes.size() == 1);
+  CHECK(Decoded.Quarantine.at(0).Crashes.front().Server ==
+        base::BackendName("cutlist-1"));
+  CHECK(Decoded.Quarantine.at(0).Crashes.front().Incarnation ==
+        base::Incarnation(300));
   CHECK(Decoded.BucketHashes.at(1) == ~0ULL);
 }
 
