A restarted node learns which servers announced their end to it

Cause: the node was killed after the acknowledgement, kept departures in memory alone, and took a late announcement for a new server. Records of the end at other nodes didn't say whether it was announced, and the digest leaves them out.

Records now say so (departed), a restarted owner applies them, and the reply to a differing digest contains the announced ends of the peer's servers.

Tests in membership and routing; without the ends in the reply 'a restarted node learns ...' fails.

--- a/currantgauge/membership/anti_entropy.cc
+++ b/currantgauge/membership/anti_entropy.cc
@@ -56,6 +56,19 @@
   return true;
 }
 
+// Adds the ends of servers that announced them to Owner, which has forgotten
+// them if it was restarted. The digest excludes their records.
+void addDepartures(const core::State &Node, const base::NodeName &Owner,
+                   PeerMessage &Reply) {
+  std::size_t Size = encodedSize(Reply);
+  for (const auto &[ForgetAt, Name] : Node.Membership.GoneServers) {
+    auto It = Node.Routing.Servers.find(Name);
+    if (It != Node.Routing.Servers.end() && It->second.Record.Departed &&
+        It->second.Record.Owner == Owner)
+      addRecord(Node, keyOf(It->second.Record), Reply, Size, SyncBudgetBytes);
+  }
+}
+
 void answerRoot(core::State &Node, const PeerMessage &Message,
                 core::EffectList &Effects) {
   MembershipState &State = Node.Membership;
@@ -64,6 +77,7 @@
   PeerMessage Reply = newMessage(State, MessageKind::Sync);
   Reply.Members.push_back(State.Self);
   addRefutableRecord(State, Message.From, Reply);
+  addDepartures(Node, Message.From, Reply);
   Reply.BucketHashes = bucketHashes(State, chooseLevel(State));
   reply(Message, std::move(Reply), Effects);
 }
--- a/currantgauge/membership/fake_network_test.h
+++ b/currantgauge/membership/fake_network_test.h
@@ -251,6 +251,17 @@
       }));
 }
 
+// countNodesWithPhase() returns how many running nodes know a backend server in
+// that phase.
+inline std::size_t countNodesWithPhase(const FakeNetwork &Net,
+                                       const std::string &Server,
+                                       routing::BackendPhase Phase) {
+  return countNodes(Net, [&](const core::State &Node) {
+    auto It = Node.Routing.Servers.find(base::BackendName(Server));
+    return It != Node.Routing.Servers.end() && It->second.Record.Phase == Phase;
+  });
+}
+
 // hasConverged() returns whether each running node sees all others alive.
 inline bool hasConverged(const FakeNetwork &Net) {
   std::size_t Up = countNodes(Net, [](const core::State &) { return true; });
--- a/currantgauge/membership/gossip_test.cc
+++ b/currantgauge/membership/gossip_test.cc
@@ -18,15 +18,6 @@
 namespace currantgauge::membership {
 namespace {
 
-std::size_t countNodesWithPhase(const FakeNetwork &Net,
-                                const std::string &Server,
-                                routing::BackendPhase Phase) {
-  return countNodes(Net, [&](const core::State &Node) {
-    auto It = Node.Routing.Servers.find(base::BackendName(Server));
-    return It != Node.Routing.Servers.end() && It->second.Record.Phase == Phase;
-  });
-}
-
 std::size_t countNodesWithout(const FakeNetwork &Net,
                               const std::string &Server) {
   return countNodes(Net, [&](const core::State &Node) {
--- a/currantgauge/membership/servers.cc
+++ b/currantgauge/membership/servers.cc
@@ -23,19 +23,20 @@
 }
 
 // Other nodes attribute a server to this node, as an earlier process of it did.
-// A leave that was announced to that process holds here too; the phase Gone may
-// only mean that the server was absent. An unknown server may announce itself
-// here again until its lease would have expired.
+// A departure that was announced to that process holds here too; a server that
+// is gone without one may have been absent. An unknown server may announce
+// itself here again until its lease would have expired.
 void noteOrphan(core::State &Node, const routing::BackendRecord &Record) {
-  if (Record.Phase == routing::BackendPhase::Gone)
+  bool IsGone = Record.Phase == routing::BackendPhase::Gone;
+  if (IsGone && !Record.Departed)
     return;
-  if (Record.Phase == routing::BackendPhase::Leaving)
+  if (IsGone || Record.Phase == routing::BackendPhase::Leaving)
     routing::noteDeparture(Node.Routing, Record.Name, Record.Incarnation,
-                           routing::BackendPhase::Leaving, Node.Now);
+                           Record.Phase, Node.Now);
   const routing::BackendServer *Known = findServer(Node, Record.Name);
-  if (!Known)
+  if (!Known && !IsGone)
     Node.Membership.Orphans[Record.Name] = Record;
-  else if (routing::markDeparted(Node.Routing, Record.Name, Node.Now))
+  if (Known && routing::markDeparted(Node.Routing, Record.Name, Node.Now))
     queueRumour(Node.Membership, Known->Record);
 }
 
--- a/currantgauge/membership/servers_test.cc
+++ b/currantgauge/membership/servers_test.cc
@@ -64,6 +64,28 @@
   }
 }
 
+// DRAIN: a node that had acknowledged a departure was killed, forgot it, and
+// took a late announcement of the server for a new one.
+TEST_CASE("a server that announced its end before its node restarted is not "
+          "ready again") {
+  for (bool AnnouncedFirst : {true, false}) {
+    CAPTURE(AnnouncedFirst);
+    core::State Node = makeRestartedNode();
+    routing::BackendRecord Departed =
+        recordOfEarlierProcess(routing::BackendPhase::Gone);
+    Departed.Departed = true;
+    if (AnnouncedFirst)
+      announceReady(Node, 5, 8);
+    mergeBackend(Node, Departed);
+    announceReady(Node, 5, 9);
+    CHECK((!Node.Routing.Servers.contains(Server) ||
+           phaseOfServer(Node) != routing::BackendPhase::Ready));
+    CHECK(Node.Membership.Orphans.empty());
+    announceReady(Node, 6, 1);
+    CHECK(phaseOfServer(Node) == routing::BackendPhase::Ready);
+  }
+}
+
 TEST_CASE("a server that was absent before its node restarted returns with its "
           "next announcement") {
   core::State Node = makeRestartedNode();
--- a/currantgauge/membership/size.cc
+++ b/currantgauge/membership/size.cc
@@ -6,10 +6,14 @@
 #include <vector>
 
 // The encoding is defined by peer/peer.proto; peer/codec_test.cc compares the
-// sizes. All field numbers are below 16, so that a tag takes one byte.
+// sizes. Field numbers are below 16, so that a tag takes one byte.
 namespace currantgauge::membership {
 namespace {
 
+// Of a bool whose field number is 16 or higher, so that its tag takes two
+// bytes.
+constexpr std::size_t LateBoolSize = 3;
+
 std::size_t varintSize(std::uint64_t Value) {
   std::size_t Size = 1;
   for (; Value >= 0x80; Value >>= 7)
@@ -92,6 +96,7 @@
       field(Record.Domain.Value) + field(Record.Address.Value) +
       field(Record.Incarnation.Value) + field(Record.Revision) +
       field(Record.Slots) + enumField(Record.Phase) +
+      (Record.Departed ? LateBoolSize : 0) +
       zigzagField(Record.ColdStart.Micros) + doubleField(Record.Suspicion) +
       doubleField(Record.FailShare) + doubleField(Record.LateShare) +
       listSize(Record.Times));
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -97,6 +97,7 @@
   To.set_suspicion(From.Suspicion);
   To.set_fail_share(From.FailShare);
   To.set_late_share(From.LateShare);
+  To.set_departed(From.Departed);
   for (const routing::KindTime &Time : From.Times)
     toWire(Time, *To.add_times());
 }
@@ -115,6 +116,7 @@
   To.Suspicion = From.suspicion();
   To.FailShare = From.fail_share();
   To.LateShare = From.late_share();
+  To.Departed = From.departed();
   for (const v1::KindTime &Time : From.times())
     fromWire(Time, To.Times.emplace_back());
   return enumFromWire(From.phase(), BackendPhase::Gone, To.Phase);
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -39,6 +39,7 @@
   Backend.Suspicion = 0.25;
   Backend.FailShare = 0.05;
   Backend.LateShare = 0.15;
+  Backend.Departed = true;
   routing::KindTime &Time = Backend.Times.emplace_back();
   Time.Kind = base::KindName("read");
   Time.Times = {base::milliseconds(3), base::milliseconds(9),
@@ -90,6 +91,7 @@
   CHECK(Decoded.Backends.at(0).Suspicion == 0.25);
   CHECK(Decoded.Backends.at(0).FailShare == 0.05);
   CHECK(Decoded.Backends.at(0).LateShare == 0.15);
+  CHECK(Decoded.Backends.at(0).Departed);
   CHECK(Decoded.Backends.at(0).Times == sampleMessage().Backends[0].Times);
   REQUIRE(Decoded.Quarantine.at(0).Crashes.size() == 1);
   CHECK(Decoded.Quarantine.at(0).Crashes.front().Server ==
--- a/currantgauge/routing/backend_server.h
+++ b/currantgauge/routing/backend_server.h
@@ -48,10 +48,11 @@
   std::uint64_t Revision = 0; // incremented by the owner with each change
   std::uint32_t Slots = 1;
   BackendPhase Phase = BackendPhase::Ready;
-  base::Duration ColdStart;    // as first announced by the incarnation
-  double Suspicion = 0;        // published level: 0, 0.5, 0.75 or 1 (alarm)
-  double FailShare = 0;        // share of recent exchanges that failed, 0 to 1
-  double LateShare = 0;        // same, late: tail bin 1 or later; 0: usual
+  bool Departed = false;    // the server announced Gone; else it may be absent
+  base::Duration ColdStart; // as first announced by the incarnation
+  double Suspicion = 0;     // published level: 0, 0.5, 0.75 or 1 (alarm)
+  double FailShare = 0;     // share of recent exchanges that failed, 0 to 1
+  double LateShare = 0;     // same, late: tail bin 1 or later; 0: usual
   std::vector<KindTime> Times; // of the busiest kinds of work only
 };
 
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -48,8 +48,9 @@
     Incarnation = It->second.Record.Incarnation;
   noteDeparture(State, Announced.Name, Incarnation, BackendPhase::Gone, Now);
   if (!IsKnown || Incarnation < It->second.Record.Incarnation ||
-      It->second.Record.Phase == BackendPhase::Gone)
+      It->second.Record.Departed)
     return false;
+  It->second.Record.Departed = true;
   takeOwnership(State, It->second.Record);
   markGone(State, It->second);
   return true;
@@ -62,6 +63,7 @@
   Record.Incarnation = Announced.Incarnation;
   Record.Slots = Announced.Slots;
   Record.Phase = Announced.Phase;
+  Record.Departed = false;
   ++Record.Revision;
 }
 
--- a/currantgauge/routing/registry_test.cc
+++ b/currantgauge/routing/registry_test.cc
@@ -84,6 +84,23 @@
   CHECK(phaseOf(State, "s") == BackendPhase::Ready);
 }
 
+TEST_CASE("a record tells a server that announced its end from an absent one") {
+  RoutingState State = makeOwner();
+  const BackendRecord &Record = State.Servers[base::BackendName("s")].Record;
+  applyAnnouncement(State, makeAnnouncement("s", 5, 1), Start);
+  markAbsent(State, base::BackendName("s"));
+  CHECK_FALSE(Record.Departed);
+  std::uint64_t Revision = Record.Revision;
+  Announcement Gone = makeAnnouncement("s", 5, 2);
+  Gone.Phase = BackendPhase::Gone;
+  CHECK(applyAnnouncement(State, Gone, Start));
+  CHECK(Record.Departed);
+  CHECK(Record.Revision > Revision);
+  CHECK_FALSE(applyAnnouncement(State, Gone, Start));
+  CHECK(applyAnnouncement(State, makeAnnouncement("s", 6, 1), Start));
+  CHECK_FALSE(Record.Departed);
+}
+
 TEST_CASE("a shorter remaining cold start does not change the record") {
   RoutingState State = makeOwner();
   Announcement Cold = makeAnnouncement("s", 5, 1);
