One piece tells crashes of another server

The quarantine compared the servers of crashes twice, once by building a set of their names for each check, which the clean-up of old records makes for all of them. No change of behaviour; actions_test passes.

--- a/currantgauge/actions/quarantine.cc
+++ b/currantgauge/actions/quarantine.cc
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,8 +16,7 @@
 using membership::QuarantineRecord;
 using membership::ServerCrash;
 
-constexpr std::size_t ServersToQuarantine = 2; // different backend servers
-// Of any servers. More than of different ones, as a server may also crash again
+// Of one server. Two different servers suffice, but one may also crash again
 // for a reason of its own.
 constexpr std::size_t CrashesToQuarantine = 3;
 constexpr base::Duration SuspicionLifetime = base::minutes(10);
@@ -28,14 +26,19 @@
 // have been sent before.
 constexpr base::Duration MaxAnnouncementDelay = base::milliseconds(500);
 
+bool includesOtherServer(const std::vector<ServerCrash> &Crashes,
+                         const base::BackendName &Server) {
+  return std::any_of(
+      Crashes.begin(), Crashes.end(),
+      [&](const ServerCrash &Crash) { return Crash.Server != Server; });
+}
+
 bool isConfirmed(const QuarantineRecord &Record) {
-  if (Record.Cleared)
-    return false;
-  std::set<base::BackendName> Servers;
-  for (const ServerCrash &Crash : Record.Crashes)
-    Servers.insert(Crash.Server);
-  return Servers.size() >= ServersToQuarantine ||
-         Record.Crashes.size() >= CrashesToQuarantine;
+  const std::vector<ServerCrash> &Crashes = Record.Crashes;
+  return !Record.Cleared &&
+         (Crashes.size() >= CrashesToQuarantine ||
+          (!Crashes.empty() &&
+           includesOtherServer(Crashes, Crashes.front().Server)));
 }
 
 std::string fingerprintText(base::Fingerprint Fingerprint) {
@@ -120,10 +123,7 @@
       return true;
   auto It = State.Quarantine.find(Fingerprint);
   return It != State.Quarantine.end() && !It->second.Cleared &&
-         std::any_of(It->second.Crashes.begin(), It->second.Crashes.end(),
-                     [&](const ServerCrash &Crash) {
-                       return Crash.Server != ThisServer;
-                     });
+         includesOtherServer(It->second.Crashes, ThisServer);
 }
 
 } // namespace
