The entry derives whether a trial was counted and finds a trace once

EntryAttempt::Counted was true for the slow trial alone. recordHopTime() searched the trace that noteAttemptEnd() had just found; that function returns it now. No change of behaviour; core_test passes.

--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -39,11 +39,12 @@
 
 void removeRequest(State &Node, base::RequestId Id) {
   EntryRequest *Request = findRequest(Node, Id);
-  if (Request && isInFlight(Request->Current))
-    endEntryAttempt(Node, Request->Current);
-  if (Request && isInFlight(Request->SlowTrial))
-    endEntryAttempt(Node, Request->SlowTrial);
-  if (Request && Request->Permitted)
+  if (!Request)
+    return;
+  for (EntryAttempt *Attempt : {&Request->Current, &Request->SlowTrial})
+    if (isInFlight(*Attempt))
+      endEntryAttempt(Node, *Attempt);
+  if (Request->Permitted)
     actions::noteRequestEnded(Node, Request->Facts);
   Node.Entry.Requests.erase(Id);
 }
@@ -275,14 +276,15 @@
   routing::onAttemptOutcome(Node.Routing, Attempt.Server, Ended.Attempt,
                             Outcome, Node.Now);
   routing::noteOwnerReport(Node.Routing, Attempt.Server, Outcome, Node.Now);
-  noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now);
-  recordHopTime(Node, *Request, Ended, Effects);
+  if (const AttemptTrace *Trace =
+          noteAttemptEnd(Request->Trace, Ended.Attempt, Outcome, Node.Now))
+    recordHopTime(Node, *Request, *Trace, Outcome, Effects);
   endEntryAttempt(Node, Attempt);
   Request->LastReason = Outcome.Reason;
   if (Outcome.Reason == base::Reason::LongWait && WasCurrent)
     return placeReturnedAttempt(Node, *Request, Outcome, Effects);
   recordAttemptEnd(Node, *Request, Attempt.Server, Outcome, Effects);
-  if (Attempt.Counted)
+  if (!WasCurrent)
     --Request->Sends;
   if (admission::hasReachedServer(Outcome))
     ++Request->Sends;
@@ -343,7 +345,6 @@
     endEntryAttempt(Node, Request->Current);
     return;
   }
-  Request->Current.Counted = true;
   Request->SlowTrial = std::exchange(Request->Current, EntryAttempt());
 }
 
@@ -352,10 +353,9 @@
   for (const auto &[Id, Request] : Node.Entry.Requests)
     if (!Request.Committed)
       Unanswered.push_back(Id);
-  for (base::RequestId Id : Unanswered) {
+  for (base::RequestId Id : Unanswered)
     refuseRequest(Node, Node.Entry.Requests.at(Id), base::Reason::NodeStopping,
                   base::Duration{}, Effects);
-  }
 }
 
 void noteLocalNotRun(State &Node, base::AttemptId Attempt) {
--- a/currantgauge/core/entry_metrics.cc
+++ b/currantgauge/core/entry_metrics.cc
@@ -2,7 +2,6 @@
 
 #include "currantgauge/core/request_log.h"
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -44,16 +43,12 @@
 }
 
 void recordHopTime(const State &Node, const EntryRequest &Request,
-                   const AttemptEnded &Ended, EffectList &Effects) {
-  auto Trace = std::find_if(
-      Request.Trace.begin(), Request.Trace.end(),
-      [&](const AttemptTrace &Item) { return Item.Attempt == Ended.Attempt; });
-  if (Ended.Outcome.Held == base::Duration{} || Trace == Request.Trace.end() ||
-      Trace->Owner == Node.Self.Name)
+                   const AttemptTrace &Trace, const AttemptOutcome &Outcome,
+                   EffectList &Effects) {
+  if (Outcome.Held == base::Duration{} || Trace.Owner == Node.Self.Name)
     return;
-  Effects.push_back(
-      Measure{Metric::PartSeconds, "hop", Request.Kind.Rank.Value,
-              base::toSeconds(Trace->Elapsed - Ended.Outcome.Held)});
+  Effects.push_back(Measure{Metric::PartSeconds, "hop", Request.Kind.Rank.Value,
+                            base::toSeconds(Trace.Elapsed - Outcome.Held)});
 }
 
 } // namespace currantgauge::core
--- a/currantgauge/core/entry_metrics.h
+++ b/currantgauge/core/entry_metrics.h
@@ -7,7 +7,6 @@
 
 #include "currantgauge/base/verdict.h"
 #include "currantgauge/core/effect.h"
-#include "currantgauge/core/event.h"
 #include "currantgauge/core/state.h"
 
 namespace currantgauge::core {
@@ -20,7 +19,8 @@
 // recordHopTime() records the network round-trip time of an attempt that was
 // sent to another node.
 void recordHopTime(const State &Node, const EntryRequest &Request,
-                   const AttemptEnded &Ended, EffectList &Effects);
+                   const AttemptTrace &Trace, const AttemptOutcome &Outcome,
+                   EffectList &Effects);
 
 } // namespace currantgauge::core
 
--- a/currantgauge/core/explain.cc
+++ b/currantgauge/core/explain.cc
@@ -65,14 +65,15 @@
 
 } // namespace
 
-void noteAttemptEnd(std::vector<AttemptTrace> &Attempts,
-                    base::AttemptId Attempt, const AttemptOutcome &Outcome,
-                    base::TimePoint Now) {
+const AttemptTrace *noteAttemptEnd(std::vector<AttemptTrace> &Attempts,
+                                   base::AttemptId Attempt,
+                                   const AttemptOutcome &Outcome,
+                                   base::TimePoint Now) {
   auto It = std::find_if(
       Attempts.begin(), Attempts.end(),
       [&](const AttemptTrace &Trace) { return Trace.Attempt == Attempt; });
   if (It == Attempts.end())
-    return;
+    return nullptr;
   It->Ended = true;
   It->Elapsed = Now - It->StartedAt;
   It->Verdict = Outcome.Verdict;
@@ -81,6 +82,7 @@
   It->QueueDelay = Outcome.Load.QueueDelay;
   if (!Outcome.Server.empty())
     It->Server = Outcome.Server;
+  return &*It;
 }
 
 std::string describeAttempt(const AttemptTrace &Trace,
--- a/currantgauge/core/explain.h
+++ b/currantgauge/core/explain.h
@@ -63,11 +63,12 @@
   std::deque<RequestTrace> FailedOrRetried;
 };
 
-// noteAttemptEnd() records the outcome of an attempt in its trace. Attempts
-// without a trace (referrals) are ignored.
-void noteAttemptEnd(std::vector<AttemptTrace> &Attempts,
-                    base::AttemptId Attempt, const AttemptOutcome &Outcome,
-                    base::TimePoint Now);
+// noteAttemptEnd() records the outcome of an attempt in its trace and returns
+// the trace, or null for an attempt without one (a referral).
+const AttemptTrace *noteAttemptEnd(std::vector<AttemptTrace> &Attempts,
+                                   base::AttemptId Attempt,
+                                   const AttemptOutcome &Outcome,
+                                   base::TimePoint Now);
 
 // describeAttempt() formats an attempt for the log: server, owner, rule of
 // choice, start relative to the request's arrival and, if it has ended, outcome
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -64,8 +64,7 @@
 struct EntryAttempt {
   base::AttemptId Id; // Sequence 0: not in flight
   base::BackendName Server;
-  bool NotRun = false;  // this node, as the owner, ended it as not run
-  bool Counted = false; // included in EntryRequest::Sends before its end
+  bool NotRun = false; // this node, as the owner, ended it as not run
 };
 
 // EntryRequest is the state of a caller's request in flight at its entry.
@@ -76,7 +75,7 @@
   base::TimePoint Deadline;
   EntryAttempt Current;
   // A trial that continues after its timeout, beside the next attempts. The
-  // first complete answer is delivered.
+  // first complete answer is delivered. Sends includes it.
   EntryAttempt SlowTrial;
   bool RetryScheduled = false;
   std::uint32_t Attempts = 0;        // without referrals and LongWait returns
