Tests of the reducer share their request, search and pressure

two_nodes_test.h had copies of what reduce_test.cc had; the report of pressure was written twice, the check of a delivery five times. Assertions are kept.

--- a/currantgauge/core/entry_attempts_test.cc
+++ b/currantgauge/core/entry_attempts_test.cc
@@ -13,15 +13,9 @@
 
 constexpr std::uint32_t RequestCount = 100;
 
-// reportLocalPressure() reports to the entry of node a that node a, as the
-// owner, refuses part of the rank.
+// Node a, as the owner, refuses part of the rank.
 void reportLocalPressure(State &Node) {
-  Pressure Load;
-  Load.Owner = LocalNode;
-  Load.Service = TestService;
-  Load.RankOrder = 0;
-  Load.RefusedShare = 0.3;
-  admission::notePressure(Node.Admission, Load, Now);
+  reportPressure(Node, LocalNode, 0.3, Now);
 }
 
 // countLocalStarts() sends RequestCount requests to node a and returns how many
--- a/currantgauge/core/reduce_test.cc
+++ b/currantgauge/core/reduce_test.cc
@@ -1,3 +1,4 @@
+#include "currantgauge/core/events_test.h"
 #include "currantgauge/core/reduce.h"
 
 #include <doctest/doctest.h>
@@ -41,27 +42,12 @@
   return Node;
 }
 
-template <typename T> const T *find(const EffectList &Effects) {
-  for (const Effect &Item : Effects)
-    if (const T *Found = std::get_if<T>(&Item))
-      return Found;
-  return nullptr;
-}
-
-RequestArrived makeArrival(std::uint64_t Sequence) {
-  RequestArrived Arrival;
-  Arrival.Facts.Request = base::RequestId{1, Sequence};
-  Arrival.Facts.Method = "GET";
-  Arrival.Facts.Path = "/lists/7";
-  return Arrival;
-}
-
 // sendRequestToOwner() lets a request arrive at this node as its entry, and its
 // attempt arrive at this node as the owner.
 base::AttemptId sendRequestToOwner(State &Node, std::uint64_t Sequence,
                                    std::int64_t Micros, EffectList &Effects) {
   Effects.clear();
-  reduce(Node, Event{base::TimePoint{Micros}, {}, makeArrival(Sequence)},
+  reduce(Node, Event{base::TimePoint{Micros}, {}, makeRequest(Sequence)},
          Effects);
   const StartAttempt *Start = find<StartAttempt>(Effects);
   REQUIRE(Start);
@@ -75,7 +61,7 @@
 TEST_CASE("a request is sent to its owner, runs in a slot and is answered") {
   State Node = makeNodeWithServer();
   EffectList Effects;
-  reduce(Node, Event{base::TimePoint{2000}, {}, makeArrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{2000}, {}, makeRequest(1)}, Effects);
   const StartAttempt *Start = find<StartAttempt>(Effects);
   REQUIRE(Start);
   AttemptArrived AtOwner{Start->Facts};
@@ -106,7 +92,7 @@
   std::set<base::TimePoint> Deadlines;
   for (std::uint64_t I = 1; I <= 100; ++I) {
     base::TimePoint Now{static_cast<std::int64_t>(2000 + 1000 * I)};
-    reduce(Node, Event{Now, {}, makeArrival(I)}, Effects);
+    reduce(Node, Event{Now, {}, makeRequest(I)}, Effects);
     reduce(Node, Event{Now, {}, CallerGone{base::RequestId{1, I}}}, Effects);
     Deadlines.insert(Now + base::milliseconds(500));
   }
@@ -121,9 +107,9 @@
 TEST_CASE("a request in flight is refused exactly at its deadline") {
   State Node = makeNodeWithServer();
   EffectList Effects;
-  reduce(Node, Event{base::TimePoint{2000}, {}, makeArrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{2000}, {}, makeRequest(1)}, Effects);
   Effects.clear();
-  reduce(Node, Event{base::TimePoint{3000}, {}, makeArrival(2)}, Effects);
+  reduce(Node, Event{base::TimePoint{3000}, {}, makeRequest(2)}, Effects);
   reduce(Node,
          Event{base::TimePoint{4000}, {}, CallerGone{base::RequestId{1, 1}}},
          Effects);
@@ -142,7 +128,7 @@
   State Node = makeNodeWithServer();
   Node.Routing.Servers.begin()->second.Drained = true;
   EffectList Effects;
-  reduce(Node, Event{base::TimePoint{2000}, {}, makeArrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{2000}, {}, makeRequest(1)}, Effects);
   const RefuseRequest *Refusal = find<RefuseRequest>(Effects);
   REQUIRE(Refusal);
   CHECK(Refusal->Verdict == base::Verdict::NotRun);
@@ -152,7 +138,7 @@
 TEST_CASE("a stopping node exits only when nothing is in flight") {
   State Node = makeNodeWithServer();
   EffectList Effects;
-  reduce(Node, Event{base::TimePoint{2000}, {}, makeArrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{2000}, {}, makeRequest(1)}, Effects);
   reduce(Node, Event{base::TimePoint{2500}, {}, StopRequested{}}, Effects);
   CHECK_FALSE(find<StopProcess>(Effects));
   CallerGone Gone{base::RequestId{1, 1}};
@@ -163,7 +149,7 @@
 TEST_CASE("an answer truncated after its first bytes counts as may have run") {
   State Node = makeNodeWithServer();
   EffectList Effects;
-  reduce(Node, Event{base::TimePoint{2000}, {}, makeArrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{2000}, {}, makeRequest(1)}, Effects);
   base::AttemptId Attempt = find<StartAttempt>(Effects)->Facts.Attempt;
   reduce(Node, Event{base::TimePoint{3000}, {}, AnswerBufferFull{Attempt, 200}},
          Effects);
@@ -206,7 +192,7 @@
   State Node = makeNodeWithServer();
   EffectList Effects;
   sendRequestToOwner(Node, 1, 2000, Effects);
-  RequestArrived Short = makeArrival(2);
+  RequestArrived Short = makeRequest(2);
   Short.Facts.TimeLeft = base::milliseconds(50);
   Effects.clear();
   reduce(Node, Event{base::TimePoint{2000}, {}, Short}, Effects);
@@ -226,7 +212,7 @@
     State Node = makeNodeWithServer();
     Node.Self.Origin = Origin;
     EffectList Effects;
-    reduce(Node, Event{base::TimePoint{2000}, {}, makeArrival(1)}, Effects);
+    reduce(Node, Event{base::TimePoint{2000}, {}, makeRequest(1)}, Effects);
     return find<StartAttempt>(Effects)->Facts.Attempt;
   };
   CHECK(FirstAttempt(11) != FirstAttempt(12));
@@ -239,10 +225,10 @@
   EffectList Effects;
   reduce(Node, Event{base::TimePoint{2000}, {}, StopRequested{}}, Effects);
   CHECK_FALSE(find<StopProcess>(Effects));
-  reduce(Node, Event{base::TimePoint{3000}, {}, makeArrival(1)}, Effects);
+  reduce(Node, Event{base::TimePoint{3000}, {}, makeRequest(1)}, Effects);
   CHECK(find<StartAttempt>(Effects));
   Effects.clear();
-  reduce(Node, Event{base::TimePoint{20000}, {}, makeArrival(2)}, Effects);
+  reduce(Node, Event{base::TimePoint{20000}, {}, makeRequest(2)}, Effects);
   REQUIRE(find<RefuseRequest>(Effects));
   CHECK(find<RefuseRequest>(Effects)->Reason == base::Reason::NodeStopping);
   // Unanswered requests are refused before the process exits.
--- a/currantgauge/core/slow_trial_test.cc
+++ b/currantgauge/core/slow_trial_test.cc
@@ -1,4 +1,3 @@
-#include "currantgauge/admission/pressure.h"
 #include "currantgauge/core/two_nodes_test.h"
 
 #include <doctest/doctest.h>
@@ -74,6 +73,12 @@
   }
 };
 
+DeliverAnswer deliveryIn(const EffectList &Effects) {
+  const DeliverAnswer *Delivered = find<DeliverAnswer>(Effects);
+  REQUIRE(Delivered);
+  return *Delivered;
+}
+
 bool cancels(const EffectList &Effects, base::AttemptId Attempt) {
   for (const Effect &Item : Effects)
     if (const auto *Cancel = std::get_if<CancelAttempt>(&Item))
@@ -106,9 +111,7 @@
   SlowTrial Slow;
   EffectList Effects = endAttemptWith(Slow.Node, NextTime, Slow.Next,
                                       base::Verdict::Ran, base::Reason::None);
-  const DeliverAnswer *Delivered = find<DeliverAnswer>(Effects);
-  REQUIRE(Delivered);
-  CHECK(Delivered->Attempt == Slow.Next);
+  CHECK(deliveryIn(Effects).Attempt == Slow.Next);
   CHECK(cancels(Effects, Slow.Trial));
   CHECK_FALSE(Slow.Node.Entry.Requests.contains(TrialRequest));
 }
@@ -143,9 +146,7 @@
     }
     EffectList Effects = endAttemptWith(Slow.Node, Time, Slow.Trial,
                                         base::Verdict::Ran, base::Reason::None);
-    const DeliverAnswer *Delivered = find<DeliverAnswer>(Effects);
-    REQUIRE(Delivered);
-    CHECK(Delivered->Attempt == Slow.Trial);
+    CHECK(deliveryIn(Effects).Attempt == Slow.Trial);
   }
 }
 
@@ -153,14 +154,8 @@
   State Node = makeTwoNodeFleet("north");
   AttemptFacts Trial = startTrial(Node);
   fireTimers(Node, HalfTime);
-  for (const base::NodeName &Owner : {LocalNode, PeerNode}) {
-    Pressure Load;
-    Load.Owner = Owner;
-    Load.Service = TestService;
-    Load.RankOrder = 0;
-    Load.RefusedShare = 1;
-    admission::notePressure(Node.Admission, Load, HalfTime);
-  }
+  for (const base::NodeName &Owner : {LocalNode, PeerNode})
+    reportPressure(Node, Owner, 1, HalfTime);
   EffectList Effects = fireTimers(Node, NextTime);
   CHECK_FALSE(find<RefuseRequest>(Effects));
   CHECK_FALSE(find<CancelAttempt>(Effects));
@@ -174,9 +169,7 @@
   SlowTrial Slow;
   EffectList Effects = endAttemptWith(Slow.Node, NextTime, Slow.Trial,
                                       base::Verdict::Ran, base::Reason::None);
-  const DeliverAnswer *Delivered = find<DeliverAnswer>(Effects);
-  REQUIRE(Delivered);
-  CHECK(Delivered->Attempt == Slow.Trial);
+  CHECK(deliveryIn(Effects).Attempt == Slow.Trial);
   CHECK(cancels(Effects, Slow.Next));
   CHECK(Slow.Node.Entry.RequestByAttempt.size() == 1);
 }
@@ -187,10 +180,8 @@
   EffectList Effects;
   reduce(Slow.Node, Event{NextTime, {}, AnswerBufferFull{Slow.Trial, 200}},
          Effects);
-  const DeliverAnswer *Delivered = find<DeliverAnswer>(Effects);
-  REQUIRE(Delivered);
-  CHECK(Delivered->Attempt == Slow.Trial);
-  CHECK(Delivered->Server == TrialServer);
+  CHECK(deliveryIn(Effects).Attempt == Slow.Trial);
+  CHECK(deliveryIn(Effects).Server == TrialServer);
   CHECK(cancels(Effects, Slow.Next));
   CHECK_FALSE(cancels(Effects, Slow.Trial));
   CHECK_FALSE(refusalOf(TrialRequest, fireTimers(Slow.Node, Deadline)));
@@ -211,9 +202,7 @@
       fireTimers(Slow.Node, NextTime + base::milliseconds(10))));
   Effects = endAttemptWith(Slow.Node, NextTime + base::milliseconds(20),
                            Slow.Next, base::Verdict::Ran, base::Reason::None);
-  const DeliverAnswer *Delivered = find<DeliverAnswer>(Effects);
-  REQUIRE(Delivered);
-  CHECK(Delivered->Attempt == Slow.Next);
+  CHECK(deliveryIn(Effects).Attempt == Slow.Next);
 }
 
 TEST_CASE("a request whose trial and other attempt are not answered may have "
--- a/currantgauge/core/two_nodes_test.h
+++ b/currantgauge/core/two_nodes_test.h
@@ -5,12 +5,12 @@
 #ifndef CURRANTGAUGE_CORE_TWO_NODES_TEST_H
 #define CURRANTGAUGE_CORE_TWO_NODES_TEST_H
 
+#include "currantgauge/admission/pressure.h"
+#include "currantgauge/core/events_test.h"
 #include "currantgauge/core/reduce.h"
 #include "currantgauge/routing/registry.h"
 
-#include <cstdint>
 #include <string>
-#include <variant>
 
 namespace currantgauge::core {
 
@@ -60,19 +60,16 @@
   return Node;
 }
 
-inline RequestArrived makeRequest(std::uint64_t Sequence) {
-  RequestArrived Arrival;
-  Arrival.Facts.Request = base::RequestId{1, Sequence};
-  Arrival.Facts.Method = "GET";
-  Arrival.Facts.Path = "/lists/7";
-  return Arrival;
-}
-
-template <typename T> const T *find(const EffectList &Effects) {
-  for (const Effect &Item : Effects)
-    if (const T *Found = std::get_if<T>(&Item))
-      return Found;
-  return nullptr;
+// reportPressure() reports to the entry of node a that an owner refuses that
+// share of the rank.
+inline void reportPressure(State &Node, const base::NodeName &Owner,
+                           double RefusedShare, base::TimePoint Time) {
+  Pressure Load;
+  Load.Owner = Owner;
+  Load.Service = TestService;
+  Load.RankOrder = 0;
+  Load.RefusedShare = RefusedShare;
+  admission::notePressure(Node.Admission, Load, Time);
 }
 
 } // namespace currantgauge::core
