Fields and reasons for keys, fleet-wide limits and ranks of workspaces

Cause: the configuration has no place for a workspace's keys, its rank and a limit of all nodes together, so that neither can be decided. Change: the fields, the hash of a key among the facts of a request, and three reasons; nothing reads them yet.

--- a/currantgauge/base/ids.h
+++ b/currantgauge/base/ids.h
@@ -42,6 +42,16 @@
   constexpr auto operator<=>(const UniqueId &) const = default;
 };
 
+// KeyHash is the first half of the SHA-256 of a caller's key, so that the key
+// itself is kept nowhere. All zero: no key.
+struct KeyHash {
+  std::uint64_t High = 0;
+  std::uint64_t Low = 0;
+
+  constexpr bool empty() const { return this->High == 0 && this->Low == 0; }
+  constexpr auto operator<=>(const KeyHash &) const = default;
+};
+
 using ServiceName = StrongName<struct ServiceTag>;
 using KindName = StrongName<struct KindTag>; // of requests treated alike
 using RankName = StrongName<struct RankTag>; // of a priority class
--- a/currantgauge/base/verdict.cc
+++ b/currantgauge/base/verdict.cc
@@ -94,6 +94,12 @@
         "the queue is long and another backend server may have capacity"},
     ReasonInfo{Reason::MemoryLimit, "memory_limit",
                "this node has no memory left for the body"},
+    ReasonInfo{Reason::UnknownKey, "unknown_key",
+               "the key belongs to no workspace"},
+    ReasonInfo{Reason::FleetLimit, "fleet_limit",
+               "the workspace is over its rate limit for all nodes together"},
+    ReasonInfo{Reason::NoRoomForCalls, "no_room_for_calls",
+               "the calls that the request leads to would be refused"},
 };
 
 static_assert(ReasonTable.size() == static_cast<std::size_t>(LastReason) + 1);
--- a/currantgauge/base/verdict.h
+++ b/currantgauge/base/verdict.h
@@ -73,12 +73,15 @@
   BadAnnouncement,
 
   // Admission. Values are sent to other nodes as numbers: append new ones here.
-  LongWait,    // the owner returned the attempt: its queue is long
-  MemoryLimit, // the bodies of requests use all memory that they may
+  LongWait,       // the owner returned the attempt: its queue is long
+  MemoryLimit,    // the bodies of requests use all memory that they may
+  UnknownKey,     // no workspace has the caller's key
+  FleetLimit,     // the workspace is over its limit at all nodes together
+  NoRoomForCalls, // the calls that the request leads to would be refused
 };
 
 // LastReason is the last enumerator of Reason, for tables indexed by it.
-constexpr Reason LastReason = Reason::MemoryLimit;
+constexpr Reason LastReason = Reason::NoRoomForCalls;
 
 // verdictName() returns a verdict's snake_case name for headers and metrics.
 std::string_view verdictName(Verdict Value);
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -75,6 +75,7 @@
   base::Duration Deadline;         // zero: use the kind's
   std::uint32_t Attempts = 0;      // zero: use the kind's
   std::vector<ServiceShare> Split; // empty: use the kind's service
+  bool Public = false;             // needs no key, see RequiresKeys
 };
 
 // CallerLimits limits callers' requests and connections. If a field is zero,
@@ -114,6 +115,8 @@
   PlacementSettings Placement;
   CallerLimits Callers;
   bool AcceptUnlistedWorkspaces = true;
+  // Callers are identified by keys of workspaces, except on public routes.
+  bool RequiresKeys = false;
 
   // Filled by indexRoutes().
   std::map<std::string, std::vector<const RouteSettings *>, std::less<>>
--- a/currantgauge/config/workspace_table.h
+++ b/currantgauge/config/workspace_table.h
@@ -24,6 +24,11 @@
   base::PerSecond Limit; // requests at each node; zero: unlimited
   double Burst = 0;      // requests; zero: as many as Limit permits in a second
   double Weight = 1;     // in fair queueing
+  // Requests at all nodes together; zero: unlimited.
+  base::PerSecond FleetLimit;
+  double FleetBurst = 0;           // requests; zero: as many as in a second
+  base::RankName Rank;             // of its requests; empty: their kind's
+  std::vector<base::KeyHash> Keys; // of its callers
 };
 
 namespace detail {
--- a/currantgauge/core/request.h
+++ b/currantgauge/core/request.h
@@ -29,6 +29,7 @@
   base::Duration TimeLeft; // until the caller's deadline; zero: none set
   base::ByteCount BodyBytes;
   base::BodyHash BodyHash;
+  base::KeyHash Key; // of the key that identifies the caller; empty: not given
 };
 
 // AttemptFacts describes an attempt; the entry sends it to the owner.
