Policies for uneven servers and for shortage are switched by settings

Cause: what suits many servers that differ in speed may cost small deployments. Change: policy.uneven_servers and policy.shortage_by_cost; the platform's adapter sets them from its terms. No decision reads them yet.

--- a/currantgauge/config/node_settings.cc
+++ b/currantgauge/config/node_settings.cc
@@ -205,6 +205,14 @@
                       std::to_string(base::toMillis(ExitAllowance)) + "ms");
 }
 
+void readPolicy(FieldMap &Root, NodeSettings &Settings) {
+  FieldMap Policy = readSection(Root, "policy");
+  readValue(Policy, "uneven_servers", Settings.UnevenServers);
+  readValue(Policy, "shortage_by_cost", Settings.ShortageByCost);
+  reportUnknownKeys(Policy);
+  readValue(Root, "terms", Settings.Terms);
+}
+
 void readLimits(FieldMap &Root, NodeSettings &Settings) {
   FieldMap Limits = readSection(Root, "limits");
   readValue(Limits, "header", Settings.HeaderLimit);
@@ -274,6 +282,7 @@
   readOperators(Root, Settings);
   readActions(Root, Settings);
   readLimits(Root, Settings);
+  readPolicy(Root, Settings);
   readProcess(Root, Settings);
   readLogs(Root, Settings);
   reportUnknownKeys(Root);
--- a/currantgauge/config/node_settings.h
+++ b/currantgauge/config/node_settings.h
@@ -97,6 +97,12 @@
   std::string FeedKey;
   bool AcceptsKeys = true; // honors callers' idempotency keys and action ids
   bool FirstStart = false; // of the whole fleet; no node has run before
+  // Backend servers differ in speed and fail in spells.
+  bool UnevenServers = false;
+  // While room is short, requests are ordered and refused by what a delay or a
+  // refusal costs their callers.
+  bool ShortageByCost = false;
+  std::string Terms; // of the platform, for the adapter; empty: none
   // Folder of the configuration that an embedded node loads when it starts;
   // empty: none.
   std::string ConfigFolder;
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -31,6 +31,12 @@
   std::string Key;
 };
 
+// PolicySwitches select policies that suit some loads only.
+struct PolicySwitches {
+  bool UnevenServers = false;  // servers differ in speed and fail in spells
+  bool ShortageByCost = false; // refusals and order by their cost to callers
+};
+
 // NodeIdentity holds what a node knows about itself from its settings.
 struct NodeIdentity {
   base::NodeName Name;
@@ -58,6 +64,7 @@
   base::Duration StopLinger;
   bool AcceptsKeys = true; // honors callers' idempotency keys and action ids
   bool FirstStart = false; // of the whole fleet; no node has run before
+  PolicySwitches Policy;
 };
 
 // EntryAttempt is an attempt of a request that is in flight.
--- a/currantgauge/runtime/adapter.h
+++ b/currantgauge/runtime/adapter.h
@@ -10,6 +10,7 @@
 #define CURRANTGAUGE_RUNTIME_ADAPTER_H
 
 #include "currantgauge/config/assemble.h"
+#include "currantgauge/config/node_settings.h"
 #include "currantgauge/http/dialect.h"
 #include "currantgauge/http/service.h"
 #include "currantgauge/routing/backend_server.h"
@@ -40,6 +41,9 @@
   // without a renewal.
   ParsedAnnouncement (*ReadAnnouncement)(const http::ServiceRequest &,
                                          base::Duration Lease) = nullptr;
+  // Sets the policies that the platform's terms call for; null: none.
+  void (*ApplyTerms)(const std::string &Terms,
+                     config::NodeSettings &Settings) = nullptr;
   std::string ReadinessPath; // in addition to /readyz; empty: none
 };
 
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -105,6 +105,7 @@
                          Settings.RetryWindow};
   Identity.AcceptsKeys = Settings.AcceptsKeys;
   Identity.FirstStart = Settings.FirstStart;
+  Identity.Policy = {Settings.UnevenServers, Settings.ShortageByCost};
   return Identity;
 }
 
@@ -322,6 +323,8 @@
   StopLatch Latch{Main, Self.Callers.Unanswered};
   Self.Settings = Settings;
   Self.Protocols = Protocols;
+  if (Protocols.ApplyTerms)
+    Protocols.ApplyTerms(Settings.Terms, Self.Settings);
   telemetry::startLog(Self.Logs, {Settings.LogLevel, Settings.Name.Value,
                                   makeLogLimits(Settings)});
   Self.OnStop = [&Main, &Latch](int ExitCode) {
