Workspaces hold keys, a rank and a fleet-wide limit in the configuration

Cause: the fields had no place in documents, and nothing could find the workspace of a key. Documents read keys, rank, fleet_limit and fleet_burst of workspaces, public of routes and callers of the fleet. Merging replaces plain keys by hashes; a pushed text that holds plain ones isn't in canonical form and is merged first. All removals of a version now come before its additions, since a key may move between parts.

--- a/cmake/check_shape.sh
+++ b/cmake/check_shape.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BAD=0
-DECISIONS=(currantgauge/{base,core,routing,admission,actions,membership,config})
+DECISIONS=(currantgauge/{base,core,routing,admission,actions,membership,config,identity})
 if grep -rnE '#include *[<"](caf/|grpc|google/protobuf|boost/(beast|asio)|gflags|log4cplus|chrono|ctime|time\.h|sys/time|thread|mutex|atomic|condition_variable|future|semaphore|prometheus)' "${DECISIONS[@]}"; then
   echo "shape: decision code includes a framework, clock or thread header"
   BAD=1
--- a/currantgauge/config/assemble.cc
+++ b/currantgauge/config/assemble.cc
@@ -3,12 +3,15 @@
 #include "currantgauge/config/build.h"
 #include "currantgauge/config/document.h"
 #include "currantgauge/config/merge.h"
+#include "currantgauge/identity/key_table.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace currantgauge::config {
 namespace {
@@ -37,6 +40,15 @@
   return splitDocument(mergeFiles({{"document", Request.Text}}, Errors));
 }
 
+void removeWorkspace(const base::WorkspaceName &Name, Configuration &Config) {
+  const auto *Entry = Config.Workspaces.find(Name);
+  if (!Entry)
+    return;
+  for (base::KeyHash Key : Entry->second.Keys)
+    identity::eraseKey(Config.Keys, Key, Name);
+  Config.Workspaces.erase(Name);
+}
+
 // Removes from Config the entries that the old document has in a part.
 void removeEntries(const std::string &PartName, const PartSet &Old,
                    Configuration &Config) {
@@ -48,6 +60,7 @@
     Config.Callers = CallerLimits();
     Config.Placement = PlacementSettings();
     Config.AcceptUnlistedWorkspaces = true;
+    Config.RequiresKeys = false;
     return;
   }
   auto Part = Old.Parts.find(PartName);
@@ -59,11 +72,11 @@
   for (const auto &[Route, Entry] : Entries.Sections["routes"])
     Config.Routes.erase(Route);
   for (const auto &[Workspace, Entry] : Entries.Sections["workspaces"])
-    Config.Workspaces.erase(base::WorkspaceName(Workspace));
+    removeWorkspace(base::WorkspaceName(Workspace), Config);
 }
 
-// A change in workspaces alone needs no check of references: workspaces are
-// validated while they are parsed, and nothing refers to them.
+// Nothing refers to workspaces, so a change in workspaces alone needs no check
+// of the references between other entries.
 bool isWorkspacePart(const std::string &Name) {
   return Name.starts_with("workspaces/");
 }
@@ -86,10 +99,14 @@
   PartSet EmptySet;
   const PartSet &Old =
       Request.BaseConfig && Request.BaseParts ? *Request.BaseParts : EmptySet;
-  bool CheckReferences = false;
-  for (const std::string &Name : findChangedParts(Old, Parts)) {
-    CheckReferences = CheckReferences || !isWorkspacePart(Name);
+  std::vector<std::string> Changed = findChangedParts(Old, Parts);
+  bool CheckReferences =
+      !std::all_of(Changed.begin(), Changed.end(), isWorkspacePart);
+  // All removals come first, since a key may move to a workspace of another
+  // part.
+  for (const std::string &Name : Changed)
     removeEntries(Name, Old, Config);
+  for (const std::string &Name : Changed) {
     auto Part = Parts.Parts.find(Name);
     if (Part == Parts.Parts.end())
       continue;
@@ -101,6 +118,8 @@
     Document Entries;
     mergeInto(Entries, Name, Part->second->Text, Errors);
     buildConfiguration(Entries, Config, Errors);
+    if (!CheckReferences)
+      checkWorkspaceRanks(Entries, Config, Errors);
   }
   if (CheckReferences)
     checkConfiguration(Document(), Config, Errors);
--- a/currantgauge/config/build.cc
+++ b/currantgauge/config/build.cc
@@ -2,6 +2,8 @@
 
 #include "currantgauge/config/field_map.h"
 #include "currantgauge/config/quantity.h"
+#include "currantgauge/config/workspace_keys.h"
+#include "currantgauge/identity/key_hash.h"
 
 #include <algorithm>
 #include <charconv>
@@ -116,6 +118,7 @@
   readValue(Map, "host", Route.Host);
   readValue(Map, "deadline", Route.Deadline);
   readValue(Map, "attempts", Route.Attempts);
+  readValue(Map, "public", Route.Public);
   readSplit(Map, Route);
   readValue(Map, "method", Route.Method);
   readValue(Map, "prefix", Route.Prefix);
@@ -134,6 +137,17 @@
                       "\" must start with a slash and not contain ? or #");
 }
 
+void readFleetLimit(FieldMap &Map, WorkspaceSettings &Workspace) {
+  readValue(Map, "fleet_limit", Workspace.FleetLimit);
+  readValue(Map, "fleet_burst", Workspace.FleetBurst);
+  if (!Map.Fields.contains("fleet_burst"))
+    return;
+  if (Workspace.FleetLimit == base::PerSecond{})
+    addFieldError(Map, "fleet_burst", " requires that fleet_limit is set, too");
+  if (Workspace.FleetBurst < 1)
+    addFieldError(Map, "fleet_burst", " must be at least 1");
+}
+
 void readEntry(FieldMap &Map, const std::string &Name,
                WorkspaceSettings &Workspace) {
   Workspace.Name = base::WorkspaceName(Name);
@@ -144,6 +158,28 @@
     addFieldError(Map, "burst", " requires that limit is set, too");
   if (Workspace.Weight <= 0)
     addFieldError(Map, "weight", " must be above 0");
+  readFleetLimit(Map, Workspace);
+  readName(Map, "rank", Workspace.Rank);
+  readKeys(Map, Workspace);
+}
+
+void readCallerIdentity(FieldMap &Map, Configuration &Config) {
+  std::string Unlisted = "accept";
+  readValue(Map, "unlisted_workspaces", Unlisted);
+  Config.AcceptUnlistedWorkspaces = Unlisted == "accept";
+  if (Unlisted != "accept" && Unlisted != "refuse")
+    addFieldError(Map, "unlisted_workspaces",
+                  ": \"" + Unlisted + "\" is neither accept nor refuse");
+  std::string Callers = "by_name";
+  readValue(Map, "callers", Callers);
+  Config.RequiresKeys = Callers == "by_key";
+  if (Callers != "by_name" && Callers != "by_key")
+    addFieldError(Map, "callers",
+                  ": \"" + Callers + "\" is neither by_name nor by_key");
+  // Requests of public routes have no workspace.
+  if (Config.RequiresKeys && !Config.AcceptUnlistedWorkspaces)
+    addFieldError(Map, "unlisted_workspaces",
+                  ": refuse has no use with callers: by_key");
 }
 
 void readFleet(FieldMap &Map, Configuration &Config) {
@@ -161,12 +197,7 @@
   readValue(Map, "body_limit", Config.Callers.BodyLimit);
   readValue(Map, "header_time", Config.Callers.ReadTimeout);
   readValue(Map, "caller_idle", Config.Callers.IdleTimeout);
-  std::string Unlisted = "accept";
-  readValue(Map, "unlisted_workspaces", Unlisted);
-  Config.AcceptUnlistedWorkspaces = Unlisted == "accept";
-  if (Unlisted != "accept" && Unlisted != "refuse")
-    addFieldError(Map, "unlisted_workspaces",
-                  ": \"" + Unlisted + "\" is neither accept nor refuse");
+  readCallerIdentity(Map, Config);
 }
 
 const DocumentSection &getSection(const Document &Merged,
@@ -274,6 +305,37 @@
   }
 }
 
+void checkRank(const Checker &Check, const WorkspaceSettings &Workspace,
+               const Configuration &Config) {
+  checkReference(Check, "workspaces", Workspace.Name.Value, "rank",
+                 Workspace.Rank, Config.Ranks);
+}
+
+void checkRanksOfWorkspaces(const Checker &Check, const Configuration &Config) {
+  for (const auto &Bucket : Config.Workspaces.Buckets)
+    if (Bucket)
+      for (const auto &[Name, Workspace] : Bucket->Entries)
+        checkRank(Check, Workspace, Config);
+}
+
+// Errors show part of a key's hash, by which an operator can find the key.
+void indexKeys(const Checker &Check, Configuration &Config) {
+  constexpr std::size_t ShownCharacters = 15; // the prefix and 8 digits
+  for (const auto &[Name, Entry] : getSection(Check.Merged, "workspaces")) {
+    base::WorkspaceName Workspace(Name);
+    const auto *Settings = Config.Workspaces.find(Workspace);
+    if (!Settings)
+      continue;
+    for (base::KeyHash Key : Settings->second.Keys)
+      if (!identity::insertKey(Config.Keys, Key, Workspace))
+        Check.addEntryError(
+            "workspaces", Name, "keys",
+            ": key " + identity::formatKeyHash(Key).substr(0, ShownCharacters) +
+                " belongs to workspace " +
+                identity::findByKey(Config.Keys, Key)->Value + " as well");
+  }
+}
+
 // Sets the deadline and worth of kinds that set none to those of their rank.
 void inheritFromRanks(const Document &Merged, Configuration &Config) {
   const DocumentSection &Kinds = getSection(Merged, "kinds");
@@ -305,6 +367,15 @@
   readSection<WorkspaceSettings>(Merged, "workspaces", Config.Workspaces,
                                  Errors);
   inheritFromRanks(Merged, Config);
+  indexKeys({Merged, Errors}, Config);
+}
+
+void checkWorkspaceRanks(const Document &Merged, const Configuration &Config,
+                         SettingsErrors &Errors) {
+  Checker Check{Merged, Errors};
+  for (const auto &[Name, Entry] : getSection(Merged, "workspaces"))
+    if (const auto *Found = Config.Workspaces.find(base::WorkspaceName(Name)))
+      checkRank(Check, Found->second, Config);
 }
 
 void checkConfiguration(const Document &Merged, const Configuration &Config,
@@ -313,6 +384,7 @@
   checkRanks(Check, Config);
   checkKinds(Check, Config);
   checkRoutes(Check, Config);
+  checkRanksOfWorkspaces(Check, Config);
 }
 
 } // namespace currantgauge::config
--- a/currantgauge/config/build.h
+++ b/currantgauge/config/build.h
@@ -23,6 +23,11 @@
 void checkConfiguration(const Document &Merged, const Configuration &Config,
                         SettingsErrors &Errors);
 
+// checkWorkspaceRanks() appends an error for each workspace of Merged whose
+// rank Config doesn't have.
+void checkWorkspaceRanks(const Document &Merged, const Configuration &Config,
+                         SettingsErrors &Errors);
+
 } // namespace currantgauge::config
 
 #endif // CURRANTGAUGE_CONFIG_BUILD_H
--- a/currantgauge/config/fuzz_test.cc
+++ b/currantgauge/config/fuzz_test.cc
@@ -74,6 +74,16 @@
   }
 }
 
+const std::string DocumentWithKeys =
+    "fleet:\n  callers: by_key\n"
+    "ranks:\n  normal: {order: 0, share: \"50%\", deadline: 2s}\n"
+    "services:\n  cutlist: {floor: \"60%\", hold_off: 5s}\n"
+    "kinds:\n  read: {service: cutlist, rank: normal, idempotent: true}\n"
+    "routes:\n  lists: {prefix: /lists, kind: read, public: true}\n"
+    "workspaces:\n  depot: {keys: [secret-1, \"secret 2\"], rank: normal, "
+    "fleet_limit: 20/s, fleet_burst: 40}\n"
+    "  yard: {keys: \"secret-3, sha256:ca978112ca1bbdcafac231b39a23dc4d\"}\n";
+
 } // namespace
 
 TEST_CASE("fuzzing: a document yields either errors or a configuration") {
@@ -118,6 +128,29 @@
   }
 }
 
+TEST_CASE("fuzzing: a document with keys yields either errors or a "
+          "configuration, and its parts hold only hashes") {
+  base::Random Source(25);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    CAPTURE(Round);
+    std::string Text = mutate(DocumentWithKeys, Source);
+    SettingsErrors Errors;
+    ConfigurationPtr Config = parseDocument(Text, "fuzz.yaml", Errors);
+    CHECK((Config == nullptr) == !Errors.empty());
+    checkErrors(Errors);
+    AssembledConfig Result = assembleConfig(AssembleRequest{Text, {}, {}, {}});
+    CHECK((Result.Config == nullptr) == !Result.Error.empty());
+    if (!Result.Config)
+      continue;
+    PartSetPtr Parts = splitDocument(joinParts(*Result.Parts));
+    REQUIRE(Parts);
+    for (const auto &[Name, Part] : Parts->Parts)
+      if (Name.starts_with("workspaces/") &&
+          Part->Text.find(" keys: ") != std::string::npos)
+        CHECK(Part->Text.find("secret") == std::string::npos);
+  }
+}
+
 TEST_CASE("fuzzing: errors in a settings file have locations") {
   base::Random Source(23);
   for (int Round = 0; Round < Rounds; ++Round) {
--- a/currantgauge/config/merge.cc
+++ b/currantgauge/config/merge.cc
@@ -1,5 +1,7 @@
 #include "currantgauge/config/merge.h"
 
+#include "currantgauge/config/workspace_keys.h"
+
 #include <cstddef>
 #include <optional>
 #include <utility>
@@ -83,6 +85,8 @@
                            "A-Z, 0-9 and ._-/@, must not start with - or @ and "
                            "must not be null");
   FieldMap Map = readMap(Source, Node, Path);
+  if (Path.starts_with("workspaces."))
+    hashKeys(Map);
   DocumentEntry &Entry = Section[Name];
   if (!Entry.Location.File)
     Entry.Location = Location;
--- a/currantgauge/config/model.h
+++ b/currantgauge/config/model.h
@@ -10,6 +10,7 @@
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/config/workspace_table.h"
+#include "currantgauge/identity/key_table.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -117,6 +118,7 @@
   bool AcceptUnlistedWorkspaces = true;
   // Callers are identified by keys of workspaces, except on public routes.
   bool RequiresKeys = false;
+  identity::KeyTable Keys; // of Workspaces
 
   // Filled by indexRoutes().
   std::map<std::string, std::vector<const RouteSettings *>, std::less<>>
--- a/currantgauge/config/parts.cc
+++ b/currantgauge/config/parts.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/config/parts.h"
 
 #include "currantgauge/config/merge.h"
+#include "currantgauge/config/workspace_keys.h"
 
 #include <openssl/evp.h>
 // Compiles xxHash's functions into this file, so that its library isn't linked.
@@ -66,7 +67,8 @@
     return false;
   std::string_view Value = Line.substr(getEntryName(Line).size() + 4);
   return Section == FleetSection ||
-         (Value.starts_with('{') && Value.ends_with('}'));
+         (Value.starts_with('{') && Value.ends_with('}') &&
+          (Section != "workspaces" || hasHashedKeys(Value)));
 }
 
 } // namespace
