Callers are identified by keys where the configuration requires it

Cause: a caller was believed the workspace that it named, and whatever it sent under the workspace's name reached the server. Change: the entry hashes the key, never forwards it, finds the workspace and its rank, and refuses with 401 what has none; the owner sets the workspace's field towards the server.

--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -74,9 +74,10 @@
   base::AttemptId Attempt;
   base::BackendName Server;
   base::NetAddress Address;
-  base::Duration TimeLeft;    // until the attempt's deadline
-  bool NewConnection = false; // don't use a pooled connection
-  base::Duration MaxIdle;     // of a pooled connection; zero: unlimited
+  base::Duration TimeLeft;       // until the attempt's deadline
+  bool NewConnection = false;    // don't use a pooled connection
+  base::Duration MaxIdle;        // of a pooled connection; zero: unlimited
+  base::WorkspaceName Workspace; // of the request; empty: none
 };
 // SetCallerLimits applies size limits and timeouts to the input of callers.
 struct SetCallerLimits {
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -9,6 +9,7 @@
 #include "currantgauge/core/entry_metrics.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/request_log.h"
+#include "currantgauge/identity/caller.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
 
@@ -214,8 +215,12 @@
       Match, Split ? base::uniformUnit(Node.Random) : 0);
   const config::KindSettings *Kind = &Request.Kind;
   Request.Deadline = Node.Now + computeTimeout(Arrival.Facts, *Kind);
+  if (base::Reason Denied = identity::applyCallerKey(
+          Config, *Match.Route, Request.Facts, Request.Kind);
+      Denied != base::Reason::None)
+    return refuseRequest(Node, Request, Denied, base::Duration{}, Effects);
   base::Reason Reason = admission::admitAtEntry(
-      Node.Admission, Config, *Kind, Arrival.Facts.Workspace, Node.Now);
+      Node.Admission, Config, *Kind, Request.Facts.Workspace, Node.Now);
   if (Reason != base::Reason::None)
     return refuseRequest(Node, Request, Reason, base::seconds(1), Effects);
   setTimer(Node.Timers, Request.Deadline,
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -233,6 +233,7 @@
   Send.Server = Attempt.Server;
   Send.Address = Server.Record.Address;
   Send.TimeLeft = Attempt.Deadline - Node.Now;
+  Send.Workspace = Attempt.Facts.Workspace;
   bool Suspect = routing::onExchangeStarted(Node.Routing, Attempt, Node.Now);
   // A pooled connection may be dead without notice, and an action lost on it
   // may or may not have run. If new connections are configured to be expensive
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -109,6 +109,12 @@
     Set(Dialect.AttemptIdField, base::formatId(E.Params.Attempt));
   if (!Dialect.ExpectedServerField.empty())
     Set(Dialect.ExpectedServerField, E.Params.ExpectedServer.Value);
+  if (!Dialect.SentWorkspaceField.empty()) {
+    // Servers trust this field, whatever the caller sent.
+    Request.erase(Dialect.SentWorkspaceField);
+    if (!E.Params.Workspace.empty())
+      Set(Dialect.SentWorkspaceField, E.Params.Workspace.Value);
+  }
   Set(Dialect.TimeoutField,
       std::to_string(std::max<std::int64_t>(TimeLeft.count(), 1)));
   const std::string &Body = E.Params.Message->Body;
--- a/currantgauge/http/backend_client.h
+++ b/currantgauge/http/backend_client.h
@@ -33,6 +33,7 @@
   bool NewConnection = false; // true: use no pooled connection
   base::Duration MaxIdle; // idle time of a pooled connection; 0: IdleLimit only
   base::BackendName ExpectedServer;     // the server that may run the request
+  base::WorkspaceName Workspace;        // of the request; empty: none
   const HttpDialect *Dialect = nullptr; // outlives the exchange
   runtime::RequestMessagePtr Message;
   runtime::AnswerPipePtr Pipe;
--- a/currantgauge/http/caller_answer.cc
+++ b/currantgauge/http/caller_answer.cc
@@ -99,6 +99,7 @@
   case base::Reason::CallerTimeout:
   case base::Reason::NoRoute:
   case base::Reason::UnknownWorkspace:
+  case base::Reason::UnknownKey:
     return true;
   default:
     return false;
@@ -124,6 +125,8 @@
     return Status::not_found;
   case base::Reason::UnknownWorkspace:
     return Status::forbidden;
+  case base::Reason::UnknownKey:
+    return Status::unauthorized;
   case base::Reason::WorkspaceLimit:
   case base::Reason::KindLimit:
     return Status::too_many_requests;
--- a/currantgauge/http/caller_request.cc
+++ b/currantgauge/http/caller_request.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/base/text.h"
 #include "currantgauge/http/fields.h"
+#include "currantgauge/identity/key_hash.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -27,6 +28,13 @@
   return It == Request.end() ? std::string() : std::string(It->value());
 }
 
+// Returns an empty hash unless the field is given exactly once.
+base::KeyHash readKey(const TextRequest &Request, const std::string &Name) {
+  return !Name.empty() && Request.count(Name) == 1
+             ? identity::hashKey(fieldOf(Request, Name))
+             : base::KeyHash();
+}
+
 std::string hostOf(const TextRequest &Request) {
   std::string Host(Request[boost::beast::http::field::host]);
   // Colons inside the brackets of an IPv6 address don't start a port.
@@ -91,6 +99,7 @@
             "exceed 256 bytes";
     return std::nullopt;
   }
+  Facts.Key = readKey(Request, Dialect.KeyField);
   Facts.BodyBytes = base::ByteCount{Request.body().size()};
   Facts.BodyHash =
       base::BodyHash(XXH64(Request.body().data(), Request.body().size(), 0));
@@ -105,6 +114,8 @@
   Message->Target = std::string(Request.target());
   if (!Dialect.CallerServiceField.empty())
     Request.erase(Dialect.CallerServiceField);
+  if (!Dialect.KeyField.empty())
+    Request.erase(Dialect.KeyField);
   for (const auto &Field : Request) {
     std::string_view Name(Field.name_string().data(),
                           Field.name_string().size());
--- a/currantgauge/http/dialect.cc
+++ b/currantgauge/http/dialect.cc
@@ -10,8 +10,10 @@
   Native.WorkspaceField = WorkspaceField;
   Native.IdempotencyKeyField = IdempotencyKeyField;
   Native.ActionIdField = ActionIdField;
+  Native.KeyField = KeyField;
   Native.AttemptIdField = AttemptIdField;
   Native.RequestIdField = RequestIdField;
+  Native.SentWorkspaceField = WorkspaceField;
   return Native;
 }
 
--- a/currantgauge/http/dialect.h
+++ b/currantgauge/http/dialect.h
@@ -18,6 +18,8 @@
   std::string WorkspaceField; // from callers
   std::string IdempotencyKeyField; // from callers
   std::string ActionIdField;       // from callers
+  // From callers: the key that identifies them. Never forwarded.
+  std::string KeyField;
 
   // In requests to backend servers. AttemptIdField carries the caller's attempt
   // id if ForwardsAttemptId is set, otherwise this node's.
@@ -26,6 +28,7 @@
   std::string RequestIdField;      // this node's id of the request
   std::string ExpectedServerField; // the only server that may run it
   std::string CallerServiceField;  // service of the caller's VM
+  std::string SentWorkspaceField;  // workspace of the request, if it has one
 
   // In answers of backend servers.
   std::string NotRunField; // confirms that the server did not run the request
--- a/currantgauge/http/fields.h
+++ b/currantgauge/http/fields.h
@@ -10,6 +10,8 @@
 namespace currantgauge::http {
 
 // In requests of callers.
+constexpr std::string_view KeyField = "Currantgauge-Key";
+// Also in requests to backend servers.
 constexpr std::string_view WorkspaceField = "Currantgauge-Workspace";
 constexpr std::string_view TimeoutField = "Currantgauge-Timeout-Ms";
 constexpr std::string_view IdempotencyKeyField = "Idempotency-Key";
--- a/currantgauge/runtime/effects.cc
+++ b/currantgauge/runtime/effects.cc
@@ -124,6 +124,7 @@
   Request.NewConnection = Effect.NewConnection;
   Request.MaxIdle = Effect.MaxIdle;
   Request.ExpectedServer = Effect.Server;
+  Request.Workspace = Effect.Workspace;
   Request.Dialect = &Self.Protocols.Http;
   Request.Message = It->second.Message;
   Request.Pipe = It->second.Pipe;
