--- a/tests/integration/machines.cc
+++ b/tests/integration/machines.cc
@@ -165,7 +165,8 @@
 
 void writeOperatorsConfig(MachineFleet &Machines, const std::string &Version,
                           const nlohmann::json &Routes,
-                          const nlohmann::json &Limits) {
+                          const nlohmann::json &Limits,
+                          const nlohmann::json &Tenants) {
   nlohmann::json Services = nlohmann::json::object();
   for (const Machine &Machine : Machines.List)
     Services[Machine.Service] = {{"healthCheckPath", "/health"},
@@ -179,6 +180,8 @@
                                {"headerTimeoutMs", 5000},
                                {"idleTimeoutMs", 5000}}}};
   Document["limits"].update(Limits);
+  if (!Tenants.is_null())
+    Document["tenants"] = Tenants;
   auto Answer = sendRequest(Machines.Fleet.PlatformAddress, "PUT",
                             "/control/config", Document.dump());
   if (!Answer || Answer->Status != 200)
@@ -210,15 +213,18 @@
 
 CallerRequest sendAsCaller(const NodeProcess &Node, const std::string &Method,
                            const std::string &Target, const std::string &Body,
-                           std::uint32_t DeadlineMillis) {
+                           std::uint32_t DeadlineMillis,
+                           const HeaderMap &Fields) {
   CallerRequest Request{newAttemptId(), {}};
-  Request.Response = sendRequest(
-      Node.CallerAddress, Method, Target, Body,
-      {{"Host", ListsHost},
-       {"Currantgauge-Attempt-Id", Request.AttemptId},
-       {"Currantgauge-Caller-Service", "somebody-else"},
-       {"Currantgauge-Deadline-Milliseconds", std::to_string(DeadlineMillis)}},
-      std::chrono::milliseconds(DeadlineMillis + 2000));
+  HeaderMap Headers = {
+      {"Host", ListsHost},
+      {"Currantgauge-Attempt-Id", Request.AttemptId},
+      {"Currantgauge-Caller-Service", "somebody-else"},
+      {"Currantgauge-Deadline-Milliseconds", std::to_string(DeadlineMillis)}};
+  Headers.insert(Fields.begin(), Fields.end());
+  Request.Response =
+      sendRequest(Node.CallerAddress, Method, Target, Body, Headers,
+                  std::chrono::milliseconds(DeadlineMillis + 2000));
   return Request;
 }
 
--- a/tests/integration/machines.h
+++ b/tests/integration/machines.h
@@ -62,11 +62,13 @@
 
 // writeOperatorsConfig() writes the operator's document to the store. Returns
 // once the store has acknowledged the write, not when nodes use it. Throws
-// std::runtime_error if it doesn't. Limits replaces default limits.
+// std::runtime_error if it doesn't. Limits replaces default limits. The
+// document has tenants unless Tenants is null.
 void writeOperatorsConfig(
     MachineFleet &Machines, const std::string &Version,
     const nlohmann::json &Routes,
-    const nlohmann::json &Limits = nlohmann::json::object());
+    const nlohmann::json &Limits = nlohmann::json::object(),
+    const nlohmann::json &Tenants = nullptr);
 
 // controlStore() replaces the faults of the platform stand-in; see
 // stand_ins::PlatformFaults. Throws std::runtime_error if it refuses them.
@@ -91,7 +93,8 @@
 CallerRequest sendAsCaller(const NodeProcess &Node, const std::string &Method,
                            const std::string &Target,
                            const std::string &Body = "",
-                           std::uint32_t DeadlineMillis = 4000);
+                           std::uint32_t DeadlineMillis = 4000,
+                           const HeaderMap &Fields = {});
 
 // isOwnResponse() returns whether the request succeeded and the response is the
 // backend server's answer to this very request.
--- a/tests/stand_ins/backend_server_main.cc
+++ b/tests/stand_ins/backend_server_main.cc
@@ -12,6 +12,7 @@
 //                  other missing fields keep their values)
 //   GET /.stats    {"runs": N, "running": N, "by_key": {"key": runs},
 //                   "by_caller": {"service": runs}, "misdirected": N,
+//                   "by_workspace": {"name": runs}, "credentials": N,
 //                   "acknowledged": "the last state that the node accepted"}
 // A mode other than ok applies to "share" of the requests: stall responds after
 // an hour, slow after ten times the work time, fail with 500 and shed with 503;
@@ -93,6 +94,8 @@
   std::uint64_t Misdirected = 0; // requests meant for another instance
   std::map<std::string, std::uint64_t> ByKey;
   std::map<std::string, std::uint64_t> ByCaller;
+  std::map<std::string, std::uint64_t> ByWorkspace;
+  std::uint64_t Credentials = 0; // requests that carried a caller's key
   std::minstd_rand Random{1};
 };
 
@@ -141,6 +144,8 @@
                {"running", Server.Running},
                {"by_key", Server.ByKey},
                {"by_caller", Server.ByCaller},
+               {"by_workspace", Server.ByWorkspace},
+               {"credentials", Server.Credentials},
                {"misdirected", Server.Misdirected},
                {"acknowledged", Announcer.AcknowledgedState}};
   return Body.dump() + "\n";
@@ -193,8 +198,11 @@
   if (!Key.empty())
     ++Server.ByKey[Key];
   record("run", Request, AttemptField);
-  if (FLAGS_machines)
+  if (FLAGS_machines) {
     ++Server.ByCaller[std::string(Request["Currantgauge-Caller-Service"])];
+    ++Server.ByWorkspace[std::string(Request["Currantgauge-Tenant"])];
+    Server.Credentials += Request.count("Currantgauge-Credential");
+  }
   if (Request.body().find("CRASH") != std::string::npos)
     std::_Exit(3);
   bool InjectFault = Server.Mode != "ok" && shouldInjectFault(Server);
