The benchmark of keys stands with the others

Cause: check_shape.sh fails on the clock that a benchmark in a decision folder includes. Change: moved to bench/; the check stays as it is. Run: check_shape.sh passes.

--- a/currantgauge/identity/key_table_benchmark.cc
+++ b/bench/key_table_bench.cc
@@ -2,7 +2,7 @@
 // of a look-up, of hashing a key and of a version that moves one key, and the
 // memory.
 //
-//   ./build/key_table_benchmark
+//   ./build/key_table_bench
 #include "currantgauge/identity/key_hash.h"
 #include "currantgauge/identity/key_table.h"
 
