An answer whose status is no final one ends the exchange at once

Cause: a status below 200 was taken for an interim answer, so that 000, 101 or 199 held a request until its time was over, and 600 and 999 were passed on to the caller.

Change: 100, 102 and 103 precede a final answer, at most 16 of them; any other status outside 200 to 599 is answer_cut_short: it may have run, counts as a failure of the server, is never passed on, and is tried again where that is allowed. The stand-in of a backend server can answer with a status of one's choice.

--- a/currantgauge/http/backend_answer.cc
+++ b/currantgauge/http/backend_answer.cc
@@ -27,12 +27,27 @@
 // A connection is not reused during this time before the server would close it.
 constexpr std::chrono::milliseconds IdleMargin{1500};
 
+constexpr unsigned MinFinalStatus = 200;
+constexpr unsigned MaxFinalStatus = 599;
+constexpr unsigned EarlyHintsStatus = 103; // not named by the library
+
 beast::string_view toBeastView(std::string_view Text) {
   return beast::string_view(Text.data(), Text.size());
 }
 
 } // namespace
 
+AnswerKind kindOf(const AnswerHeader &Head) {
+  unsigned Status = Head.result_int();
+  if (Head.result() == beast::http::status::continue_ ||
+      Head.result() == beast::http::status::processing ||
+      Status == EarlyHintsStatus)
+    return AnswerKind::Interim;
+  return Status >= MinFinalStatus && Status <= MaxFinalStatus
+             ? AnswerKind::Final
+             : AnswerKind::Invalid;
+}
+
 void readRetryAfter(const AnswerHeader &Head, core::ExchangeOutcome &Outcome) {
   auto Text = Head[Field::retry_after];
   double Seconds = 0;
--- a/currantgauge/http/backend_answer.h
+++ b/currantgauge/http/backend_answer.h
@@ -18,6 +18,17 @@
 
 using AnswerHeader = boost::beast::http::response_header<>;
 
+// AnswerKind says what the status of an answer makes of it.
+enum class AnswerKind {
+  Interim, // precedes the final answer
+  Final,
+  Invalid, // no answer: outside 100 to 599, or an interim one that isn't due
+};
+
+// kindOf() returns the kind of an answer to a request that asked for no upgrade
+// of the protocol.
+AnswerKind kindOf(const AnswerHeader &Head);
+
 // readRetryAfter() sets Outcome.RetryAfter from the field Retry-After, which is
 // in seconds. A value without a fraction counts as at least 1 s. Dates and
 // values above one hour are ignored.
--- a/currantgauge/http/backend_client.cc
+++ b/currantgauge/http/backend_client.cc
@@ -36,6 +36,8 @@
 
 // Maximum number of late answers to other attempts that one exchange skips.
 constexpr int StaleAnswerLimit = 4;
+// Maximum number of interim answers before the final one.
+constexpr int InterimAnswerLimit = 16;
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 constexpr std::chrono::milliseconds UserTimeout{5000};
 constexpr std::size_t ChunkBytes = 16 * 1024;
@@ -233,7 +235,7 @@
 // when they break off an answer.
 asio::awaitable<void> readAnswer(Exchange &E) {
   bool IsHead = E.Params.Message->Method == "HEAD";
-  int StaleAnswers = 0;
+  int StaleAnswers = 0, InterimAnswers = 0;
   while (true) {
     AnswerParser Parser;
     Parser.header_limit(AnswerHeaderLimitBytes);
@@ -247,8 +249,13 @@
       setFailure(E, Error, Error == beast::http::error::partial_message);
       co_return;
     }
-    if (Parser.get().result_int() < 200)
+    AnswerKind Kind = kindOf(Parser.get());
+    if (Kind == AnswerKind::Interim && ++InterimAnswers <= InterimAnswerLimit)
       continue;
+    if (Kind != AnswerKind::Final) {
+      E.Outcome.Reason = base::Reason::AnswerCutShort;
+      co_return;
+    }
     if (isStaleAnswer(Parser.get(), *E.Params.Dialect, *E.Params.Message)) {
       E.Connection->RefusedAttempts.insert(
           echoOf(Parser.get(), *E.Params.Dialect));
--- a/tests/stand_ins/backend_server_main.cc
+++ b/tests/stand_ins/backend_server_main.cc
@@ -5,16 +5,17 @@
 //
 // It prints {"address": "IP:N", "port": N} on standard output and is controlled
 // over HTTP:
-//   POST /.control {"mode": "ok|stall|fail|slow|shed|reset|cut", "share": 1.0,
-//                   "work_ms": 5, "announce": true,
-//                   "state": "ready|leaving|gone"}
+//   POST /.control {"mode": "ok|stall|fail|slow|shed|reset|cut|status",
+//                   "share": 1.0, "status": 500, "work_ms": 5, "announce":
+//                   true, "state": "ready|leaving|gone"}
 //                  (a missing "share" becomes 1.0, a missing "announce" true;
 //                  other missing fields keep their values)
 //   GET /.stats    {"runs": N, "running": N, "by_key": {"key": runs},
 //                   "by_caller": {"service": runs}, "misdirected": N,
 //                   "acknowledged": "the last state that the node accepted"}
 // A mode other than ok applies to "share" of the requests: stall responds after
-// an hour, slow after ten times the work time, fail with 500 and shed with 503;
+// an hour, slow after ten times the work time, fail with 500, shed with 503 and
+// status with "status", which may be any number up to 999;
 // reset resets the connection instead of responding 200, and cut truncates the
 // response 200.
 // It prints the statistics of /.stats on standard error when it exits on
@@ -87,6 +88,7 @@
 struct ServerState {
   std::string Mode = "ok";
   double FaultShare = 1; // fraction of requests that Mode applies to
+  unsigned FaultStatus = 500;
   int WorkMillis = 5;
   std::uint64_t Runs = 0;
   std::uint64_t Running = 0;
@@ -129,6 +131,7 @@
     return makeResponse(Request, 400, "not an object\n");
   Server.Mode = Body.value("mode", Server.Mode);
   Server.FaultShare = Body.value("share", 1.0);
+  Server.FaultStatus = Body.value("status", Server.FaultStatus);
   Server.WorkMillis = Body.value("work_ms", Server.WorkMillis);
   Announcer.Paused = !Body.value("announce", true);
   Announcer.State = Body.value("state", Announcer.State);
@@ -211,6 +214,8 @@
   --Server.Running;
   if (InjectFault && Server.Mode == "fail")
     co_return makeResponse(Request, 500, "failed\n");
+  if (InjectFault && Server.Mode == "status")
+    co_return makeResponse(Request, Server.FaultStatus, "no such status\n");
   if (InjectFault && Server.Mode == "shed") {
     HttpResponse Shed = makeResponse(Request, 503, "busy\n");
     Shed.set(beast::http::field::retry_after, "1");
