Memory that a crowd of callers left behind goes back to the system

Cause: the allocator raises the size from which it maps blocks to that of the largest block that was freed, so that bodies of some MiB came to lie in the heaps of many threads and stayed there. Crowds that came one after the other added up.

Change: the size is fixed at 128 KiB, and when much less is held than before, a timer returns the free memory of small blocks, at most every two seconds and off the traffic threads.

--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/config/document.h"
 #include "currantgauge/runtime/clock.h"
+#include "currantgauge/runtime/heap.h"
 #include "currantgauge/runtime/listeners.h"
 #include "currantgauge/runtime/node.h"
 
@@ -38,6 +39,8 @@
 constexpr std::chrono::milliseconds FlushCheckInterval{20};
 // How often the settings file is checked for changes made without a SIGHUP.
 constexpr std::chrono::seconds RereadInterval{5};
+// How often it is checked whether a crowd of callers has left memory behind.
+constexpr std::chrono::seconds TrimInterval{2};
 // Share of the fleet's retry bound that is used: nodes may disagree on the
 // number of servers, and calls that a repeated run makes count as repeats
 // themselves.
@@ -307,11 +310,31 @@
   });
 }
 
+struct HeapTrimmer {
+  Node &Self;
+  asio::steady_timer Timer;
+  HeapTrim Trim;
+};
+
+void scheduleTrim(HeapTrimmer &Trimmer) {
+  Trimmer.Timer.expires_after(TrimInterval);
+  Trimmer.Timer.async_wait([&Trimmer](boost::system::error_code Error) {
+    if (Error)
+      return;
+    base::ByteCount Held{Trimmer.Self.BodyMemory.Used +
+                         Trimmer.Self.AnswerMemory.Used};
+    if (isTrimDue(Trimmer.Trim, Held))
+      trimHeap();
+    scheduleTrim(Trimmer);
+  });
+}
+
 } // namespace
 
 int serveNode(const config::NodeSettings &Settings, const Adapter &Protocols,
               const std::string &JournalPath,
               const SettingsReader &ReadSettings) {
+  mapLargeBlocks();
   asio::io_context Main(1);
   auto Work = asio::make_work_guard(Main);
   asio::signal_set Signals(Main, SIGTERM, SIGINT);
@@ -346,6 +369,8 @@
                             asio::steady_timer(Main)};
   waitForHangup(Reloader);
   scheduleReread(Reloader);
+  HeapTrimmer Trimmer{Self, asio::steady_timer(Main), {}};
+  scheduleTrim(Trimmer);
   post(Self, ControlInput{core::Started{}, {}, {}, {}, {}});
   pushConfigFolder(Self);
   Main.run();
