What a caller's partial request holds is bounded and gives way

Cause: the parser kept trailers and chunk extensions whole, whatever their size; heads in parts and the parser's buffer were not counted; and memory held by requests that stop short of their end was lost to all others until their time was over.

Change: the parser's buffer is bounded by limits.header and 4 KiB, so that framing beyond it is refused with 431. A head that arrives in parts, the buffer, and a body's bytes, twice while its string grows, count towards the memory of bodies. When it is short, the request with the largest product of memory and standstill gives way (admission/give_way.h, tested without a network); the one that needs it is not read further for up to half a second and then refused as not run. What the kernel keeps for a caller is bounded by a receive buffer of 128 KiB. Functions that map errors moved to session_end.h. The context of fake_caller_test.h now outlives its sessions, as CallerContext demands.

--- a/currantgauge/http/caller_body_test.cc
+++ b/currantgauge/http/caller_body_test.cc
@@ -5,7 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
 
 namespace currantgauge::http {
 
@@ -59,6 +61,59 @@
   CHECK(Memory.Used < 100);
 }
 
+// Trailers and chunk extensions were kept whole, whatever their size.
+TEST_CASE("the framing of a chunked body without end is refused") {
+  const std::string Head = "POST /p HTTP/1.1\r\nHost: A.example:80\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Start : {Head + "0\r\nField: ", Head + "1;name="}) {
+    SessionFixture Fixture;
+    Fixture.send(Start);
+    for (int I = 0; I < 8; ++I)
+      Fixture.send(std::string(4096, 'x'));
+    CHECK(Fixture.readToEnd().starts_with("HTTP/1.1 431"));
+    CHECK(arrivedRequests(Fixture).empty());
+  }
+}
+
+TEST_CASE("trailers within the limit of a head are read") {
+  SessionFixture Fixture;
+  Fixture.send("POST /p HTTP/1.1\r\nHost: A.example:80\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n"
+               "Field: " +
+               std::string(16000, 'x') + "\r\n\r\n");
+  REQUIRE(arrivedRequests(Fixture).size() == 1);
+  CHECK(arrivedRequests(Fixture)[0]->Message->Body == "abcdef");
+}
+
+TEST_CASE("a request that stands still gives way when memory is short") {
+  SessionFixture Fixture;
+  runtime::MemoryBudget Memory;
+  Memory.Limit = base::ByteCount{100000};
+  Fixture.Context.BodyMemory = &Memory;
+  Fixture.send("POST /p HTTP/1.1\r\nHost: A.example:80\r\n"
+               "Content-Length: 60000\r\n\r\n" +
+               std::string(50000, 'x'));
+  CHECK(Memory.Used > 50000);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  CHECK(mayWaitForMemory(Fixture.Context.Inputs, Memory, base::ByteCount{60000},
+                         base::Duration{}));
+  std::string Answer = Fixture.readToEnd();
+  CHECK(Answer.starts_with("HTTP/1.1 503"));
+  CHECK(Answer.find("not_run") != std::string::npos);
+  CHECK(Memory.Used == 0);
+}
+
+TEST_CASE("heads that arrive in parts are counted while they do") {
+  SessionFixture Fixture;
+  runtime::MemoryBudget Memory;
+  Fixture.Context.BodyMemory = &Memory;
+  Fixture.send("GET /a HTTP/1.1\r\n");
+  CHECK(Memory.Used >= 16384);
+  Fixture.send("Host: A.example:80\r\n\r\n");
+  REQUIRE(arrivedRequests(Fixture).size() == 1);
+  CHECK(Memory.Used < 100);
+}
+
 TEST_CASE(
     "while callers hold all memory for answers, less of each is buffered") {
   SessionFixture Fixture;
--- a/currantgauge/http/caller_request.cc
+++ b/currantgauge/http/caller_request.cc
@@ -97,6 +97,13 @@
   return Facts;
 }
 
+bool isActionIdRequest(const TextRequest &Request, const HttpDialect &Dialect) {
+  return Dialect.IssuesActionIds &&
+         Request.method() == boost::beast::http::verb::post &&
+         Request.target() ==
+             boost::beast::string_view(ActionsPath.data(), ActionsPath.size());
+}
+
 runtime::RequestMessagePtr readMessage(TextRequest Request,
                                        const HttpDialect &Dialect,
                                        const base::ServiceName &Service) {
--- a/currantgauge/http/caller_request.h
+++ b/currantgauge/http/caller_request.h
@@ -30,6 +30,9 @@
                                             const HttpDialect &Dialect,
                                             std::string &Error);
 
+// isActionIdRequest() returns whether the caller asks for an action id.
+bool isActionIdRequest(const TextRequest &Request, const HttpDialect &Dialect);
+
 // readMessage() returns the method, target, end-to-end header fields and body
 // for the backend server. Service is the service of the caller's VM; it
 // replaces a CallerServiceField that the caller sent.
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -5,11 +5,13 @@
 #include "currantgauge/http/caller_answer.h"
 #include "currantgauge/http/caller_body.h"
 #include "currantgauge/http/caller_request.h"
-#include "currantgauge/http/fields.h"
 #include "currantgauge/http/pending_request.h"
+#include "currantgauge/http/session_end.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -20,10 +22,12 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <string>
 
 namespace currantgauge::http {
@@ -36,7 +40,8 @@
 
 // Requests of one connection that may be unanswered at a time.
 constexpr std::size_t PipelineLimit = 32;
-constexpr std::size_t ReadBytes = 4096; // size of a request's first read
+// What the kernel keeps at most; enough for 100 Mbit/s at a 10 ms round trip.
+constexpr int ReceiveBufferBytes = 128 * 1024;
 // Time for a caller to close its connection after the last answer.
 constexpr std::chrono::seconds LingerTime{1};
 
@@ -53,11 +58,12 @@
   asio::steady_timer IdleTimer;
   std::chrono::steady_clock::time_point IdleSince;
   asio::steady_timer ReadTimer;
-  bool AcceptsRequests = true; // more requests may be read
-  bool Closing = false;        // nothing more is answered
-  bool AwaitsRequest = false;  // no byte of the next request was read
-  bool ReadsRequest = false;   // only a part of the next request was read
-  bool IdleExpired = false;    // the idle timer ended the wait for a request
+  bool AcceptsRequests = true;    // more requests may be read
+  bool Closing = false;           // nothing more is answered
+  bool AwaitsRequest = false;     // no byte of the next request was read
+  bool ReadsRequest = false;      // only a part of the next request was read
+  bool IdleExpired = false;       // the idle timer ended the wait for a request
+  std::uint64_t StartedReads = 0; // requests of which the first bytes were read
 
   Session(tcp::socket Socket, CallerContext &Shared)
       : Context(Shared), Stream(std::move(Socket)),
@@ -68,6 +74,7 @@
 };
 
 using SessionPtr = boost::intrusive_ptr<Session>;
+
 std::chrono::microseconds idleTimeout(const CallerContext &Context) {
   return std::chrono::microseconds(Context.IdleMicros);
 }
@@ -95,22 +102,6 @@
   waitForIdleTimer(Self);
 }
 
-core::ConnectionEnd endOfRead(const Session &S, ErrorCode Error) {
-  if (S.IdleExpired)
-    return core::ConnectionEnd::IdleTimeout;
-  return Error == asio::error::eof || Error == beast::http::error::end_of_stream
-             ? core::ConnectionEnd::CallerClosed
-             : core::ConnectionEnd::CallerReset;
-}
-
-core::ConnectionEnd endOfWrite(ErrorCode Error) {
-  if (Error == beast::error::timeout)
-    return core::ConnectionEnd::WriteTimeout;
-  return Error == beast::http::error::partial_message
-             ? core::ConnectionEnd::AnswerCutShort
-             : core::ConnectionEnd::WriteFailed;
-}
-
 // Abandons the unanswered requests and closes the connection.
 void endSession(Session &S, core::ConnectionEnd End) {
   S.Closing = true;
@@ -174,24 +165,6 @@
   }
 }
 
-base::Reason reasonOf(ErrorCode Error) {
-  if (Error == beast::http::error::body_limit)
-    return base::Reason::BodyTooLarge;
-  if (Error == beast::http::error::header_limit ||
-      Error == beast::http::error::buffer_overflow)
-    return base::Reason::HeaderTooLarge;
-  if (Error == asio::error::no_memory)
-    return base::Reason::MemoryLimit;
-  return base::Reason::BadRequest;
-}
-
-std::string describeError(ErrorCode Error) {
-  base::Reason Reason = reasonOf(Error);
-  if (Reason != base::Reason::BadRequest)
-    return std::string(base::reasonText(Reason));
-  return "malformed HTTP request: " + Error.message();
-}
-
 void addRequest(Session &S, PendingRequestPtr Pending) {
   S.IdleTimer.cancel();
   S.Requests.push_back(std::move(Pending));
@@ -259,6 +232,41 @@
   co_return Error;
 }
 
+// The read is cancelled only if no answer is being written, since a cancel ends
+// writes, too. Otherwise the request is refused when its next bytes arrive.
+std::function<void()> makeGiveWay(const SessionPtr &Self) {
+  return [Self, Read = Self->StartedReads] {
+    asio::post(Self->Stream.get_executor(), [Self, Read] {
+      if (Self->ReadsRequest && Self->StartedReads == Read &&
+          Self->Requests.empty() && !Self->Closing)
+        Self->Stream.cancel();
+    });
+  };
+}
+
+asio::awaitable<ErrorCode> readHead(SessionPtr Self, InputSource Source,
+                                    RequestParser &Parser) {
+  Session &S = *Self;
+  startReadTimer(Self);
+  bool Held = hasWholeHead(S.Input);
+  if (!Held)
+    Held =
+        co_await holdInput(Source, base::ByteCount{getInputLimit(S.Context)});
+  if (!Held)
+    co_return asio::error::no_memory;
+  ErrorCode Error;
+  co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
+                                          redirectError(Error));
+  if (!Error && beast::iequals(Parser.get()[beast::http::field::expect],
+                               "100-continue")) {
+    stopReadTimer(S); // its caller may have to wait for earlier answers
+    co_await sendContinue(S);
+    S.Stream.expires_never(); // set by the writes of answers
+    startReadTimer(Self);
+  }
+  co_return Error;
+}
+
 // Reads the next request. Returns no error on success, eof or connection_reset
 // if the connection ends or fails before the first byte of the request, and
 // otherwise the error of the read or of the parser.
@@ -278,31 +286,21 @@
     co_return Error;
   S.IdleTimer.cancel();
   S.Stream.expires_never();
-  startReadTimer(Self);
-  co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
-                                          redirectError(Error));
-  if (!Error && beast::iequals(Parser.get()[beast::http::field::expect],
-                               "100-continue")) {
-    stopReadTimer(S); // its caller may have to wait for earlier answers
-    co_await sendContinue(S);
-    S.Stream.expires_never(); // set by the writes of answers
-    startReadTimer(Self);
-  }
+  S.Input.max_size(std::max(getInputLimit(S.Context), S.Input.size()));
+  ++S.StartedReads;
+  InputClaim Claim;
+  Claim.GiveWay = makeGiveWay(Self);
+  ClaimScope Scope(S.Context.Inputs, Claim);
+  InputSource Source{S.Stream, S.Input, S.Context, Hold, Claim};
+  Error = co_await readHead(Self, Source, Parser);
   if (!Error)
-    Error = co_await readBody(S.Stream, S.Input, Parser, S.Context.BodyMemory,
-                              Hold);
+    Error = co_await readBody(Source, Parser);
+  if (Error && givesWay(S.Context.Inputs, Claim))
+    Error = asio::error::no_memory;
   stopReadTimer(S);
   co_return Error;
 }
 
-bool isActionIdRequest(const CallerContext &Context,
-                       const TextRequest &Request) {
-  return Context.Dialect.IssuesActionIds &&
-         Request.method() == beast::http::verb::post &&
-         Request.target() ==
-             beast::string_view(ActionsPath.data(), ActionsPath.size());
-}
-
 void startRequest(const SessionPtr &Self, TextRequest Request,
                   runtime::MemoryHold Hold) {
   Session &S = *Self;
@@ -320,7 +318,7 @@
   Pending->ExpectsBody = Request.method() != beast::http::verb::head;
   S.AcceptsRequests = S.AcceptsRequests && Pending->KeepAlive;
   runtime::ControlInput Input;
-  if (isActionIdRequest(S.Context, Request))
+  if (isActionIdRequest(Request, S.Context.Dialect))
     Input.Body = core::ActionIdRequested{Facts->Request};
   else
     Input.Body = core::RequestArrived{*Facts};
@@ -370,12 +368,12 @@
                         Error == asio::error::connection_reset;
     if (Disconnected)
       break;
-    refuseInput(S, reasonOf(Error), describeError(Error));
+    refuseInput(S, refusalReasonOf(Error), describeError(Error));
   }
   if (!S.AcceptsRequests)
     Error = co_await waitForDisconnect(S);
   if (!S.Closing)
-    co_return endSession(S, endOfRead(S, Error));
+    co_return endSession(S, endOfRead(Error, S.IdleExpired));
   S.IdleTimer.cancel();
   S.Stream.close();
 }
@@ -384,6 +382,9 @@
 
 void startCallerSession(tcp::socket Socket, CallerContext &Context) {
   auto Executor = Socket.get_executor();
+  ErrorCode Ignored;
+  Socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes),
+                    Ignored);
   SessionPtr Self(new Session(std::move(Socket), Context));
   asio::co_spawn(Executor, writeAnswers(Self), asio::detached);
   asio::co_spawn(Executor, readRequests(Self), asio::detached);
--- a/currantgauge/http/caller_session.h
+++ b/currantgauge/http/caller_session.h
@@ -12,6 +12,7 @@
 #include "currantgauge/base/units.h"
 #include "currantgauge/config/model.h"
 #include "currantgauge/http/dialect.h"
+#include "currantgauge/http/input_memory.h"
 #include "currantgauge/runtime/control.h"
 #include "currantgauge/runtime/memory_budget.h"
 
@@ -40,6 +41,7 @@
   // Of all bodies of requests and of all answers; null: unlimited.
   runtime::MemoryBudget *BodyMemory = nullptr;
   runtime::MemoryBudget *AnswerMemory = nullptr;
+  InputClaims Inputs; // requests that were received only in part
   // DefaultLimits come from the node's settings. The members below are the
   // limits in force: the configuration may change them while sessions read
   // them.
--- a/currantgauge/http/fake_caller_test.h
+++ b/currantgauge/http/fake_caller_test.h
@@ -28,8 +28,8 @@
 // SessionFixture runs a session and the caller's end of its connection on one
 // thread.
 struct SessionFixture {
+  CallerContext Context; // outlives the session, which Io destroys
   boost::asio::io_context Io;
-  CallerContext Context;
   std::vector<runtime::ControlInput> Posted;
   boost::asio::ip::tcp::socket Caller{this->Io};
 
