A body above queue_bytes is served by an idle server

Cause: the queue of an owner refused each attempt whose body exceeds queue_bytes (8 MiB by default), also when nothing waited and a slot was free, though the operator's limit of a body was 64 MiB.

Change: the bound is for what waits: the only attempt of a queue may be larger. Its memory is held by the node in any case.

--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -167,6 +167,10 @@
                       const QueuedAttempt &Attempt,
                       std::vector<base::AttemptId> &Victims) {
   base::ByteCount Size = Attempt.Facts.BodyBytes;
+  // The bound is for what waits. What no other attempt waits beside is bounded
+  // by the limit of a body.
+  if (Queue.Length == 0 && Settings.QueueLength > 0)
+    return base::Reason::None;
   if (Size > Settings.QueueBytes)
     return base::Reason::QueueBytesFull;
   while (true) {
--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -177,6 +177,22 @@
   CHECK(Fixture.State.Queues[Service].Bytes.Bytes == 200);
 }
 
+// A body above the bound was refused by an idle server, too.
+TEST_CASE("the only attempt of a queue isn't refused for its bytes") {
+  QueueFixture Fixture = makeFixture(100);
+  Fixture.Config.Services[Service].QueueBytes = base::ByteCount{1000};
+  QueuedAttempt &Huge = addAttempt(Fixture, "lookup", "read", "a");
+  Huge.Facts.BodyBytes = base::ByteCount{5000};
+  CHECK(enqueueAttempt(Fixture, Huge).Reason == base::Reason::None);
+  QueuedAttempt &Second = addAttempt(Fixture, "lookup", "read", "a");
+  Second.Facts.BodyBytes = base::ByteCount{5000};
+  CHECK(enqueueAttempt(Fixture, Second).Reason == base::Reason::QueueBytesFull);
+  REQUIRE(serveNext(Fixture) == &Huge);
+  QueuedAttempt &Third = addAttempt(Fixture, "lookup", "read", "a");
+  Third.Facts.BodyBytes = base::ByteCount{5000};
+  CHECK(enqueueAttempt(Fixture, Third).Reason == base::Reason::None);
+}
+
 TEST_CASE("an attempt that can't meet its deadline is refused on arrival") {
   QueueFixture Fixture = makeFixture(1000);
   enqueueAttempt(Fixture, addAttempt(Fixture, "normal", "read", "a"));
--- a/tests/integration/memory_test.cc
+++ b/tests/integration/memory_test.cc
@@ -46,14 +46,15 @@
 // Starts a machine without a server of the requests' service, at which callers
 // send them, and one that has it.
 void startTwoMachines(MachineFleet &Machines,
-                      const std::vector<std::string> &Flags) {
+                      const std::vector<std::string> &Flags,
+                      std::size_t MaxBodyBytes = BodyBytes) {
   addMachine(Machines, "north", "north-a", "stocktally");
   addMachine(Machines, "north", "north-b", "cutlist", Flags);
   writeOperatorsConfig(
       Machines, "r3",
       {{"view", routeOf("/lists/", "cutlist", "idempotent")},
        {"commit", routeOf("/commits/", "cutlist", "non_idempotent")}},
-      {{"maxBodyBytes", BodyBytes}, {"idleTimeoutMs", 4000}});
+      {{"maxBodyBytes", MaxBodyBytes}, {"idleTimeoutMs", 4000}});
   REQUIRE(
       waitUntil([&] { return isReady(nodeOf(Machines, Machines.List[0])); }));
   REQUIRE(waitForServers(Machines.Fleet, 2));
@@ -100,6 +101,17 @@
       ServedAgainLimit));
 }
 
+// The queue of the owner refused each body above its bound.
+TEST_CASE("memory: a body of 40 MiB is served by an idle server") {
+  constexpr std::size_t LargeBytes = 40UL * 1024 * 1024;
+  MachineFleet Machines;
+  startTwoMachines(Machines, {}, 64UL * 1024 * 1024);
+  const NodeProcess &Entry = nodeOf(Machines, Machines.List[0]);
+  CallerRequest Ended = sendAsCaller(Entry, "POST", "/commits/9",
+                                     std::string(LargeBytes, 'x'), 20000);
+  CHECK(isOwnResponse(Ended, "POST", "/commits/9"));
+}
+
 TEST_CASE("memory: answers that callers don't read are not all held") {
   MachineFleet Machines;
   startTwoMachines(Machines,
