A request that waits for memory looks for it every 50 ms

Cause: each look reads all claims under one mutex, and up to a thousand requests may wait on a small machine.

Change: 50 ms in place of 20 ms.

--- a/currantgauge/http/caller_body.cc
+++ b/currantgauge/http/caller_body.cc
@@ -24,7 +24,7 @@
 // parser takes at most 64 KiB.
 constexpr std::size_t BodyStepBytes = 128 * 1024;
 // How often a request that waits for memory looks for it.
-constexpr std::chrono::milliseconds MemoryRetryInterval{20};
+constexpr std::chrono::milliseconds MemoryRetryInterval{50};
 
 // Returns the memory that a request may need during the next read. When the
 // string of a body without a length grows, its bytes exist twice for a moment.
