Requests wait for a permit under their workspace's fleet limit

Cause: nothing enforced WorkspaceSettings::FleetLimit. Change: the entry holds an admitted request until the home of its workspace has issued a permit, refuses it as not run with fleet_limit (429) or, after a third of its time without an answer, with peer_unavailable. Peer messages gain the kind Permits. The codec's test of an unknown kind uses the number after the last kind, since 6 is now a kind.

--- a/currantgauge/core/effect.h
+++ b/currantgauge/core/effect.h
@@ -170,6 +170,10 @@
   // cause, decided (whether control had already answered or refused).
   UnansweredRequests,
   StoreRestores, // restores of the store from a copy
+  // Permits under fleet-wide rate limits; labels: outcome (asked, repeated,
+  // granted, refused, timed_out), role (entry, home). Outcome taken_over counts
+  // workspaces whose permits another home has issued before.
+  Permits,
 };
 
 // Measure adds Amount to a counter, records it in a histogram or sets a gauge,
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -7,6 +7,7 @@
 #include "currantgauge/admission/retry.h"
 #include "currantgauge/core/entry_attempts.h"
 #include "currantgauge/core/entry_metrics.h"
+#include "currantgauge/core/fleet_limits.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/request_log.h"
 #include "currantgauge/routing/choose.h"
@@ -46,6 +47,8 @@
       endEntryAttempt(Node, *Attempt);
   if (Request->Permitted)
     actions::noteRequestEnded(Node, Request->Facts);
+  if (Request->AwaitsPermit)
+    cancelPermitWait(Node, *Request);
   Node.Entry.Requests.erase(Id);
 }
 
@@ -100,6 +103,17 @@
   refuseRequest(Node, Request, Answer.Reason, Answer.RetryAfter, Effects);
 }
 
+void startAdmittedRequest(State &Node, EntryRequest &Request,
+                          EffectList &Effects) {
+  setTimer(Node.Timers, Request.Deadline,
+           RequestDeadline{Request.Facts.Request});
+  Request.Fingerprint = actions::fingerprintOf(Request.Facts, Request.Kind);
+  logAdmitted(Node, Request, Effects);
+  if (!Request.Kind.Idempotent && !Request.Facts.Action.empty())
+    return startActionRequest(Node, Request, Effects);
+  startNextAttempt(Node, Request, Effects);
+}
+
 // continueAction() continues a request according to another node's decision on
 // its action: it runs with a permission, or follows a referral. Returns false
 // if the outcome contains neither or the referral can't be followed.
@@ -218,13 +232,20 @@
       Node.Admission, Config, *Kind, Arrival.Facts.Workspace, Node.Now);
   if (Reason != base::Reason::None)
     return refuseRequest(Node, Request, Reason, base::seconds(1), Effects);
-  setTimer(Node.Timers, Request.Deadline,
-           RequestDeadline{Arrival.Facts.Request});
-  Request.Fingerprint = actions::fingerprintOf(Request.Facts, *Kind);
-  logAdmitted(Node, Request, Effects);
-  if (!Kind->Idempotent && !Arrival.Facts.Action.empty())
-    return startActionRequest(Node, Request, Effects);
-  startNextAttempt(Node, Request, Effects);
+  if (awaitPermit(Node, Request, Effects))
+    return;
+  startAdmittedRequest(Node, Request, Effects);
+}
+
+void endPermitWait(State &Node, base::RequestId Id, base::Reason Reason,
+                   base::Duration RetryAfter, EffectList &Effects) {
+  EntryRequest *Request = findRequest(Node, Id);
+  if (!Request || !Request->AwaitsPermit)
+    return;
+  if (Reason != base::Reason::None)
+    return refuseRequest(Node, *Request, Reason, RetryAfter, Effects);
+  Request->AwaitsPermit = false;
+  startAdmittedRequest(Node, *Request, Effects);
 }
 
 void onCallerGone(State &Node, const CallerGone &Gone, EffectList &Effects) {
--- a/currantgauge/core/entry.h
+++ b/currantgauge/core/entry.h
@@ -25,6 +25,11 @@
 void onTrialTimeout(State &Node, const TrialTimeout &Due, EffectList &Effects);
 void onRetryDue(State &Node, const RetryDue &Due, EffectList &Effects);
 
+// endPermitWait() continues a request that waits for a permit, or refuses it if
+// Reason isn't None. Does nothing if the request doesn't wait for one.
+void endPermitWait(State &Node, base::RequestId Id, base::Reason Reason,
+                   base::Duration RetryAfter, EffectList &Effects);
+
 // refuseUnansweredRequests() refuses requests whose answer hasn't been started.
 // Called shortly before the stop limit expires, since an error tells the caller
 // more than a closed connection.
--- /dev/null
+++ b/currantgauge/core/fleet_limits.cc
@@ -0,0 +1,211 @@
+#include "currantgauge/core/fleet_limits.h"
+
+#include "currantgauge/admission/fleet_probe.h"
+#include "currantgauge/core/entry.h"
+#include "currantgauge/membership/member.h"
+#include "currantgauge/membership/send.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace currantgauge::core {
+namespace {
+
+// A request waits for its permit for this fraction of its time at most, so that
+// it can still be answered, or sent again by its caller, if there is none.
+constexpr std::int64_t PermitWaitDivisor = 3;
+constexpr base::Duration UnansweredRetryAfter = base::seconds(1);
+
+std::optional<admission::FleetLimit>
+findLimit(const State &Node, const base::WorkspaceName &Workspace) {
+  if (!Node.Config.Current)
+    return std::nullopt;
+  const auto &Workspaces = Node.Config.Current->Workspaces;
+  auto It = Workspaces.find(Workspace);
+  if (It == Workspaces.end())
+    return std::nullopt;
+  return admission::makeFleetLimit(It->second);
+}
+
+Measure measurePermits(admission::PermitEvent Event, double Amount) {
+  using admission::PermitEvent;
+  switch (Event) {
+  case PermitEvent::Asked:
+    return Measure{Metric::Permits, "asked", "entry", Amount};
+  case PermitEvent::Repeated:
+    return Measure{Metric::Permits, "repeated", "entry", Amount};
+  case PermitEvent::Granted:
+    return Measure{Metric::Permits, "granted", "home", Amount};
+  case PermitEvent::Refused:
+    return Measure{Metric::Permits, "refused", "home", Amount};
+  case PermitEvent::TakenOver:
+    return Measure{Metric::Permits, "taken_over", "home", Amount};
+  }
+  return Measure{Metric::Permits, "", "", Amount};
+}
+
+void sendPermitMessage(State &Node, const admission::PermitMessage &Permit,
+                       EffectList &Effects) {
+  membership::PeerMessage Message =
+      membership::newMessage(Node.Membership, membership::MessageKind::Permits);
+  if (const auto *Ask = std::get_if<admission::PermitAsk>(&Permit.Body))
+    Message.PermitAsks.push_back(*Ask);
+  else
+    Message.PermitAnswers.push_back(
+        std::get<admission::PermitAnswer>(Permit.Body));
+  if (Permit.Address.empty())
+    return membership::sendTo(Node.Membership, Permit.Recipient,
+                              std::move(Message), Effects);
+  Effects.push_back(Measure{Metric::PeerMessages, "permits", "out", 1});
+  Effects.push_back(
+      SendPeerMessage{Permit.Recipient, Permit.Address, std::move(Message)});
+}
+
+void decideRequest(State &Node, const admission::PermitDecision &Decision,
+                   EffectList &Effects) {
+  endPermitWait(Node, Decision.Request,
+                Decision.Granted ? base::Reason::None
+                                 : base::Reason::FleetLimit,
+                Decision.RetryAfter, Effects);
+}
+
+// Answers the asks of this node to itself first, which may lead to others.
+void executeOutput(State &Node, admission::PermitOutput &Output,
+                   EffectList &Effects) {
+  while (!Output.OwnAsks.empty()) {
+    admission::PermitAsk Ask = std::move(Output.OwnAsks.back());
+    Output.OwnAsks.pop_back();
+    admission::onPermitAsk(Node.FleetLimits, Ask,
+                           findLimit(Node, Ask.Workspace), Node.Now, Output);
+  }
+  for (const auto &[Event, Count] : Output.Events)
+    Effects.push_back(measurePermits(Event, Count));
+  for (const admission::PermitMessage &Message : Output.Messages)
+    sendPermitMessage(Node, Message, Effects);
+  for (std::uint64_t Sequence : Output.Resends)
+    if (auto It = Node.FleetLimits.Asks.find(Sequence);
+        It != Node.FleetLimits.Asks.end())
+      setTimer(Node.Timers, It->second.ResendAt, PermitResend{Sequence});
+  for (const admission::PermitDecision &Decision : Output.Decisions)
+    decideRequest(Node, Decision, Effects);
+}
+
+} // namespace
+
+void updateFleetRoster(State &Node, EffectList &Effects) {
+  if (!admission::updateIsDue(Node.FleetLimits.Roster, Node.Now))
+    return;
+  std::vector<admission::MemberView> Views;
+  Views.reserve(Node.Membership.Members.size());
+  for (const auto &[Name, Member] : Node.Membership.Members)
+    Views.push_back({&Name,
+                     Member.Record.Phase == membership::MemberPhase::Alive,
+                     Member.PhaseSince, Member.LastMessageAt});
+  admission::updateRoster(Node.FleetLimits.Roster, Views, Node.Now);
+  for (const auto &[Sequence, Probe] : Node.Membership.Probes)
+    if (Probe.Indirect)
+      admission::noteUnreachable(Node.FleetLimits.Roster, Probe.Target,
+                                 Node.Now);
+  admission::PermitOutput Output;
+  admission::addProbes(Node.FleetLimits, Node.Random, Node.Now, Output);
+  executeOutput(Node, Output, Effects);
+}
+
+bool awaitPermit(State &Node, EntryRequest &Request, EffectList &Effects) {
+  const base::WorkspaceName &Workspace = Request.Facts.Workspace;
+  auto Limit = findLimit(Node, Workspace);
+  if (!Limit || Limit->Rate <= 0)
+    return false;
+  Request.AwaitsPermit = true;
+  setTimer(Node.Timers,
+           Node.Now + (Request.Deadline - Node.Now) / PermitWaitDivisor,
+           PermitTimeout{Request.Facts.Request});
+  updateFleetRoster(Node, Effects);
+  admission::PermitOutput Output;
+  admission::requestPermit(Node.FleetLimits, Request.Facts.Request, Workspace,
+                           Node.Now, Output);
+  executeOutput(Node, Output, Effects);
+  return true;
+}
+
+void cancelPermitWait(State &Node, const EntryRequest &Request) {
+  admission::cancelPermit(Node.FleetLimits, Request.Facts.Request,
+                          Request.Facts.Workspace);
+}
+
+void onPermitMessage(State &Node, const membership::PeerMessage &Message,
+                     EffectList &Effects) {
+  updateFleetRoster(Node, Effects);
+  if (Message.Kind != membership::MessageKind::Permits)
+    return;
+  admission::PermitOutput Output;
+  for (admission::PermitAsk Ask : Message.PermitAsks) {
+    if (Ask.Asker.empty()) {
+      Ask.Asker = Message.From;
+      Ask.AskerAddress = Message.FromAddress;
+    }
+    admission::onPermitAsk(Node.FleetLimits, Ask,
+                           findLimit(Node, Ask.Workspace), Node.Now, Output);
+  }
+  for (const admission::PermitAnswer &Answer : Message.PermitAnswers)
+    admission::onPermitAnswer(Node.FleetLimits, Answer, Node.Now, Output);
+  executeOutput(Node, Output, Effects);
+}
+
+void onPermitSendFailed(State &Node, const PeerSendFailed &Failure,
+                        EffectList &Effects) {
+  admission::noteUnreachable(Node.FleetLimits.Roster, Failure.Recipient,
+                             Node.Now);
+  admission::PermitOutput Output;
+  admission::onPermitSendFailed(Node.FleetLimits, Failure.Recipient, Node.Now,
+                                Output);
+  executeOutput(Node, Output, Effects);
+}
+
+void onPermitResend(State &Node, const PermitResend &Due, EffectList &Effects) {
+  updateFleetRoster(Node, Effects);
+  admission::PermitOutput Output;
+  admission::resendAsk(Node.FleetLimits, Due.Sequence, Node.Now, Output);
+  executeOutput(Node, Output, Effects);
+}
+
+void onPermitTimeout(State &Node, const PermitTimeout &Due,
+                     EffectList &Effects) {
+  auto It = Node.Entry.Requests.find(Due.Request);
+  if (It == Node.Entry.Requests.end() || !It->second.AwaitsPermit)
+    return;
+  Effects.push_back(Measure{Metric::Permits, "timed_out", "entry", 1});
+  endPermitWait(Node, Due.Request, base::Reason::PeerUnavailable,
+                UnansweredRetryAfter, Effects);
+}
+
+OperatorTable makeFleetLimitTable(const State &Node) {
+  OperatorTable Table{"fleet limits",
+                      {"workspace", "home", "permits left", "rate", "burst",
+                       "asks in flight", "waiting"},
+                      {}};
+  auto AddRow = [&](const base::WorkspaceName &Workspace,
+                    const std::string &Left, std::size_t InFlight,
+                    std::size_t Waiting) {
+    auto Limit = findLimit(Node, Workspace).value_or(admission::FleetLimit());
+    Table.Rows.push_back(
+        {Workspace.Value,
+         admission::chooseHome(Node.FleetLimits.Roster, Workspace).Home.Value,
+         Left, std::to_string(std::lround(Limit.Rate)),
+         std::to_string(std::lround(Limit.Burst)), std::to_string(InFlight),
+         std::to_string(Waiting)});
+  };
+  for (const auto &[Workspace, Bucket] : Node.FleetLimits.Buckets.Buckets)
+    AddRow(Workspace, std::to_string(std::lround(std::floor(Bucket.Tokens))), 0,
+           0);
+  for (const auto &[Workspace, Asks] : Node.FleetLimits.Workspaces)
+    AddRow(Workspace, "", Asks.InFlight, Asks.Waiting.size());
+  return Table;
+}
+
+} // namespace currantgauge::core
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -8,6 +8,7 @@
 #include "currantgauge/config/queries.h"
 #include "currantgauge/core/entry.h"
 #include "currantgauge/core/explain.h"
+#include "currantgauge/core/fleet_limits.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/status.h"
 #include "currantgauge/membership/anti_entropy.h"
@@ -47,6 +48,7 @@
 }
 
 void onTimer(State &Node, const GossipRound &, EffectList &Effects) {
+  updateFleetRoster(Node, Effects);
   membership::startRound(Node, Effects);
   setTimer(Node.Timers, Node.Now + membership::GossipInterval, GossipRound{});
 }
@@ -112,6 +114,14 @@
   onAttemptDeadline(Node, Due, Effects);
 }
 
+void onTimer(State &Node, const PermitResend &Due, EffectList &Effects) {
+  onPermitResend(Node, Due, Effects);
+}
+
+void onTimer(State &Node, const PermitTimeout &Due, EffectList &Effects) {
+  onPermitTimeout(Node, Due, Effects);
+}
+
 void onTimer(State &Node, const SlotsReopen &Due, EffectList &Effects) {
   startQueuedAttempts(Node, Due.Service, Effects);
 }
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -6,6 +6,7 @@
 #include "currantgauge/config/feed.h"
 #include "currantgauge/config/queries.h"
 #include "currantgauge/core/entry.h"
+#include "currantgauge/core/fleet_limits.h"
 #include "currantgauge/core/operations.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/status.h"
@@ -48,9 +49,11 @@
   void operator()(const PeerMessageArrived &E) {
     membership::onMessage(Node, E.Message, Effects);
     config::noteVersion(Node, E.Message, Effects);
+    onPermitMessage(Node, E.Message, Effects);
   }
   void operator()(const PeerSendFailed &E) {
     membership::onSendFailed(Node, E, Effects);
+    onPermitSendFailed(Node, E, Effects);
   }
   // Each call belongs to one component, which recognizes its CallId.
   void operator()(const StoreAnswered &E) {
@@ -97,6 +100,13 @@
   bool operator()(const AttemptDeadline &Due) const {
     return !this->Node.Owner.Attempts.contains(Due.Attempt);
   }
+  bool operator()(const PermitResend &Due) const {
+    return !this->Node.FleetLimits.Asks.contains(Due.Sequence);
+  }
+  bool operator()(const PermitTimeout &Due) const {
+    auto It = this->Node.Entry.Requests.find(Due.Request);
+    return It == this->Node.Entry.Requests.end() || !It->second.AwaitsPermit;
+  }
   template <typename AnyTimer> bool operator()(const AnyTimer &) const {
     return false;
   }
@@ -138,6 +148,10 @@
   Record.Domain = Self.Domain;
   Record.Incarnation = Self.Incarnation;
   Node.Membership.Seeds = Self.Seeds;
+  Node.FleetLimits.Roster =
+      admission::makeRoster(Self.Name, Self.FirstStart, !Self.Seeds.empty());
+  Node.FleetLimits.Origin =
+      Self.Origin != 0 ? Self.Origin : Self.Incarnation.Value;
   return Node;
 }
 
--- a/currantgauge/core/state.h
+++ b/currantgauge/core/state.h
@@ -5,6 +5,7 @@
 #define CURRANTGAUGE_CORE_STATE_H
 
 #include "currantgauge/actions/state.h"
+#include "currantgauge/admission/fleet_limit.h"
 #include "currantgauge/admission/fleet_retry.h"
 #include "currantgauge/admission/queued_attempt.h"
 #include "currantgauge/admission/state.h"
@@ -97,6 +98,7 @@
   bool MayHaveRun = false;     // some attempt may have run
   base::Reason LastReason = base::Reason::None;
   std::vector<AttemptTrace> Trace; // for the explain command
+  bool AwaitsPermit = false; // under the fleet-wide limit of its workspace
 };
 
 // EntryState is the state of a node in its role as entry.
@@ -144,6 +146,7 @@
   EntryState Entry;
   OwnerState Owner;
   StoreStats Store;
+  admission::FleetLimitState FleetLimits;
 };
 
 // makeState() returns the state of a node before its first event.
--- a/currantgauge/core/status.cc
+++ b/currantgauge/core/status.cc
@@ -2,6 +2,7 @@
 
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/config/queries.h"
+#include "currantgauge/core/fleet_limits.h"
 #include "currantgauge/membership/member.h"
 #include "currantgauge/routing/health_report.h"
 
@@ -149,6 +150,7 @@
       routing::makeHealthTable(Node.Routing, base::ServiceName(), Node.Now),
       makeQueueTable(Node),
       makePressureTable(Node),
+      makeFleetLimitTable(Node),
       makeNodeTable(Node),
       config::makeVersionTable(Node),
       makeStoreTable(Node),
--- a/currantgauge/core/timer.h
+++ b/currantgauge/core/timer.h
@@ -76,12 +76,21 @@
 // FeedDue reads the store's change feed again after a failure or when its
 // answer is overdue.
 struct FeedDue {};
+// PermitResend repeats an ask for permits that has no answer yet.
+struct PermitResend {
+  std::uint64_t Sequence = 0;
+};
+// PermitTimeout refuses a request that has waited too long for its permit.
+struct PermitTimeout {
+  base::RequestId Request;
+};
 
 using Timer =
     std::variant<FeedDue, LeaveDue, StopDue, StopAnswersDue, LeaseCheck,
                  GossipRound, HealthRound, ConfigRound, ActionRound,
                  RumourFlush, SyncDue, ProbeTimeout, RequestDeadline, RetryDue,
-                 TrialTimeout, AttemptDeadline, SlotsReopen>;
+                 TrialTimeout, AttemptDeadline, SlotsReopen, PermitResend,
+                 PermitTimeout>;
 
 // TimerQueue holds pending timers by time; timers of equal time fire in the
 // order in which they were set.
--- a/currantgauge/http/caller_answer.cc
+++ b/currantgauge/http/caller_answer.cc
@@ -82,7 +82,8 @@
 Status statusByVerdict(base::Reason Reason, base::Verdict Verdict) {
   if (Verdict == base::Verdict::NotRun)
     return Reason == base::Reason::WorkspaceLimit ||
-                   Reason == base::Reason::KindLimit
+                   Reason == base::Reason::KindLimit ||
+                   Reason == base::Reason::FleetLimit
                ? Status::too_many_requests
                : Status::service_unavailable;
   bool TimedOut = Reason == base::Reason::DeadlinePassed ||
@@ -126,6 +127,7 @@
     return Status::forbidden;
   case base::Reason::WorkspaceLimit:
   case base::Reason::KindLimit:
+  case base::Reason::FleetLimit:
     return Status::too_many_requests;
   case base::Reason::ActionRunning:
   case base::Reason::ActionMismatch:
--- a/currantgauge/membership/gossip.cc
+++ b/currantgauge/membership/gossip.cc
@@ -113,6 +113,7 @@
   case MessageKind::Sync:
     return onSync(Node, Message, Effects);
   case MessageKind::Rumours:
+  case MessageKind::Permits:
     return;
   }
 }
--- a/currantgauge/membership/message.h
+++ b/currantgauge/membership/message.h
@@ -4,6 +4,7 @@
 #ifndef CURRANTGAUGE_MEMBERSHIP_MESSAGE_H
 #define CURRANTGAUGE_MEMBERSHIP_MESSAGE_H
 
+#include "currantgauge/admission/permit.h"
 #include "currantgauge/base/ids.h"
 #include "currantgauge/base/units.h"
 #include "currantgauge/routing/backend_server.h"
@@ -48,7 +49,7 @@
 
 // MessageKind is the purpose of a PeerMessage. Rumours, and the records of
 // Sync, need no reply.
-enum class MessageKind { Ping, Ack, PingRequest, Sync, Rumours };
+enum class MessageKind { Ping, Ack, PingRequest, Sync, Rumours, Permits };
 
 // PeerMessage is a message to another node. Pings, their acks (unless relayed)
 // and Rumours carry as many rumours as fit their byte budget.
@@ -70,6 +71,9 @@
   std::vector<std::uint32_t> Buckets;
   std::vector<std::uint64_t> RecordHashes;
   std::vector<std::uint64_t> Wanted;
+  // Permits only.
+  std::vector<admission::PermitAsk> PermitAsks;
+  std::vector<admission::PermitAnswer> PermitAnswers;
 };
 
 } // namespace currantgauge::membership
--- a/currantgauge/membership/send.cc
+++ b/currantgauge/membership/send.cc
@@ -20,6 +20,8 @@
     return "sync";
   case MessageKind::Rumours:
     return "rumours";
+  case MessageKind::Permits:
+    return "permits";
   }
   return "";
 }
--- a/currantgauge/membership/size.cc
+++ b/currantgauge/membership/size.cc
@@ -6,13 +6,16 @@
 #include <vector>
 
 // The encoding is defined by peer/peer.proto; peer/codec_test.cc compares the
-// sizes. Field numbers are below 16, so that a tag takes one byte.
+// sizes. Field numbers are below 16, so that a tag takes one byte, but where
+// noted.
 namespace currantgauge::membership {
 namespace {
 
 // Of a bool whose field number is 16 or higher, so that its tag takes two
 // bytes.
 constexpr std::size_t LateBoolSize = 3;
+// What such a tag takes more.
+constexpr std::size_t LateTagSize = 1;
 
 std::size_t varintSize(std::uint64_t Value) {
   std::size_t Size = 1;
@@ -52,6 +55,10 @@
   return field(static_cast<std::uint64_t>(Value) + 1);
 }
 
+template <typename Tag> std::size_t idField(const base::UniqueId<Tag> &Id) {
+  return lengthDelimited(field(Id.Origin) + field(Id.Sequence));
+}
+
 template <typename Item>
 std::size_t packedFixed(const std::vector<Item> &Items) {
   return Items.empty() ? 0 : lengthDelimited(Items.size() * sizeof(Item));
@@ -116,6 +123,20 @@
   return lengthDelimited(Size);
 }
 
+std::size_t encodedSize(const admission::PermitAsk &Ask) {
+  return lengthDelimited(
+      idField(Ask.Id) + field(Ask.Workspace.Value) +
+      field(std::uint64_t{Ask.Count}) + field(Ask.Asker.Value) +
+      field(Ask.AskerAddress.Value) + field(std::uint64_t{Ask.ForwardCount}));
+}
+
+std::size_t encodedSize(const admission::PermitAnswer &Answer) {
+  return LateTagSize + lengthDelimited(idField(Answer.Id) +
+                                       field(std::uint64_t{Answer.Granted}) +
+                                       zigzagField(Answer.RetryAfter.Micros) +
+                                       zigzagField(Answer.RetryStep.Micros));
+}
+
 std::size_t encodedSize(const PeerMessage &Message) {
   return field(Message.From.Value) + field(Message.FromAddress.Value) +
          enumField(Message.Kind) + field(Message.Sequence) +
@@ -123,7 +144,8 @@
          listSize(Message.Members) + listSize(Message.Backends) +
          listSize(Message.Quarantine) + field(Message.Version.Value) +
          packedFixed(Message.BucketHashes) + packedVarints(Message.Buckets) +
-         packedFixed(Message.RecordHashes) + packedFixed(Message.Wanted);
+         packedFixed(Message.RecordHashes) + packedFixed(Message.Wanted) +
+         listSize(Message.PermitAsks) + listSize(Message.PermitAnswers);
 }
 
 } // namespace currantgauge::membership
--- a/currantgauge/membership/size.h
+++ b/currantgauge/membership/size.h
@@ -18,6 +18,8 @@
 std::size_t encodedSize(const routing::BackendRecord &Record);
 std::size_t encodedSize(const QuarantineRecord &Record);
 std::size_t encodedSize(const routing::KindTime &Time);
+std::size_t encodedSize(const admission::PermitAsk &Ask);
+std::size_t encodedSize(const admission::PermitAnswer &Answer);
 
 // encodedSize() of a message returns the size of its protobuf encoding.
 std::size_t encodedSize(const PeerMessage &Message);
--- a/currantgauge/peer/codec.cc
+++ b/currantgauge/peer/codec.cc
@@ -169,6 +169,40 @@
   To.Busy = From.busy();
 }
 
+void toWire(const admission::PermitAsk &From, v1::PermitAsk &To) {
+  idToWire(From.Id, *To.mutable_id());
+  To.set_workspace(From.Workspace.Value);
+  To.set_count(From.Count);
+  To.set_asker(From.Asker.Value);
+  To.set_asker_address(From.AskerAddress.Value);
+  To.set_forward_count(From.ForwardCount);
+}
+
+bool fromWire(const v1::PermitAsk &From, admission::PermitAsk &To) {
+  idFromWire(From.id(), To.Id);
+  To.Workspace.Value = From.workspace();
+  To.Count = From.count();
+  To.Asker.Value = From.asker();
+  To.AskerAddress.Value = From.asker_address();
+  To.ForwardCount = From.forward_count();
+  return true;
+}
+
+void toWire(const admission::PermitAnswer &From, v1::PermitAnswer &To) {
+  idToWire(From.Id, *To.mutable_id());
+  To.set_granted(From.Granted);
+  To.set_retry_after_micros(From.RetryAfter.Micros);
+  To.set_retry_step_micros(From.RetryStep.Micros);
+}
+
+bool fromWire(const v1::PermitAnswer &From, admission::PermitAnswer &To) {
+  idFromWire(From.id(), To.Id);
+  To.Granted = From.granted();
+  To.RetryAfter.Micros = From.retry_after_micros();
+  To.RetryStep.Micros = From.retry_step_micros();
+  return true;
+}
+
 template <typename Wire, typename Record>
 bool listFromWire(const Wire &From, std::vector<Record> &To) {
   for (const auto &Item : From)
@@ -199,6 +233,10 @@
   To.mutable_record_hashes()->Add(From.RecordHashes.begin(),
                                   From.RecordHashes.end());
   To.mutable_wanted()->Add(From.Wanted.begin(), From.Wanted.end());
+  for (const admission::PermitAsk &Ask : From.PermitAsks)
+    toWire(Ask, *To.add_permit_asks());
+  for (const admission::PermitAnswer &Answer : From.PermitAnswers)
+    toWire(Answer, *To.add_permit_answers());
 }
 
 bool fromWire(const v1::PeerMessage &From, membership::PeerMessage &To) {
@@ -215,7 +253,9 @@
   To.RecordHashes.assign(From.record_hashes().begin(),
                          From.record_hashes().end());
   To.Wanted.assign(From.wanted().begin(), From.wanted().end());
-  return enumFromWire(From.kind(), MessageKind::Rumours, To.Kind) &&
+  return enumFromWire(From.kind(), MessageKind::Permits, To.Kind) &&
+         listFromWire(From.permit_asks(), To.PermitAsks) &&
+         listFromWire(From.permit_answers(), To.PermitAnswers) &&
          listFromWire(From.members(), To.Members) &&
          listFromWire(From.backends(), To.Backends) &&
          listFromWire(From.quarantine(), To.Quarantine);
--- a/currantgauge/peer/codec_test.cc
+++ b/currantgauge/peer/codec_test.cc
@@ -50,6 +50,16 @@
       {base::BackendName("cutlist-1"), base::Incarnation(300)}};
   Quarantine.Since = base::UnixTime{1234};
   Quarantine.Cleared = true;
+  Message.PermitAsks.push_back({.Id = {12, 300},
+                                .Workspace = base::WorkspaceName("orchard"),
+                                .Count = 3,
+                                .Asker = base::NodeName("c"),
+                                .AskerAddress = base::NetAddress("127.0.0.1:3"),
+                                .ForwardCount = 1});
+  Message.PermitAnswers.push_back({.Id = {~0ULL, 5},
+                                   .Granted = 2,
+                                   .RetryAfter = base::milliseconds(1200),
+                                   .RetryStep = base::milliseconds(40)});
   return Message;
 }
 
@@ -99,6 +109,11 @@
   CHECK(Decoded.Quarantine.at(0).Crashes.front().Incarnation ==
         base::Incarnation(300));
   CHECK(Decoded.BucketHashes.at(1) == ~0ULL);
+  CHECK(Decoded.PermitAsks.at(0).Workspace == base::WorkspaceName("orchard"));
+  CHECK(Decoded.PermitAsks.at(0).AskerAddress ==
+        base::NetAddress("127.0.0.1:3"));
+  CHECK(Decoded.PermitAnswers.at(0).Granted == 2);
+  CHECK(Decoded.PermitAnswers.at(0).RetryAfter == base::milliseconds(1200));
 }
 
 TEST_CASE("the computed size of a message equals its encoded size") {
@@ -160,7 +175,8 @@
   membership::PeerMessage ToMessage;
   v1::PeerMessage Message;
   toWire(sampleMessage(), Message);
-  Message.set_kind(6);
+  Message.set_kind(
+      static_cast<std::uint32_t>(membership::MessageKind::Permits) + 2);
   CHECK_FALSE(fromWire(Message, ToMessage));
   toWire(sampleMessage(), Message);
   Message.mutable_members(0)->set_phase(0);
--- a/currantgauge/telemetry/metrics.cc
+++ b/currantgauge/telemetry/metrics.cc
@@ -73,6 +73,8 @@
      "currantgauge_store_restores_total",
      "Restores of the platform's service from an older copy", "scope",
      "origin"},
+    {core::Metric::Permits, MetricType::Counter, "currantgauge_permits_total",
+     "Permits under the rate limits for all nodes together", "outcome", "role"},
 };
 
 // Upper bounds in seconds.
