--- a/currantgauge/admission/fleet_limit_test.cc
+++ b/currantgauge/admission/fleet_limit_test.cc
@@ -26,8 +26,9 @@
 }
 
 void checkBound(const PermitFleet &Fleet) {
-  for (const auto &[Name, Use] : Fleet.Workspaces) {
-    CAPTURE(Name.Value);
+  for (const auto &Workspace : Fleet.Workspaces) {
+    const Usage &Use = Workspace.second;
+    CAPTURE(Workspace.first.Value);
     CAPTURE(Use.Limit.Rate);
     CHECK(static_cast<double>(mostRunsInWindow(Use.Runs)) <=
           allowedRequests(Use.Limit));
