A node of a fleet without seeds meets others before it issues permits

Cause: without seeds a node that had met nobody counted as a fleet of one, though the platform's store leads it to others; after a restart of all nodes each would have been the home of every workspace. Change: only an embedded node without seeds is alone from its start.

--- a/currantgauge/core/fleet_limits_test.cc
+++ b/currantgauge/core/fleet_limits_test.cc
@@ -191,6 +191,8 @@
 TEST_CASE("a node without others enforces the fleet limit itself") {
   base::WorkspaceName Workspace("orchard");
   State Node = makeLimitedNode(Workspace, false);
+  Node.FleetLimits.Roster =
+      admission::makeRoster(LocalNode, /*FirstStart=*/true, /*HasSeeds=*/false);
   std::size_t Started = 0;
   std::size_t Refused = 0;
   for (std::uint64_t I = 1; I <= 5; ++I) {
@@ -204,6 +206,19 @@
   CHECK(Refused == 3);
 }
 
+TEST_CASE("a node that has met no other one yet issues no permits") {
+  base::WorkspaceName Workspace("orchard");
+  State Node = makeLimitedNode(Workspace, false);
+  EffectList Effects;
+  reduce(Node, Event{Now, {}, makeLimitedRequest(1, Workspace)}, Effects);
+  reduce(Node, Event{Now + base::milliseconds(1800), {}, TimerFired{}},
+         Effects);
+  CHECK_FALSE(find<StartAttempt>(Effects));
+  CHECK_FALSE(find<RefuseRequest>(Effects));
+  reduce(Node, Event{Now + Timeout / 3, {}, TimerFired{}}, Effects);
+  CHECK(find<RefuseRequest>(Effects));
+}
+
 TEST_CASE("a workspace without a fleet limit needs no permit") {
   State Node = makeLimitedNode(base::WorkspaceName("orchard"), true);
   EffectList Effects;
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -148,8 +148,9 @@
   Record.Domain = Self.Domain;
   Record.Incarnation = Self.Incarnation;
   Node.Membership.Seeds = Self.Seeds;
-  Node.FleetLimits.Roster =
-      admission::makeRoster(Self.Name, Self.FirstStart, !Self.Seeds.empty());
+  // Without seeds, other nodes are found through the platform's store.
+  Node.FleetLimits.Roster = admission::makeRoster(
+      Self.Name, Self.FirstStart, !Self.Seeds.empty() || !Self.Embedded);
   Node.FleetLimits.Origin =
       Self.Origin != 0 ? Self.Origin : Self.Incarnation.Value;
   return Node;
