Servers in a spell are found by a filter with a learned prior

Cause: an owner's breaker waits for three failures in a row, and one success, even of a request that started before the failure, ends its doubt. Servers that fail most requests for some seconds at three requests a second are over it by then.

Change: with policy.uneven_servers a two-state filter for each owned server turns every end of an exchange into the probability of a spell; how much one failure says is learned from how often failures were followed by another one. Entries spread over servers that look about equally loaded, and presume the mean load where they have no news.

--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -10,7 +10,7 @@
 #include "currantgauge/core/owner_evidence.h"
 #include "currantgauge/core/owner_retries.h"
 #include "currantgauge/core/request_log.h"
-#include "currantgauge/routing/choose.h"
+#include "currantgauge/routing/choose_owned.h"
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/slots.h"
 
@@ -47,6 +47,8 @@
   Query.Idempotent = Attempt.Facts.Idempotent;
   Query.AvoidsDoubt =
       !Attempt.Facts.Idempotent && Attempt.Facts.ReturnOnLongWait;
+  Query.HasAlternative = Attempt.Facts.ReturnOnLongWait;
+  Query.Repeated = Attempt.Facts.Number > 1;
   Query.Now = Node.Now;
   return Query;
 }
@@ -210,8 +212,7 @@
         Node.Routing, Query, Attempt->Facts.PreferredServer);
     if (!Server)
       return;
-    routing::tryAdmit(Node.Routing.Breakers[Server->Record.Name],
-                      Query.Idempotent, Node.Now);
+    routing::noteOwnedAdmitted(Node.Routing, *Server, Query);
     assignSlot(Node, *Attempt, *Server);
     actions::GuardAnswer Guard = actions::beforeRun(Node, *Attempt, Effects);
     if (Guard.Decision == actions::GuardDecision::Refuse)
@@ -346,7 +347,7 @@
   Outcome.Suspicion =
       routing::onExchangeEnded(Node.Routing, Node.Membership, *It->second,
                                Ended.Outcome, Evidence, Node.Now, Effects);
-  noteExchangeEvidence(Node, It->second->Server, Outcome, Effects);
+  noteExchangeEvidence(Node, *It->second, Outcome, Effects);
   endAttempt(Node, Ended.Attempt, std::move(Outcome), Effects);
   startQueuedAttempts(Node, Service, Effects);
 }
--- a/currantgauge/core/owner_evidence.cc
+++ b/currantgauge/core/owner_evidence.cc
@@ -3,7 +3,9 @@
 #include "currantgauge/membership/rumours.h"
 #include "currantgauge/routing/breaker.h"
 #include "currantgauge/routing/registry.h"
+#include "currantgauge/routing/spell.h"
 
+#include <algorithm>
 #include <string>
 
 namespace currantgauge::core {
@@ -14,6 +16,10 @@
 constexpr std::uint32_t HttpFirstServerError = 500;
 constexpr std::uint32_t HttpServiceUnavailable = 503;
 
+// Below the level at which entries eject a server (see ejection.h): a spell
+// ends by itself, sooner than a hold-off.
+constexpr double MaxReportedSpell = 0.9;
+
 // No process listens at the server's address, or a different server does: the
 // server is absent until it announces itself again.
 void markAbsentServer(State &Node, const base::BackendName &Name,
@@ -73,6 +79,47 @@
        {"pause_ms", std::to_string(base::toMillis(Breaker.OpenDuration))}}});
 }
 
+bool isSilence(const AttemptOutcome &Outcome) {
+  return Outcome.Reason == base::Reason::BackendSilent ||
+         Outcome.Reason == base::Reason::BackendTimeout;
+}
+
+// A server may be silent in a spell instead of failing its requests.
+BreakerSignal classifyForSpell(const AttemptOutcome &Outcome) {
+  return isSilence(Outcome) && !Outcome.RequestAtFault
+             ? BreakerSignal::Failure
+             : classifyForBreaker(Outcome);
+}
+
+void updateSpell(State &Node, const admission::QueuedAttempt &Attempt,
+                 AttemptOutcome &Outcome, EffectList &Effects) {
+  routing::SpellBelief &Belief = Node.Routing.Spells[Attempt.Server];
+  routing::SpellPrior &Prior = Node.Routing.SpellPriors[Attempt.Facts.Service];
+  BreakerSignal Signal = classifyForSpell(Outcome);
+  if (Signal == BreakerSignal::None)
+    return routing::noteInconclusiveExchange(Belief);
+  bool WasSuspected = routing::isSpellSuspected(Belief, Prior, Node.Now);
+  routing::noteExchange(Belief, Prior,
+                        {Attempt.StartedAt, Node.Now,
+                         Signal == BreakerSignal::Failure,
+                         Attempt.Facts.Number > 1 || isSilence(Outcome)});
+  bool Suspected = routing::isSpellSuspected(Belief, Prior, Node.Now);
+  double Probability =
+      routing::computeSpellProbability(Belief, Prior, Node.Now);
+  if (Suspected)
+    Outcome.Suspicion =
+        std::max(Outcome.Suspicion, std::min(Probability, MaxReportedSpell));
+  if (Suspected == WasSuspected)
+    return;
+  Effects.push_back(
+      LogLine{LogLevel::Info,
+              Suspected ? "spell_suspected" : "spell_over",
+              {{"server", Attempt.Server.Value},
+               {"reason", std::string(base::reasonName(Outcome.Reason))},
+               {"status", std::to_string(Outcome.Status)},
+               {"probability", std::to_string(Probability)}}});
+}
+
 } // namespace
 
 // The request did not run if no byte was sent or the server confirmed it
@@ -106,10 +153,13 @@
   return Outcome;
 }
 
-void noteExchangeEvidence(State &Node, const base::BackendName &Name,
-                          const AttemptOutcome &Outcome, EffectList &Effects) {
-  markAbsentServer(Node, Name, Outcome.Reason, Effects);
-  updateBreaker(Node, Name, Outcome, Effects);
+void noteExchangeEvidence(State &Node, const admission::QueuedAttempt &Attempt,
+                          AttemptOutcome &Outcome, EffectList &Effects) {
+  markAbsentServer(Node, Attempt.Server, Outcome.Reason, Effects);
+  if (Node.Routing.UnevenServers)
+    updateSpell(Node, Attempt, Outcome, Effects);
+  else
+    updateBreaker(Node, Attempt.Server, Outcome, Effects);
 }
 
 } // namespace currantgauge::core
--- a/currantgauge/core/owner_evidence.h
+++ b/currantgauge/core/owner_evidence.h
@@ -3,11 +3,11 @@
 // detects.
 //
 //   AttemptOutcome Outcome = makeAttemptOutcome(Ended.Outcome);
-//   noteExchangeEvidence(Node, Attempt.Server, Outcome, Effects);
+//   noteExchangeEvidence(Node, Attempt, Outcome, Effects);
 #ifndef CURRANTGAUGE_CORE_OWNER_EVIDENCE_H
 #define CURRANTGAUGE_CORE_OWNER_EVIDENCE_H
 
-#include "currantgauge/base/ids.h"
+#include "currantgauge/admission/queued_attempt.h"
 #include "currantgauge/core/effect.h"
 #include "currantgauge/core/request.h"
 #include "currantgauge/core/state.h"
@@ -18,9 +18,10 @@
 // for.
 AttemptOutcome makeAttemptOutcome(const ExchangeOutcome &Exchange);
 
-// noteExchangeEvidence() evaluates the outcome of an exchange with server Name.
-void noteExchangeEvidence(State &Node, const base::BackendName &Name,
-                          const AttemptOutcome &Outcome, EffectList &Effects);
+// noteExchangeEvidence() evaluates the outcome of an attempt's exchange with
+// its server. Raises Outcome.Suspicion if it suspects a spell.
+void noteExchangeEvidence(State &Node, const admission::QueuedAttempt &Attempt,
+                          AttemptOutcome &Outcome, EffectList &Effects);
 
 } // namespace currantgauge::core
 
--- a/currantgauge/core/owner_test.cc
+++ b/currantgauge/core/owner_test.cc
@@ -183,6 +183,39 @@
     }
 }
 
+TEST_CASE("where servers fail in spells a failure is reported and outlasts the "
+          "breaker's doubt") {
+  for (bool Uneven : {false, true}) {
+    CAPTURE(Uneven);
+    State Node = makeNodeWithOneSlot();
+    Node.Routing.UnevenServers = Uneven;
+    EffectList Effects;
+    applyEvent(Node, 1000, makeAttempt(1), Effects);
+    applyEvent(Node, 1020, makeExchangeEnd(1, 500), Effects);
+    REQUIRE(all<EndAttempt>(Effects).size() == 1);
+    CHECK((all<EndAttempt>(Effects)[0].Outcome.Suspicion > 0.3) == Uneven);
+    AttemptArrived Once = makeAttempt(2);
+    Once.Facts.Idempotent = false;
+    Once.Facts.ReturnOnLongWait = true;
+    applyEvent(Node, 3100, Once, Effects);
+    CHECK(all<SendToBackend>(Effects).size() == (Uneven ? 0 : 1));
+  }
+}
+
+TEST_CASE("a suspected server runs what has no alternative") {
+  State Node = makeNodeWithOneSlot();
+  Node.Routing.UnevenServers = true;
+  EffectList Effects;
+  for (std::uint64_t Sequence = 1; Sequence <= 5; ++Sequence) {
+    AttemptArrived Once = makeAttempt(Sequence);
+    Once.Facts.Idempotent = false;
+    std::int64_t Millis = 1000 + static_cast<std::int64_t>(Sequence) * 20;
+    applyEvent(Node, Millis, Once, Effects);
+    CHECK(all<SendToBackend>(Effects).size() == 1);
+    applyEvent(Node, Millis + 10, makeExchangeEnd(Sequence, 500), Effects);
+  }
+}
+
 TEST_CASE("a repeat beyond the owner's part of the fleet's bound isn't sent") {
   State Node = makeNodeWithOneSlot();
   Node.Self.RetryBound.Ratio = 0.2;
--- a/currantgauge/core/reduce.cc
+++ b/currantgauge/core/reduce.cc
@@ -129,6 +129,7 @@
   Node.Routing.Self = Self.Name;
   Node.Routing.Region = Self.Region;
   Node.Routing.Domain = Self.Domain;
+  Node.Routing.UnevenServers = Self.Policy.UnevenServers;
   if (Self.BackendLease > base::Duration{})
     Node.Routing.Lease = Self.BackendLease;
   membership::MemberRecord &Record = Node.Membership.Self;
--- a/currantgauge/core/split_test.cc
+++ b/currantgauge/core/split_test.cc
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -100,6 +102,25 @@
   return Counts;
 }
 
+RequestArrived makeSplitRequest(std::uint64_t Sequence) {
+  RequestArrived Arrival;
+  Arrival.Facts.Request = base::RequestId{1, Sequence};
+  Arrival.Facts.Method = "GET";
+  Arrival.Facts.Path = "/split/1";
+  return Arrival;
+}
+
+// makeRejection() returns the end of an exchange that the server didn't run.
+ExchangeEnded makeRejection(base::AttemptId Attempt) {
+  ExchangeEnded Ended;
+  Ended.Attempt = Attempt;
+  Ended.Outcome.AnyByteSent = true;
+  Ended.Outcome.AnswerComplete = true;
+  Ended.Outcome.ConfirmedNotRun = true;
+  Ended.Outcome.Status = 503;
+  return Ended;
+}
+
 double shareOf(SplitCounts &Counts, const base::ServiceName &Service) {
   return static_cast<double>(Counts.Placed[Service]) / RequestCount;
 }
@@ -124,6 +145,42 @@
   }
 }
 
+TEST_CASE("what a part of a split rejects is tried again on that part alone") {
+  State Node = makeNode(makeConfig(1, 1), ManySlots);
+  Node.Self.RetryBound.Ratio = 1;
+  Node.Self.RetryBound.Slack = 1000;
+  Node.Self.FirstStart = true;
+  std::map<base::RequestId, std::vector<base::ServiceName>> Placed;
+  std::vector<EventBody> Pending;
+  for (std::uint64_t Sequence = 1; Sequence <= 20; ++Sequence)
+    Pending.push_back(makeSplitRequest(Sequence));
+  for (std::int64_t Micros = 2000; Micros < 400000; Micros += 1000) {
+    Pending.push_back(TimerFired{});
+    for (const EventBody &Body : std::exchange(Pending, {})) {
+      EffectList Effects;
+      reduce(Node, Event{base::TimePoint{Micros}, {}, Body}, Effects);
+      for (const Effect &Item : Effects) {
+        if (const auto *Start = std::get_if<StartAttempt>(&Item)) {
+          Placed[Start->Facts.Request].push_back(Start->Facts.Service);
+          Pending.push_back(AttemptArrived{Start->Facts});
+        }
+        if (const auto *Send = std::get_if<SendToBackend>(&Item))
+          Pending.push_back(makeRejection(Send->Attempt));
+        if (const auto *End = std::get_if<EndAttempt>(&Item))
+          Pending.push_back(AttemptEnded{End->Attempt, End->Outcome});
+      }
+    }
+  }
+  std::set<base::ServiceName> First;
+  for (const auto &[Request, Services] : Placed) {
+    First.insert(Services.front());
+    CHECK(Services.size() > 1);
+    for (const base::ServiceName &Service : Services)
+      CHECK(Service == Services.front());
+  }
+  CHECK(First.size() == 2);
+}
+
 TEST_CASE("changed weights of a split hold from the next request on") {
   State Node = makeNode(makeConfig(7, 3), ManySlots);
   sendRequests(Node, "/split/1");
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -27,6 +27,16 @@
 // the reported work has ended.
 constexpr base::Duration LoadHalfLife = base::milliseconds(300);
 constexpr double MinSlowStartShare = 0.1; // of the slots; also for cold starts
+// A reported suspicion is halved after this time without another report: a
+// spell lasts about two seconds.
+constexpr base::Duration SpellHalfLife = base::milliseconds(1500);
+// For idempotent work, of a suspicion of 1; SuspectCost for other work.
+constexpr double TrialSpellCost = 0.1;
+// A server reported above this suspicion is no alternative to another one.
+constexpr double MaxFreeSlotSuspicion = 0.3;
+// Candidates whose costs differ by less than this share of one attempt count as
+// equal: load that is known from reports is older than the difference.
+constexpr double NearCostShare = 0.75;
 
 // Candidate is a server that is eligible for the choice.
 struct Candidate {
@@ -53,10 +63,6 @@
   bool SkipAvoided = true;
 };
 
-bool acceptsWork(const BackendServer &Server) {
-  return Server.Record.Phase == BackendPhase::Ready && !Server.Drained;
-}
-
 bool wasTried(const ChoiceQuery &Query, const base::BackendName &Name) {
   return std::find(Query.Tried.begin(), Query.Tried.end(), Name) !=
          Query.Tried.end();
@@ -69,11 +75,6 @@
          (!Query.Idempotent && Query.Now < Server.RecoveringUntil);
 }
 
-double computeLoad(const BackendServer &Server) {
-  return static_cast<double>(Server.Running) /
-         std::max<std::uint32_t>(Server.Record.Slots, 1);
-}
-
 bool canStartTrial(const ChoiceQuery &Query, const ServerStanding &Status) {
   return Query.Idempotent && Query.Tried.empty() &&
          Status.Current == Standing::Trial && Status.Trial.Sequence == 0 &&
@@ -90,6 +91,11 @@
                                  Query.Now);
 }
 
+double meanLoad(const RoutingState &State, const base::ServiceName &Service) {
+  auto Set = State.Sets.find(Service);
+  return Set == State.Sets.end() ? 0 : Set->second.MeanReportedLoad;
+}
+
 // The work of other entries is known only from the load that the owner last
 // reported, which is discounted by its age. If this node is the owner, the
 // length of its queue for the service is known exactly.
@@ -105,8 +111,12 @@
                : OwnAttempts + Queue->second.Length;
   }
   double Age = base::toSeconds(Query.Now - Server.LoadReportedAt);
-  double Reported = Server.ReportedLoad * Server.Record.Slots *
-                    std::exp2(-Age / base::toSeconds(LoadHalfLife));
+  double Kept = std::exp2(-Age / base::toSeconds(LoadHalfLife));
+  double Reported = Server.ReportedLoad * Server.Record.Slots * Kept;
+  // A server without news would look idle to all entries at once.
+  if (State.UnevenServers)
+    Reported +=
+        meanLoad(State, Query.Service) * Server.Record.Slots * (1 - Kept);
   return std::max(OwnAttempts, Reported);
 }
 
@@ -118,10 +128,37 @@
          computeEffectiveSlots(*Option.Server, Option.Status, Query.Now);
 }
 
+// estimateSuspicion() returns the suspicion that the owner reported with the
+// last answer, discounted by its age.
+double estimateSuspicion(const RoutingState &State, const ChoiceQuery &Query,
+                         const ServerStanding &Status) {
+  if (!State.UnevenServers || Status.ReportedSuspicion <= 0)
+    return 0;
+  double Age = base::toSeconds(Query.Now - Status.ReportedAt);
+  return Status.ReportedSuspicion *
+         std::exp2(-Age / base::toSeconds(SpellHalfLife));
+}
+
+// A request that may be repeated avoids a suspected server only among servers
+// that cost about the same: the owner decides whether it becomes a trial.
+double computeSpellCost(const RoutingState &State, const ChoiceQuery &Query,
+                        const ServerStanding &Status) {
+  bool MayBeTrial = Query.Idempotent && Query.Tried.empty();
+  return estimateSuspicion(State, Query, Status) *
+         (MayBeTrial ? TrialSpellCost : SuspectCost);
+}
+
+bool hasFreeSlot(const RoutingState &State, const ChoiceQuery &Query,
+                 const Candidate &Option, double Load) {
+  return Load <= 1 &&
+         estimateSuspicion(State, Query, *Option.Status) < MaxFreeSlotSuspicion;
+}
+
 double computeCost(const RoutingState &State, const ChoiceQuery &Query,
                    const Candidate &Option, double Load) {
   const BackendServer &Server = *Option.Server;
   double Cost = Load + computeQueueCost(Query, Server);
+  Cost += computeSpellCost(State, Query, *Option.Status);
   if (Server.Record.Suspicion >= 1)
     Cost += SuspectCost;
   if (Server.Record.Owner != State.Self) {
@@ -159,15 +196,38 @@
     return;
   double Load = estimateLoad(Context.State, Context.Query, Option);
   double Cost = computeCost(Context.State, Context.Query, Option, Load);
-  Best.WithFreeSlot += Load <= 1 ? 1 : 0;
+  bool Free = hasFreeSlot(Context.State, Context.Query, Option, Load);
+  Best.WithFreeSlot += Free ? 1 : 0;
   if (Cost < Best.Cost)
-    Best = BestCandidate{Option.Server, Cost, Load <= 1, Best.WithFreeSlot};
+    Best = BestCandidate{Option.Server, Cost, Free, Best.WithFreeSlot};
 }
 
 bool hasOtherWithFreeSlot(const BestCandidate &Best) {
   return Best.WithFreeSlot > (Best.HasFreeSlot ? 1 : 0);
 }
 
+// spreadOverNear() replaces the best candidate by a random one of those that
+// cost about the same. All entries would send their next requests to the same
+// server otherwise.
+void spreadOverNear(const SearchContext &Context,
+                    const std::vector<base::BackendName> &Names,
+                    base::Random &Source, BestCandidate &Best) {
+  double Limit = Best.Cost + NearCostShare / Best.Server->Record.Slots;
+  std::uint64_t Found = 0;
+  for (const base::BackendName &Name : Names) {
+    Candidate Option = findCandidate(Context, Name);
+    if (!Option.Server)
+      continue;
+    double Load = estimateLoad(Context.State, Context.Query, Option);
+    double Cost = computeCost(Context.State, Context.Query, Option, Load);
+    if (Cost <= Limit && base::uniformBelow(Source, ++Found) == 0)
+      Best =
+          BestCandidate{Option.Server, Cost,
+                        hasFreeSlot(Context.State, Context.Query, Option, Load),
+                        Best.WithFreeSlot};
+  }
+}
+
 // Large sets are sampled at random; all servers are considered only if none of
 // the sample is eligible.
 BestCandidate findBest(const SearchContext &Context,
@@ -177,9 +237,12 @@
   if (Names.size() > FullScanLimit)
     for (std::size_t I = 0; I < SampleSize; ++I)
       consider(Context, Names[base::uniformBelow(Source, Names.size())], Best);
-  if (!Best.Server)
-    for (const base::BackendName &Name : Names)
-      consider(Context, Name, Best);
+  if (Best.Server)
+    return Best;
+  for (const base::BackendName &Name : Names)
+    consider(Context, Name, Best);
+  if (Context.State.UnevenServers && Best.Server)
+    spreadOverNear(Context, Names, Source, Best);
   return Best;
 }
 
@@ -237,6 +300,10 @@
   return "";
 }
 
+bool acceptsWork(const BackendServer &Server) {
+  return Server.Record.Phase == BackendPhase::Ready && !Server.Drained;
+}
+
 double computeEffectiveSlots(const BackendServer &Server,
                              const ServerStanding *Status,
                              base::TimePoint Now) {
@@ -271,53 +338,4 @@
   return chooseLastResort(Context, Source);
 }
 
-namespace {
-
-bool mayAdmit(const RoutingState &State, const ChoiceQuery &Query,
-              const base::BackendName &Name) {
-  auto Breaker = State.Breakers.find(Name);
-  if (Breaker == State.Breakers.end())
-    return true;
-  return wouldAdmit(Breaker->second, Query.Idempotent, Query.Now) &&
-         !(Query.AvoidsDoubt && isDoubtful(Breaker->second, Query.Now));
-}
-
-} // namespace
-
-bool canOwnedServerAdmit(const RoutingState &State, const ChoiceQuery &Query,
-                         base::Duration &ShortestDelay) {
-  bool AnyReady = false;
-  for (const base::BackendName &Name : State.Owned) {
-    const BackendServer &Server = State.Servers.at(Name);
-    if (Server.Record.Service != Query.Service || !acceptsWork(Server))
-      continue;
-    if (mayAdmit(State, Query, Name))
-      return true;
-    base::Duration Delay =
-        computeRetryDelay(State.Breakers.at(Name), Query.Now);
-    ShortestDelay = AnyReady ? std::min(ShortestDelay, Delay) : Delay;
-    AnyReady = true;
-  }
-  return !AnyReady;
-}
-
-BackendServer *chooseOwnedServer(RoutingState &State, const ChoiceQuery &Query,
-                                 const base::BackendName &Preferred) {
-  // An owner has few servers, while ByService may list many of other owners.
-  BackendServer *LeastLoaded = nullptr;
-  for (const base::BackendName &Name : State.Owned) {
-    BackendServer &Server = State.Servers.at(Name);
-    if (Server.Record.Service != Query.Service || !acceptsWork(Server) ||
-        Server.Record.Owner != State.Self ||
-        Server.Running >= countOpenSlots(Server, Query.Now) ||
-        !mayAdmit(State, Query, Name))
-      continue;
-    if (Name == Preferred)
-      return &Server;
-    if (!LeastLoaded || computeLoad(Server) < computeLoad(*LeastLoaded))
-      LeastLoaded = &Server;
-  }
-  return LeastLoaded;
-}
-
 } // namespace currantgauge::routing
--- a/currantgauge/routing/choose.h
+++ b/currantgauge/routing/choose.h
@@ -1,5 +1,5 @@
-// Backend server selection: by the entry among all servers of a service, by an
-// owner among the servers that it owns.
+// Backend server selection by the entry, among all servers of a service. An
+// owner chooses among those that it owns (see choose_owned.h).
 //
 //   Choice Chosen = chooseServer(State, Query, Source);
 //   if (Chosen.Server && Chosen.Reason == ChoiceReason::Trial) ...
@@ -30,6 +30,8 @@
   double Worth = 1;            // divides the cost of crossing regions
   bool Idempotent = false;     // may serve as a trial request
   bool AvoidsDoubt = false;    // owner: no server whose last exchange failed
+  bool HasAlternative = false; // owner: the entry knows another free server
+  bool Repeated = false;       // an earlier attempt reached a server
   std::vector<base::BackendName> Tried; // or excluded: last resort only
   config::PlacementSettings Placement;  // costs of other nodes and regions
   base::TimePoint Now;
@@ -62,17 +64,8 @@
 Choice chooseServer(const RoutingState &State, const ChoiceQuery &Query,
                     base::Random &Source);
 
-// canOwnedServerAdmit() returns whether the breaker of some ready owned server
-// of the service would admit the request; true as well when there is no such
-// server. If false, ShortestDelay is the shortest retry delay of the breakers.
-bool canOwnedServerAdmit(const RoutingState &State, const ChoiceQuery &Query,
-                         base::Duration &ShortestDelay);
-
-// chooseOwnedServer() returns Preferred if it is an owned server that has a
-// free slot and may run the request now, else the least loaded such server, or
-// null.
-BackendServer *chooseOwnedServer(RoutingState &State, const ChoiceQuery &Query,
-                                 const base::BackendName &Preferred);
+// acceptsWork() returns whether a server is ready and not drained.
+bool acceptsWork(const BackendServer &Server);
 
 // computeEffectiveSlots() returns a server's slots, reduced during its cold
 // start and its slow start, to a tenth at the lowest. Pauses after load
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <string>
 
 namespace currantgauge::routing {
@@ -139,6 +140,59 @@
   CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Recovering);
 }
 
+TEST_CASE(
+    "entries without news spread over idle servers where they are uneven") {
+  RoutingState State = makeTwoRegions();
+  base::Random Source(1);
+  for (bool Uneven : {false, true}) {
+    CAPTURE(Uneven);
+    State.UnevenServers = Uneven;
+    std::map<base::BackendName, int> Chosen;
+    for (int I = 0; I < 300; ++I)
+      ++Chosen[choose(State, makeQuery(), Source).Server->Record.Name];
+    CHECK(Chosen.size() == (Uneven ? 3 : 1));
+    for (const auto &[Name, Count] : Chosen)
+      CHECK(Count > 70);
+  }
+}
+
+TEST_CASE("a server without news is presumed to be as busy as the others") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  base::Random Source(1);
+  base::BackendName Known("n1");
+  State.Servers[Known].ReportedLoad = 0.25;
+  State.Servers[Known].LoadReportedAt = makeQuery().Now;
+  State.Sets[Cutlist].MeanReportedLoad = 0.75;
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Known);
+  State.Servers[Known].ReportedLoad = 1.5;
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, makeQuery(), Source).Server->Record.Name != Known);
+}
+
+TEST_CASE("a suspected server gets work that can't be repeated only if the "
+          "others are full") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  base::Random Source(1);
+  base::BackendName Suspect("n1");
+  choose(State, makeQuery(), Source);
+  noteReportedSuspicion(State.Sets[Cutlist], Suspect, 0.9, makeQuery().Now);
+  ChoiceQuery Once = makeQuery();
+  Once.Idempotent = false;
+  bool Tried = false;
+  for (int I = 0; I < 50; ++I) {
+    CHECK(choose(State, Once, Source).Server->Record.Name != Suspect);
+    Tried = Tried ||
+            choose(State, makeQuery(), Source).Server->Record.Name == Suspect;
+  }
+  CHECK(Tried);
+  for (const char *Name : {"n2", "n3", "s1", "s2", "s3"})
+    State.Servers[base::BackendName(Name)].Running = 12;
+  CHECK(choose(State, Once, Source).Server->Record.Name == Suspect);
+}
+
 TEST_CASE("a more expensive link keeps requests in their region longer") {
   RoutingState State = makeTwoRegions();
   base::Random Source(1);
--- a/currantgauge/routing/ejection.h
+++ b/currantgauge/routing/ejection.h
@@ -36,6 +36,8 @@
   base::TimePoint NextUpdate;
   base::TimePoint ServiceSlowUntil; // no new ejection until then
   bool Stale = true;
+  // Moving average of the loads that owners reported (BackendServer).
+  double MeanReportedLoad = 0;
 };
 
 // StandingChange is a change of a server's standing, for logs and metrics.
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -27,6 +27,8 @@
 // The same for a server whose breaker is closed, but whose last exchange failed
 // (see breaker.h). Other servers may run out of free slots sooner than that.
 constexpr base::Duration DoubtReportDuration = base::milliseconds(500);
+// Weight of a report in the mean load of a service's servers.
+constexpr double LoadSampleWeight = 0.1;
 // Exchanges count as evidence after this time, even if the server announced a
 // longer cold start.
 constexpr base::Duration MaxColdStart = base::minutes(2);
@@ -171,6 +173,10 @@
   return It == State.Servers.end() ? nullptr : &It->second;
 }
 
+void noteReportedLoad(RoutingSet &Set, double Load) {
+  Set.MeanReportedLoad += (Load - Set.MeanReportedLoad) * LoadSampleWeight;
+}
+
 void endTrial(RoutingState &State, const BackendServer &Server,
               base::AttemptId Attempt, TrialResult Result) {
   auto Set = State.Sets.find(Server.Record.Service);
@@ -309,13 +315,17 @@
   if (Outcome.Load.Busy >= 0) {
     It->second.ReportedLoad = Outcome.Load.Busy;
     It->second.LoadReportedAt = Now;
+    if (State.UnevenServers)
+      noteReportedLoad(State.Sets[It->second.Record.Service],
+                       Outcome.Load.Busy);
   }
   if (Outcome.Reason == base::Reason::BackendSuspect) {
     It->second.AvoidUntil = Now + Outcome.RetryAfter;
+    bool BreakerOpen =
+        !State.UnevenServers && Outcome.RetryAfter > base::Duration{};
     It->second.RecoveringUntil =
-        It->second.AvoidUntil + (Outcome.RetryAfter > base::Duration{}
-                                     ? RecoveringDuration
-                                     : DoubtReportDuration);
+        It->second.AvoidUntil +
+        (BreakerOpen ? RecoveringDuration : DoubtReportDuration);
   } else if (Outcome.Reason == base::Reason::None &&
              Outcome.Verdict == base::Verdict::Ran) {
     It->second.RecoveringUntil = base::TimePoint();
--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -133,6 +133,7 @@
     return false;
   if (NewIncarnation) {
     State.Breakers.erase(Announced.Name);
+    State.Spells.erase(Announced.Name);
     Server.ReadySince = Now;
     Server.Record.ColdStart = Announced.ColdStart;
     Server.Replaced = false;
