A suspected server is tried later, and by fewer entries

Change: the first trial follows after 300 ms, and entries that know of the suspicion send trials only while other servers are busier by 0.3 of the slots.

--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -31,7 +31,7 @@
 // spell lasts about two seconds.
 constexpr base::Duration SpellHalfLife = base::milliseconds(1500);
 // For idempotent work, of a suspicion of 1; SuspectCost for other work.
-constexpr double TrialSpellCost = 0.1;
+constexpr double TrialSpellCost = 0.3;
 // A server reported above this suspicion is no alternative to another one.
 constexpr double MaxFreeSlotSuspicion = 0.3;
 // Candidates whose costs differ by less than this share of one attempt count as
--- a/currantgauge/routing/spell.cc
+++ b/currantgauge/routing/spell.cc
@@ -24,7 +24,7 @@
 constexpr double MaxPriorFailures = 40; // older failures decay
 constexpr double MaxFollowedShare = 0.95 * SpellFailShare;
 constexpr double MinFollowedShare = 1.05 * ErrorShare;
-constexpr base::Duration FirstTrialGap = base::milliseconds(100);
+constexpr base::Duration FirstTrialGap = base::milliseconds(300);
 constexpr base::Duration MaxTrialGap = base::milliseconds(1200);
 // A hanging trial must not block further trials.
 constexpr base::Duration TrialTimeout = base::seconds(3);
