The filter for spells works beside the breaker

Cause: with the filter in place of the breaker, attempts without alternative went to servers that fail at once and look idle. Reports of suspicion with successes kept entries from ejecting servers.

Change: the breaker decides as ever, and the filter holds back more. Only failures report the suspicion of a spell.

--- a/currantgauge/core/owner_evidence.cc
+++ b/currantgauge/core/owner_evidence.cc
@@ -106,7 +106,9 @@
   bool Suspected = routing::isSpellSuspected(Belief, Prior, Node.Now);
   double Probability =
       routing::computeSpellProbability(Belief, Prior, Node.Now);
-  if (Suspected)
+  // Successes report the tests' suspicion alone: entries eject no server while
+  // many others report one.
+  if (Suspected && Signal == BreakerSignal::Failure)
     Outcome.Suspicion =
         std::max(Outcome.Suspicion, std::min(Probability, MaxReportedSpell));
   if (Suspected == WasSuspected)
@@ -158,8 +160,7 @@
   markAbsentServer(Node, Attempt.Server, Outcome.Reason, Effects);
   if (Node.Routing.UnevenServers)
     updateSpell(Node, Attempt, Outcome, Effects);
-  else
-    updateBreaker(Node, Attempt.Server, Outcome, Effects);
+  updateBreaker(Node, Attempt.Server, Outcome, Effects);
 }
 
 } // namespace currantgauge::core
--- a/currantgauge/routing/choose_owned.cc
+++ b/currantgauge/routing/choose_owned.cc
@@ -34,18 +34,22 @@
 base::Duration computeAdmitDelay(const RoutingState &State,
                                  const ChoiceQuery &Query,
                                  const base::BackendName &Name) {
-  if (!State.UnevenServers)
-    return computeRetryDelay(State.Breakers.at(Name), Query.Now);
+  auto Breaker = State.Breakers.find(Name);
+  base::Duration Delay = Breaker == State.Breakers.end()
+                             ? base::Duration{}
+                             : computeRetryDelay(Breaker->second, Query.Now);
   // Other attempts than trials may be returned by the next owner as well, so
   // that their entry soon asks this one again.
-  return Query.Idempotent ? computeTrialDelay(State.Spells.at(Name), Query.Now)
-                          : base::Duration{};
+  auto Belief = State.Spells.find(Name);
+  if (Query.Idempotent && Belief != State.Spells.end())
+    Delay = std::max(Delay, computeTrialDelay(Belief->second, Query.Now));
+  return Delay;
 }
 
 bool mayAdmit(const RoutingState &State, const ChoiceQuery &Query,
               const base::BackendName &Name) {
-  if (State.UnevenServers)
-    return mayAdmitInSpell(State, Query, Name);
+  if (State.UnevenServers && !mayAdmitInSpell(State, Query, Name))
+    return false;
   auto Breaker = State.Breakers.find(Name);
   if (Breaker == State.Breakers.end())
     return true;
@@ -77,8 +81,7 @@
   if (State.UnevenServers)
     noteAdmitted(State.Spells[Name], findSpellPrior(State, Query.Service),
                  Query.Now);
-  else
-    tryAdmit(State.Breakers[Name], Query.Idempotent, Query.Now);
+  tryAdmit(State.Breakers[Name], Query.Idempotent, Query.Now);
 }
 
 BackendServer *chooseOwnedServer(RoutingState &State, const ChoiceQuery &Query,
