Retry-After of refusals for lack of room follows the aim and the queue

Cause: refused callers are told to come back after a fixed second, or nothing after a random rejection, whatever their aim and time left. Change: with policy.shortage_by_cost, the entry spreads a caller's few tries over what its aim leaves, with jitter and at most a third of the time left; an owner with a full queue says when it will have room. Off, nothing changes.

--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -348,6 +348,19 @@
          Attempt.Deadline;
 }
 
+base::Duration drainTime(const AdmissionState &State,
+                         const base::ServiceName &Service,
+                         std::uint32_t RankOrder) {
+  auto Queue = State.Queues.find(Service);
+  if (Queue == State.Queues.end())
+    return {};
+  base::Duration Work;
+  for (const auto &[Order, Rank] : Queue->second.ByRank)
+    if (Order <= RankOrder)
+      Work += Rank.QueuedWork;
+  return Work / std::max<std::uint32_t>(Queue->second.OpenSlots, 1);
+}
+
 base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now) {
   if (Now >= Attempt.Deadline)
     return base::Reason::DeadlinePassed;
--- a/currantgauge/admission/queue.h
+++ b/currantgauge/admission/queue.h
@@ -65,6 +65,12 @@
 bool isLate(const AdmissionState &State, const QueuedAttempt &Attempt,
             base::TimePoint Now);
 
+// drainTime() returns the time in which the open slots serve what waits in a
+// rank and in those above it.
+base::Duration drainTime(const AdmissionState &State,
+                         const base::ServiceName &Service,
+                         std::uint32_t RankOrder);
+
 // lateReason() returns the reason to refuse an attempt that waited too long.
 base::Reason lateReason(const QueuedAttempt &Attempt, base::TimePoint Now);
 
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -9,6 +9,7 @@
 #include "currantgauge/core/entry_metrics.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/request_log.h"
+#include "currantgauge/core/shortage.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
 
@@ -58,7 +59,8 @@
       Request.MayHaveRun ? base::Verdict::MayHaveRun : base::Verdict::NotRun;
   recordRequestEnd(Node, Request, Verdict, Reason, Effects);
   Effects.push_back(
-      RefuseRequest{Request.Facts.Request, Verdict, Reason, RetryAfter});
+      RefuseRequest{Request.Facts.Request, Verdict, Reason,
+                    retryAfterOf(Node, Request, Reason, RetryAfter)});
   removeRequest(Node, Request.Facts.Request);
 }
 
--- a/currantgauge/core/owner.cc
+++ b/currantgauge/core/owner.cc
@@ -10,6 +10,7 @@
 #include "currantgauge/core/owner_evidence.h"
 #include "currantgauge/core/owner_retries.h"
 #include "currantgauge/core/request_log.h"
+#include "currantgauge/core/shortage.h"
 #include "currantgauge/routing/choose.h"
 #include "currantgauge/routing/health.h"
 #include "currantgauge/routing/slots.h"
@@ -79,12 +80,17 @@
       Node.Admission, *Node.Config.Current, Attempt, Slots.Open, Node.Now);
   for (base::AttemptId Victim : Queued.Victims)
     endAttempt(Node, Victim,
-               makeRefusal(base::Reason::QueueFull, base::seconds(1)), Effects);
+               makeRefusal(
+                   base::Reason::QueueFull,
+                   queueFullDelay(Node, Node.Owner.Attempts.at(Victim)->Facts)),
+               Effects);
   if (Queued.Reason == base::Reason::None) {
     logQueued(Node, Attempt, Effects);
     return std::nullopt;
   }
-  return makeRefusal(Queued.Reason, base::seconds(1));
+  return makeRefusal(Queued.Reason, Queued.Reason == base::Reason::QueueFull
+                                        ? queueFullDelay(Node, Attempt.Facts)
+                                        : base::seconds(1));
 }
 
 // Refuses all queued attempts of a service of which this node no longer owns a
--- /dev/null
+++ b/currantgauge/core/shortage.cc
@@ -0,0 +1,40 @@
+#include "currantgauge/core/shortage.h"
+
+#include "currantgauge/admission/caller_cost.h"
+#include "currantgauge/admission/entry.h"
+#include "currantgauge/admission/pressure.h"
+#include "currantgauge/admission/queue.h"
+#include "currantgauge/base/random.h"
+
+namespace currantgauge::core {
+namespace {
+
+// Retry-After where no forecast exists.
+constexpr base::Duration DefaultRetryAfter = base::seconds(1);
+
+} // namespace
+
+base::Duration queueFullDelay(const State &Node, const AttemptFacts &Attempt) {
+  if (!Node.Self.Policy.ShortageByCost || !Node.Config.Current)
+    return DefaultRetryAfter;
+  return admission::drainTime(
+      Node.Admission, Attempt.Service,
+      admission::rankOrder(*Node.Config.Current, Attempt.Rank));
+}
+
+// What one server or owner suggests after a random rejection or for its part of
+// the retry bound says nothing about the next one.
+base::Duration retryAfterOf(State &Node, const EntryRequest &Request,
+                            base::Reason Reason, base::Duration Suggested) {
+  if (!Node.Self.Policy.ShortageByCost || Request.MayHaveRun ||
+      !admission::isShortage(Reason))
+    return Suggested;
+  admission::RefusedWork Work{.Aim = Request.Kind.Aim,
+                              .Waited = Node.Now - Request.ArrivedAt,
+                              .TimeLeft = Request.Deadline - Node.Now};
+  base::Duration Forecast =
+      admission::isLoadRefusal(Reason) ? Suggested : base::Duration{};
+  return admission::returnDelay(Work, Forecast, base::uniformUnit(Node.Random));
+}
+
+} // namespace currantgauge::core
