--- a/currantgauge/routing/spell.h
+++ b/currantgauge/routing/spell.h
@@ -1,6 +1,6 @@
 // Whether a backend server is in a spell: a time of some seconds in which it
-// fails most of its requests although its health endpoint reports it as well. A
-// two-state filter turns each ended exchange into the probability of a spell.
+// fails most of its requests while its health endpoint reports that it is well.
+// A two-state filter turns each ended exchange into the probability of a spell.
 // At a few requests a second there is no time for counts: how much a single
 // failure says follows from how often failures of the service were followed by
 // another one.
@@ -66,8 +66,8 @@
                   const ExchangeEnd &End);
 
 // admitsAttempt() returns whether the server may be sent an attempt now. An
-// attempt without alternative is always admitted, so that no capacity is lost
-// while every server is suspected.
+// attempt without alternative is always admitted: only the breaker refuses it,
+// so that no capacity is lost to a suspicion.
 bool admitsAttempt(const SpellBelief &Belief, const SpellPrior &Prior,
                    const SpellQuery &Attempt, base::TimePoint Now);
 
--- a/currantgauge/routing/state.h
+++ b/currantgauge/routing/state.h
@@ -79,8 +79,8 @@
   // Changed records of owned servers that membership hasn't collected yet.
   std::map<base::BackendName, UpdateUrgency> PendingUpdates;
   bool HealthRoundArmed = false; // a timer for the next health round is set
-  // Servers differ in speed and fail in spells: spells replace the breakers,
-  // and load is spread over servers that look about equally loaded.
+  // Servers differ in speed and fail in spells: spells hold back more than the
+  // breakers, and load is spread over servers that look about equally loaded.
   bool UnevenServers = false;
   std::map<base::BackendName, SpellBelief> Spells;     // at the owner
   std::map<base::ServiceName, SpellPrior> SpellPriors; // at the owner
