Attempts that are turned away unsent use up few of a request's attempts

Change: with policy.uneven_servers up to eight such attempts don't count; the retries of an entry have a file of their own.

--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -7,6 +7,7 @@
 #include "currantgauge/admission/retry.h"
 #include "currantgauge/core/entry_attempts.h"
 #include "currantgauge/core/entry_metrics.h"
+#include "currantgauge/core/entry_retries.h"
 #include "currantgauge/core/fleet_limits.h"
 #include "currantgauge/core/owner.h"
 #include "currantgauge/core/request_log.h"
@@ -23,8 +24,6 @@
 namespace currantgauge::core {
 namespace {
 
-// A request during which two servers crashed is not tried on a third.
-constexpr std::uint32_t MaxServerCrashes = 2;
 // Timeout of requests whose kind has no deadline.
 constexpr base::Duration DefaultTimeout = base::seconds(30);
 
@@ -154,41 +153,6 @@
          Outcome.Reason != base::Reason::None;
 }
 
-bool scheduleRetry(State &Node, EntryRequest &Request,
-                   const AttemptOutcome &Outcome, EffectList &Effects) {
-  if (Request.ServerCrashes >= MaxServerCrashes)
-    return false;
-  bool Refused = admission::isLoadRefusal(Outcome.Reason);
-  admission::RetryPlan Plan = admission::planRetry(
-      Node.Admission,
-      {.Kind = Request.Kind,
-       .Outcome = Outcome,
-       .Committed = Request.Committed,
-       .Attempts = Request.Attempts,
-       .ArrivedAt = Request.ArrivedAt,
-       .Deadline = Request.Deadline,
-       .Now = Node.Now,
-       .Sends = Request.Sends,
-       .OwnersKeepBudget = Node.Self.RetryBound.Ratio > 0,
-       .HasFreeSlotElsewhere =
-           Refused && hasFreeSlotElsewhere(Node, Request, Effects)},
-      Node.Random);
-  if (Plan.DeniedReason != base::Reason::None)
-    Effects.push_back(Measure{Metric::Refusals,
-                              std::string(base::reasonName(Plan.DeniedReason)),
-                              Request.Kind.Rank.Value, 1});
-  if (Plan.Retry || Plan.DeniedReason != base::Reason::None)
-    logRetry(Node, Request, Outcome, Plan, Effects);
-  if (!Plan.Retry)
-    return false;
-  Effects.push_back(Measure{Metric::Retries,
-                            std::string(base::reasonName(Outcome.Reason)),
-                            Request.Kind.Service.Value, 1});
-  Request.RetryScheduled = true;
-  setTimer(Node.Timers, Plan.RetryAt, RetryDue{Request.Facts.Request});
-  return true;
-}
-
 void deliverAnswer(State &Node, EntryRequest &Request, base::AttemptId Attempt,
                    const AttemptOutcome &Outcome, EffectList &Effects) {
   cancelOtherAttempts(Node, Request, Attempt, Effects);
--- a/currantgauge/runtime/serve.cc
+++ b/currantgauge/runtime/serve.cc
@@ -45,6 +45,9 @@
 // number of servers, and calls that a repeated run makes count as repeats
 // themselves.
 constexpr double RetryMargin = 0.9;
+// The same where servers fail in spells: runs are repeated more often, so more
+// calls count as repeats.
+constexpr double UnevenRetryMargin = 0.8;
 // Memory of a node whose settings name no limit.
 constexpr base::ByteCount MaxDefaultMemory{256UL * 1024 * 1024};
 // Shares of the memory for the bodies of requests and for answers. The rest is
@@ -103,9 +106,9 @@
   Identity.ActionMaxIdle = Settings.ActionMaxIdle;
   Identity.StopLimit = Settings.StopLimit;
   Identity.StopLinger = Settings.StopLinger;
-  Identity.RetryBound = {RetryMargin * Settings.RetryRatio,
-                         RetryMargin * Settings.RetrySlack,
-                         Settings.RetryWindow};
+  double Margin = Settings.UnevenServers ? UnevenRetryMargin : RetryMargin;
+  Identity.RetryBound = {Margin * Settings.RetryRatio,
+                         Margin * Settings.RetrySlack, Settings.RetryWindow};
   Identity.AcceptsKeys = Settings.AcceptsKeys;
   Identity.FirstStart = Settings.FirstStart;
   Identity.Policy = {Settings.UnevenServers, Settings.ShortageByCost};
