--- a/currantgauge/core/entry_retries_test.cc
+++ b/currantgauge/core/entry_retries_test.cc
@@ -17,6 +17,10 @@
   State Node = makeTwoNodeFleet("north");
   Node.Self.Policy.UnevenServers = UnevenServers;
   Node.Self.RetryBound.Ratio = 0.2;
+  auto *Config = new config::Configuration(*Node.Config.Current);
+  Config->Kinds.at(TestKind).Deadline = base::seconds(10);
+  config::indexRoutes(*Config);
+  Node.Config.Current = config::ConfigurationPtr(Config);
   routing::BackendRecord Record =
       Node.Routing.Servers.at(base::BackendName("cutlist-2")).Record;
   for (std::uint32_t I = 3; I <= ServerCount; ++I) {
@@ -39,10 +43,11 @@
     Ended.Outcome.Verdict = base::Verdict::NotRun;
     Ended.Outcome.Reason = Reason;
     Effects.clear();
-    Time = Time + base::milliseconds(2);
     reduce(Node, Event{Time, {}, Ended}, Effects);
-    Time = Time + base::milliseconds(10);
-    reduce(Node, Event{Time, {}, TimerFired{}}, Effects);
+    while (!find<StartAttempt>(Effects) && !find<RefuseRequest>(Effects)) {
+      Time = Time + base::milliseconds(10);
+      reduce(Node, Event{Time, {}, TimerFired{}}, Effects);
+    }
   }
   REQUIRE(find<RefuseRequest>(Effects));
   CHECK(find<RefuseRequest>(Effects)->Verdict == base::Verdict::NotRun);
