A call waits for room as long as the request that makes it

Change: where callers need keys, a request without a workspace is a call, and its aim is the time that it has left. Other work waits within its aim as before.

--- a/currantgauge/admission/caller_cost.cc
+++ b/currantgauge/admission/caller_cost.cc
@@ -40,4 +40,18 @@
   return std::min(Delay, Work.TimeLeft / MaxDelayDivisor);
 }
 
+bool isCall(const config::Configuration &Config,
+            const core::AttemptFacts &Facts) {
+  return Config.RequiresKeys && Facts.Workspace.empty();
+}
+
+// A call that is answered late still lets the request end that waits for it. A
+// call that is refused wastes the work already done for that request.
+base::Duration usefulTime(const config::Configuration &Config,
+                          const core::AttemptFacts &Facts, base::Duration Aim) {
+  if (Aim <= base::Duration{} || !isCall(Config, Facts))
+    return Aim;
+  return std::max(Aim, Facts.TimeLeft);
+}
+
 } // namespace currantgauge::admission
--- a/currantgauge/admission/caller_cost.h
+++ b/currantgauge/admission/caller_cost.h
@@ -9,6 +9,8 @@
 
 #include "currantgauge/base/units.h"
 #include "currantgauge/base/verdict.h"
+#include "currantgauge/config/model.h"
+#include "currantgauge/core/request.h"
 
 namespace currantgauge::admission {
 
@@ -29,6 +31,17 @@
 base::Duration returnDelay(const RefusedWork &Work, base::Duration Forecast,
                            double Draw);
 
+// isCall() returns true for a request that a backend server makes while it runs
+// another one, as far as the configuration tells: callers need keys and this
+// one has none.
+bool isCall(const config::Configuration &Config,
+            const core::AttemptFacts &Facts);
+
+// usefulTime() returns how long the answer to an attempt is worth its whole:
+// the aim of its kind, or all the time that is left to a call.
+base::Duration usefulTime(const config::Configuration &Config,
+                          const core::AttemptFacts &Facts, base::Duration Aim);
+
 } // namespace currantgauge::admission
 
 #endif // CURRANTGAUGE_ADMISSION_CALLER_COST_H
--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/admission/queue.h"
 
+#include "currantgauge/admission/caller_cost.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/rank_share.h"
 
@@ -256,7 +257,7 @@
   advanceShares(Queue, Now);
   Attempt.ExpectedTime = expectedServiceTime(Queue, Facts.Kind);
   if (auto Kind = Config.Kinds.find(Facts.Kind); Kind != Config.Kinds.end())
-    Attempt.Aim = Kind->second.Aim;
+    Attempt.Aim = usefulTime(Config, Facts, Kind->second.Aim);
   EnqueueResult Result;
   Result.Reason = checkEarlyRefusal(Queue, Rank, Attempt, Now);
   if (Result.Reason == base::Reason::None)
