A home that has left stops issuing permits before the next one starts

Cause: a node that announced its departure went on issuing permits until it ended, while the next home issues them SettleTime after it learned of that. Change: canIssuePermits() is false from SettleTime after the announcement; asks are then forwarded to the next home. earliestPermitTime() holds the rule.

--- a/currantgauge/admission/fleet_limit.cc
+++ b/currantgauge/admission/fleet_limit.cc
@@ -127,9 +127,12 @@
   HomeChoice Choice = chooseHome(State.Roster, Ask.Workspace);
   if (!Choice.IsSelf)
     return forwardAsk(Ask, Choice.Home, Output);
-  // The former home may be alive after all; if so, it is the home.
-  if (!canIssuePermits(State.Roster, Choice, Now))
-    return forwardAsk(Ask, Choice.Former, Output);
+  // The former home may be alive after all; if so, it is the home. After this
+  // node has left, the next one is.
+  if (!canIssuePermits(State.Roster, Choice, Now)) {
+    bool IsLeaving = State.Roster.LeavingSince != base::TimePoint{};
+    return forwardAsk(Ask, IsLeaving ? Choice.Next : Choice.Former, Output);
+  }
   if (!Limit)
     return;
   bool HasBucket = State.Buckets.Buckets.contains(Ask.Workspace);
--- a/currantgauge/admission/fleet_roster.cc
+++ b/currantgauge/admission/fleet_roster.cc
@@ -121,6 +121,12 @@
   return true;
 }
 
+// The next home issues permits SettleTime after it learned of the departure.
+bool hasLeft(const FleetRoster &Roster, base::TimePoint Now) {
+  return Roster.LeavingSince != base::TimePoint{} &&
+         Now >= Roster.LeavingSince + SettleTime;
+}
+
 } // namespace
 
 FleetRoster makeRoster(const base::NodeName &Self, bool FirstStart,
@@ -175,6 +181,11 @@
     It->FailedAt = Now;
 }
 
+void noteLeaving(FleetRoster &Roster, base::TimePoint Now) {
+  if (Roster.LeavingSince == base::TimePoint{})
+    Roster.LeavingSince = Now;
+}
+
 HomeChoice chooseHome(const FleetRoster &Roster,
                       const base::WorkspaceName &Workspace) {
   std::uint64_t Key = hashName(Workspace.Value);
@@ -211,12 +222,22 @@
   return Roster.Members.empty() && !Roster.HasSeeds;
 }
 
+base::TimePoint earliestPermitTime(const FleetRoster &Roster,
+                                   const HomeChoice &Choice,
+                                   base::TimePoint Now) {
+  if (isAlone(Roster))
+    return Now;
+  if (hasLeft(Roster, Now))
+    return base::Never;
+  bool InTouch = Roster.InTouch && hasContact(Roster, Now);
+  return (InTouch ? Choice.Since : Now) + SettleTime;
+}
+
 bool canIssuePermits(const FleetRoster &Roster, const HomeChoice &Choice,
                      base::TimePoint Now) {
   if (isAlone(Roster))
     return true;
-  return Choice.IsSelf && Roster.InTouch && hasContact(Roster, Now) &&
-         Now >= Choice.Since + SettleTime;
+  return Choice.IsSelf && earliestPermitTime(Roster, Choice, Now) <= Now;
 }
 
 } // namespace currantgauge::admission
--- a/currantgauge/admission/fleet_roster.h
+++ b/currantgauge/admission/fleet_roster.h
@@ -66,7 +66,8 @@
   // Since when this node has been in contact with a majority, without a pause.
   base::TimePoint InTouchSince;
   bool InTouch = false;
-  bool WasInterrupted = false; // InTouch has ended before
+  bool WasInterrupted = false;  // InTouch has ended before
+  base::TimePoint LeavingSince; // zero: this node isn't leaving
 };
 
 // makeRoster() returns the roster of a node before its first update.
@@ -84,6 +85,9 @@
 void noteUnreachable(FleetRoster &Roster, const base::NodeName &Name,
                      base::TimePoint Now);
 
+// noteLeaving() records that this node has announced that it leaves.
+void noteLeaving(FleetRoster &Roster, base::TimePoint Now);
+
 // HomeChoice is the home of a workspace as this node sees it.
 struct HomeChoice {
   base::NodeName Home;
@@ -102,6 +106,12 @@
 // isAlone() returns true if no other nodes are known or expected.
 bool isAlone(const FleetRoster &Roster);
 
+// earliestPermitTime() returns the earliest time at which this node, the home,
+// may issue permits, as far as is known now; Never if it is leaving.
+base::TimePoint earliestPermitTime(const FleetRoster &Roster,
+                                   const HomeChoice &Choice,
+                                   base::TimePoint Now);
+
 // canIssuePermits() returns true if this node, the home, may issue permits now.
 bool canIssuePermits(const FleetRoster &Roster, const HomeChoice &Choice,
                      base::TimePoint Now);
--- a/currantgauge/core/operations.cc
+++ b/currantgauge/core/operations.cc
@@ -73,8 +73,13 @@
     setTimer(Node.Timers, Node.Now + routing::HealthInterval, HealthRound{});
 }
 
-void onTimer(State &Node, const LeaveDue &, EffectList &Effects) {
+void leaveFleet(State &Node, EffectList &Effects) {
   membership::announceLeaving(Node, Effects);
+  admission::noteLeaving(Node.FleetLimits.Roster, Node.Now);
+}
+
+void onTimer(State &Node, const LeaveDue &, EffectList &Effects) {
+  leaveFleet(Node, Effects);
 }
 
 // reduce() exits the process once nothing is in flight.
@@ -290,7 +295,7 @@
   if (peerAttemptsAcceptedUntil(Node) > Node.Now)
     setTimer(Node.Timers, peerAttemptsAcceptedUntil(Node), LeaveDue{});
   else
-    membership::announceLeaving(Node, Effects);
+    leaveFleet(Node, Effects);
   Effects.push_back(SetReady{false});
   Effects.push_back(LogLine{LogLevel::Info, "stopping", {}});
 }
