An isolated node at the fleet's first start fills no buckets

Cause: a node that met no other one for 10 s at the first start counted as the first home and issued a full burst, as its home on the other side did. Change: unless it is alone, the first home must have heard from another node.

--- a/currantgauge/admission/fleet_roster.cc
+++ b/currantgauge/admission/fleet_roster.cc
@@ -213,8 +213,10 @@
       Choice.Former = Member.Name;
       Choice.Since = std::max(Choice.Since, Member.Since);
     }
-  Choice.IsFirst =
-      Roster.FirstStart && !Roster.WasInterrupted && Choice.Former.empty();
+  // A node that has heard from no other one may be cut off from the first home.
+  bool HasMetOthers = Roster.LastContactAt != base::TimePoint{};
+  Choice.IsFirst = Roster.FirstStart && !Roster.WasInterrupted &&
+                   Choice.Former.empty() && (isAlone(Roster) || HasMetOthers);
   return Choice;
 }
 
