A node that starts during a cut counts the nodes it knows as dead

Cause: a new node took the members alive on its side for the whole fleet, so that a small side had a majority. Known red, restart-in-cut: if all nodes of a side start, they know nobody of the other side, since scanned rows of the nodes table aren't kept.

--- a/currantgauge/admission/fleet_roster.cc
+++ b/currantgauge/admission/fleet_roster.cc
@@ -102,6 +102,19 @@
   return Heard > Failed;
 }
 
+// A node that starts during a partition knows the other side as dead only, so
+// that at first all known members count towards the majority.
+void expectKnownMembers(FleetRoster &Roster,
+                        const std::vector<MemberView> &Views,
+                        base::TimePoint Now) {
+  if (Now - Roster.StartedAt >= RosterMemory)
+    return;
+  std::size_t Expected = 1; // this node
+  for (const MemberView &View : Views)
+    Expected += View.HasLeft ? 0 : 1;
+  Roster.MostAliveBefore = std::max(Roster.MostAliveBefore, Expected);
+}
+
 // A node that has met no other one yet may be cut off, unless none is expected.
 bool hasContact(const FleetRoster &Roster, base::TimePoint Now) {
   if (Roster.AliveCount > 1)
@@ -156,6 +169,7 @@
   Roster.UpdatedAt = Now;
   updateMembers(Roster, Views, Now);
   updateMemory(Roster, Now);
+  expectKnownMembers(Roster, Views, Now);
   base::TimePoint LastContactAt;
   for (const RosterMember &Member : Roster.Members)
     LastContactAt = std::max(LastContactAt, Member.HeardAt);
--- a/currantgauge/admission/fleet_roster.h
+++ b/currantgauge/admission/fleet_roster.h
@@ -35,6 +35,7 @@
   bool Alive = false;
   base::TimePoint PhaseSince;
   base::TimePoint HeardAt; // its last message
+  bool HasLeft = false;    // it announced its departure
 };
 
 // RosterMember is another node as a candidate.
--- a/currantgauge/core/fleet_limits.cc
+++ b/currantgauge/core/fleet_limits.cc
@@ -105,7 +105,8 @@
   for (const auto &[Name, Member] : Node.Membership.Members)
     Views.push_back({&Name,
                      Member.Record.Phase == membership::MemberPhase::Alive,
-                     Member.PhaseSince, Member.LastMessageAt});
+                     Member.PhaseSince, Member.LastMessageAt,
+                     Member.Record.Phase == membership::MemberPhase::Left});
   admission::updateRoster(Node.FleetLimits.Roster, Views, Node.Now);
   for (const auto &[Sequence, Probe] : Node.Membership.Probes)
     if (Probe.Indirect)
