Fleets without fleet limits keep no roster, ended asks aren't searched

Cause: every node visited all members up to ten times a second, and each answer searched the asks of its workspace for a request that was no longer in them. Change: the roster is updated only while some workspace has a fleet limit, which is looked up once per version of the configuration, or permits are in use; a request awaits no permit any more once its ask has ended.

--- a/currantgauge/admission/fleet_limit.h
+++ b/currantgauge/admission/fleet_limit.h
@@ -49,6 +49,9 @@
   std::uint64_t LastSequence = 0;
   std::map<std::uint64_t, PendingAsk> Asks;
   std::map<base::WorkspaceName, WorkspaceAsks> Workspaces;
+  // Some workspace has a fleet limit, as of a version of the configuration.
+  bool InUse = false;
+  std::optional<base::ConfigVersion> InUseAsOf;
 };
 
 // PermitMessage is a message to another node.
--- a/currantgauge/core/entry.cc
+++ b/currantgauge/core/entry.cc
@@ -213,9 +213,9 @@
   EntryRequest *Request = findRequest(Node, Id);
   if (!Request || !Request->AwaitsPermit)
     return;
+  Request->AwaitsPermit = false;
   if (Reason != base::Reason::None)
     return refuseRequest(Node, *Request, Reason, RetryAfter, Effects);
-  Request->AwaitsPermit = false;
   startAdmittedRequest(Node, *Request, Effects);
 }
 
--- a/currantgauge/core/fleet_limits.cc
+++ b/currantgauge/core/fleet_limits.cc
@@ -32,6 +32,28 @@
   return admission::makeFleetLimit(It->second);
 }
 
+// hasFleetLimits() returns true if some workspace has a fleet limit.
+bool hasFleetLimits(const config::Configuration &Config) {
+  for (const auto &Bucket : Config.Workspaces.Buckets)
+    if (Bucket && std::any_of(Bucket->Entries.begin(), Bucket->Entries.end(),
+                              [](const auto &Entry) {
+                                return Entry.second.FleetLimit.Value > 0;
+                              }))
+      return true;
+  return false;
+}
+
+// Visits the workspaces once per version of the configuration.
+bool fleetLimitsInUse(State &Node) {
+  admission::FleetLimitState &Limits = Node.FleetLimits;
+  base::ConfigVersion Version = Node.Config.Document.Version;
+  if (Node.Config.Current && Limits.InUseAsOf != Version) {
+    Limits.InUse = hasFleetLimits(*Node.Config.Current);
+    Limits.InUseAsOf = Version;
+  }
+  return Limits.InUse;
+}
+
 Measure measurePermits(admission::PermitEvent Event, double Amount) {
   using admission::PermitEvent;
   switch (Event) {
@@ -98,7 +120,8 @@
 } // namespace
 
 void updateFleetRoster(State &Node, EffectList &Effects) {
-  if (!admission::updateIsDue(Node.FleetLimits.Roster, Node.Now))
+  if (!fleetLimitsInUse(Node) ||
+      !admission::updateIsDue(Node.FleetLimits.Roster, Node.Now))
     return;
   std::vector<admission::MemberView> Views;
   Views.reserve(Node.Membership.Members.size());
@@ -123,6 +146,7 @@
   if (!Limit || Limit->Rate <= 0)
     return false;
   Request.AwaitsPermit = true;
+  Node.FleetLimits.InUse = true;
   setTimer(Node.Timers,
            Node.Now + (Request.Deadline - Node.Now) / PermitWaitDivisor,
            PermitTimeout{Request.Facts.Request});
@@ -141,6 +165,9 @@
 
 void onPermitMessage(State &Node, const membership::PeerMessage &Message,
                      EffectList &Effects) {
+  // A node with an older configuration forwards asks, too.
+  if (Message.Kind == membership::MessageKind::Permits)
+    Node.FleetLimits.InUse = true;
   updateFleetRoster(Node, Effects);
   if (Message.Kind != membership::MessageKind::Permits)
     return;
@@ -181,6 +208,7 @@
   if (It == Node.Entry.Requests.end() || !It->second.AwaitsPermit)
     return;
   Effects.push_back(Measure{Metric::Permits, "timed_out", "entry", 1});
+  cancelPermitWait(Node, It->second);
   endPermitWait(Node, Due.Request, base::Reason::PeerUnavailable,
                 UnansweredRetryAfter, Effects);
 }
