Requests that got no permit in time are told to return spread over a second

Cause: all that timed out together were told to return after exactly 1 s. Change: they return after 1 to 2 s, at random.

--- a/currantgauge/core/fleet_limits.cc
+++ b/currantgauge/core/fleet_limits.cc
@@ -32,6 +32,12 @@
   return admission::makeFleetLimit(It->second);
 }
 
+// Callers that were refused at the same time return spread over as much time
+// again.
+base::Duration spreadReturn(base::Duration Least, base::Random &Random) {
+  return Least + base::scale(Least, base::uniformUnit(Random));
+}
+
 // hasFleetLimits() returns true if some workspace has a fleet limit.
 bool hasFleetLimits(const config::Configuration &Config) {
   for (const auto &Bucket : Config.Workspaces.Buckets)
@@ -210,7 +216,7 @@
   Effects.push_back(Measure{Metric::Permits, "timed_out", "entry", 1});
   cancelPermitWait(Node, It->second);
   endPermitWait(Node, Due.Request, base::Reason::PeerUnavailable,
-                UnansweredRetryAfter, Effects);
+                spreadReturn(UnansweredRetryAfter, Node.Random), Effects);
 }
 
 OperatorTable makeFleetLimitTable(const State &Node) {
