Requests aren't held for permits that can't come in time

Cause: a request waited a third of its time for a permit, also if this node was the home and couldn't issue any by then (cut off, or not settled). Change: the wait is at most an eighth of the aim, at least 500 ms; if this node is the home and knows that it can't issue permits by then, and there is no former home, it refuses at once as peer_unavailable, not run.

--- a/currantgauge/core/fleet_limits.cc
+++ b/currantgauge/core/fleet_limits.cc
@@ -16,9 +16,13 @@
 namespace currantgauge::core {
 namespace {
 
-// A request waits for its permit for this fraction of its time at most, so that
-// it can still be answered, or sent again by its caller, if there is none.
-constexpr std::int64_t PermitWaitDivisor = 3;
+// A request waits for its permit for these fractions of its target response
+// time and of its time at most, so that it can still be answered, or sent again
+// by its caller, if there is none.
+constexpr std::int64_t AimDivisor = 8;
+constexpr std::int64_t TimeDivisor = 3;
+// The least wait under an aim; covers the first repeats of an ask.
+constexpr base::Duration MinAimWait = base::milliseconds(500);
 constexpr base::Duration UnansweredRetryAfter = base::seconds(1);
 
 std::optional<admission::FleetLimit>
@@ -32,6 +36,13 @@
   return admission::makeFleetLimit(It->second);
 }
 
+base::Duration maxPermitWait(const EntryRequest &Request, base::TimePoint Now) {
+  base::Duration Wait = (Request.Deadline - Now) / TimeDivisor;
+  if (Request.Kind.Aim > base::Duration{})
+    Wait = std::min(Wait, std::max(Request.Kind.Aim / AimDivisor, MinAimWait));
+  return Wait;
+}
+
 // Callers that were refused at the same time return spread over as much time
 // again.
 base::Duration spreadReturn(base::Duration Least, base::Random &Random) {
@@ -60,6 +71,22 @@
   return Limits.InUse;
 }
 
+// Returns the time until this node, the home, may issue a permit, if that is
+// known to be MaxWait or more. A former home or the next one may issue it
+// before.
+std::optional<base::Duration> findLongWait(const State &Node,
+                                           const base::WorkspaceName &Workspace,
+                                           base::Duration MaxWait) {
+  const admission::FleetRoster &Roster = Node.FleetLimits.Roster;
+  admission::HomeChoice Choice = admission::chooseHome(Roster, Workspace);
+  if (!Choice.IsSelf || !Choice.Former.empty() ||
+      Roster.LeavingSince != base::TimePoint{})
+    return std::nullopt;
+  base::Duration Wait =
+      admission::earliestPermitTime(Roster, Choice, Node.Now) - Node.Now;
+  return Wait >= MaxWait ? std::optional(Wait) : std::nullopt;
+}
+
 Measure measurePermits(admission::PermitEvent Event, double Amount) {
   using admission::PermitEvent;
   switch (Event) {
@@ -153,10 +180,18 @@
     return false;
   Request.AwaitsPermit = true;
   Node.FleetLimits.InUse = true;
-  setTimer(Node.Timers,
-           Node.Now + (Request.Deadline - Node.Now) / PermitWaitDivisor,
-           PermitTimeout{Request.Facts.Request});
   updateFleetRoster(Node, Effects);
+  base::Duration MaxWait = maxPermitWait(Request, Node.Now);
+  if (auto Wait = findLongWait(Node, Workspace, MaxWait)) {
+    Effects.push_back(Measure{Metric::Permits, "unavailable", "entry", 1});
+    endPermitWait(
+        Node, Request.Facts.Request, base::Reason::PeerUnavailable,
+        spreadReturn(std::max(*Wait, UnansweredRetryAfter), Node.Random),
+        Effects);
+    return true;
+  }
+  setTimer(Node.Timers, Node.Now + MaxWait,
+           PermitTimeout{Request.Facts.Request});
   admission::PermitOutput Output;
   admission::requestPermit(Node.FleetLimits, Request.Facts.Request, Workspace,
                            Node.Now, Output);
