Repeats of an ask renew the memory of its answer

Cause: an answer was forgotten 3 s after it was made, also if the ask was still repeated, so that a late repeat took a second permit. Change: the 3 s count from the last repeat.

--- a/currantgauge/admission/permit_buckets.cc
+++ b/currantgauge/admission/permit_buckets.cc
@@ -40,8 +40,13 @@
   }
   while (!Table.AnswersByTime.empty() &&
          Table.AnswersByTime.front().first + AnswerMemory <= Now) {
-    Table.Answers.erase(Table.AnswersByTime.front().second);
+    PermitId Id = Table.AnswersByTime.front().second;
     Table.AnswersByTime.pop_front();
+    auto It = Table.Answers.find(Id);
+    if (It->second.SentAt + AnswerMemory <= Now)
+      Table.Answers.erase(It);
+    else
+      Table.AnswersByTime.emplace_back(It->second.SentAt, Id);
   }
 }
 
@@ -104,8 +109,10 @@
                          const FleetLimit &Limit, const BucketStart &Start,
                          base::TimePoint Now) {
   eraseExpired(Table, Now);
-  if (auto It = Table.Answers.find(Ask.Id); It != Table.Answers.end())
-    return It->second;
+  if (auto It = Table.Answers.find(Ask.Id); It != Table.Answers.end()) {
+    It->second.SentAt = Now;
+    return It->second.Answer;
+  }
   PermitAnswer Answer{.Id = Ask.Id, .Granted = Ask.Count};
   if (Limit.Rate > 0) {
     double Tokens =
@@ -121,7 +128,7 @@
       scheduleReturn(Bucket, Limit, Ask.Count - Answer.Granted, Now, Answer);
     storeBucket(Table, Ask.Workspace, Bucket, Limit);
   }
-  Table.Answers.emplace(Ask.Id, Answer);
+  Table.Answers.emplace(Ask.Id, RecentAnswer{Answer, Now});
   Table.AnswersByTime.emplace_back(Now, Ask.Id);
   return Answer;
 }
--- a/currantgauge/admission/permit_buckets.h
+++ b/currantgauge/admission/permit_buckets.h
@@ -46,12 +46,18 @@
   bool Full = false;    // no permit can have been issued before
 };
 
+// RecentAnswer is an answer and when it was last sent.
+struct RecentAnswer {
+  PermitAnswer Answer;
+  base::TimePoint SentAt;
+};
+
 // PermitBuckets holds the buckets that are not full and recent answers, so that
 // a repeated ask takes no second permit.
 struct PermitBuckets {
   std::map<base::WorkspaceName, PermitBucket> Buckets;
   std::set<std::pair<base::TimePoint, base::WorkspaceName>> ByExpiry;
-  std::map<PermitId, PermitAnswer> Answers;
+  std::map<PermitId, RecentAnswer> Answers;
   std::deque<std::pair<base::TimePoint, PermitId>> AnswersByTime;
 };
 
