--- a/currantgauge/admission/permit_buckets.cc
+++ b/currantgauge/admission/permit_buckets.cc
@@ -67,18 +67,21 @@
 }
 
 // Tells the refused requests of an ask to return one after the other, at the
-// rate at which there will be tokens, and after those refused before.
+// rate at which there will be tokens, and after those refused before. If the
+// last one would return too late, all of them return earlier.
 void scheduleReturn(PermitBucket &Bucket, const FleetLimit &Limit,
                     std::uint32_t Refused, base::TimePoint Now,
                     PermitAnswer &Answer) {
-  Answer.RetryStep = timeFor(1, Limit);
   base::TimePoint Earliest = Now + timeFor(1 - Bucket.Tokens, Limit);
-  base::TimePoint Return = std::clamp(Bucket.NextReturn, Earliest,
-                                      std::max(Earliest, Now + MaxRetryAfter));
+  base::TimePoint Latest = std::max(Earliest, Now + MaxRetryAfter);
+  auto Steps = static_cast<std::int64_t>(Refused) - 1;
+  base::Duration Step = timeFor(1, Limit);
+  base::Duration Span = std::min(Step * Steps, Latest - Earliest);
+  base::TimePoint Return =
+      std::clamp(Bucket.NextReturn, Earliest, Latest - Span);
   Answer.RetryAfter = Return - Now;
-  Bucket.NextReturn =
-      std::min(Return + Answer.RetryStep * static_cast<std::int64_t>(Refused),
-               std::max(Earliest, Now + MaxRetryAfter));
+  Answer.RetryStep = Steps > 0 ? Span / Steps : Step;
+  Bucket.NextReturn = std::min(Return + Span + Step, Latest);
 }
 
 } // namespace
