--- a/currantgauge/admission/fleet_limit.h
+++ b/currantgauge/admission/fleet_limit.h
@@ -2,7 +2,7 @@
 // holds its only token bucket; entries ask it for permits and hold their
 // requests meanwhile. docs/design/fleet-limits.md says what a failure leaves.
 //
-//   requestPermit(State, Permit, Now, Output);
+//   requestPermit(State, Request, Workspace, Now, Output);
 //   onPermitAsk(State, Ask, Limit, Now, Output);
 //   onPermitAnswer(State, Answer, Now, Output);
 #ifndef CURRANTGAUGE_ADMISSION_FLEET_LIMIT_H
--- a/currantgauge/admission/fleet_probe.h
+++ b/currantgauge/admission/fleet_probe.h
@@ -2,8 +2,8 @@
 // sooner than the failure detector whether this node is cut off with a few
 // others, while another home takes over.
 //
-//   if (updateIsDue(Roster, Now)) { ...; addProbes(State, Random, Now, Output);
-//   }
+//   updateRoster(State.Roster, Views, Now);
+//   addProbes(State, Random, Now, Output);
 #ifndef CURRANTGAUGE_ADMISSION_FLEET_PROBE_H
 #define CURRANTGAUGE_ADMISSION_FLEET_PROBE_H
 
--- a/currantgauge/admission/permit.h
+++ b/currantgauge/admission/permit.h
@@ -19,7 +19,7 @@
 struct PermitAsk {
   PermitId Id;
   base::WorkspaceName Workspace;
-  std::uint32_t Count = 0;
+  std::uint32_t Count = 0;        // zero: a probe, which any member answers
   base::NodeName Asker;           // empty: the sender of the message
   base::NetAddress AskerAddress;  // of Asker
   std::uint32_t ForwardCount = 0; // nodes that passed the ask on
