--- a/currantgauge/admission/permit_buckets.cc
+++ b/currantgauge/admission/permit_buckets.cc
@@ -40,8 +40,13 @@
   }
   while (!Table.AnswersByTime.empty() &&
          Table.AnswersByTime.front().first + AnswerMemory <= Now) {
-    Table.Answers.erase(Table.AnswersByTime.front().second);
+    PermitId Id = Table.AnswersByTime.front().second;
     Table.AnswersByTime.pop_front();
+    auto It = Table.Answers.find(Id);
+    if (It->second.SentAt + AnswerMemory <= Now)
+      Table.Answers.erase(It);
+    else
+      Table.AnswersByTime.emplace_back(It->second.SentAt, Id);
   }
 }
 
@@ -62,18 +67,21 @@
 }
 
 // Tells the refused requests of an ask to return one after the other, at the
-// rate at which there will be tokens, and after those refused before.
+// rate at which there will be tokens, and after those refused before. If the
+// last one would return too late, all of them return earlier.
 void scheduleReturn(PermitBucket &Bucket, const FleetLimit &Limit,
                     std::uint32_t Refused, base::TimePoint Now,
                     PermitAnswer &Answer) {
-  Answer.RetryStep = timeFor(1, Limit);
   base::TimePoint Earliest = Now + timeFor(1 - Bucket.Tokens, Limit);
-  base::TimePoint Return = std::clamp(Bucket.NextReturn, Earliest,
-                                      std::max(Earliest, Now + MaxRetryAfter));
+  base::TimePoint Latest = std::max(Earliest, Now + MaxRetryAfter);
+  auto Steps = static_cast<std::int64_t>(Refused) - 1;
+  base::Duration Step = timeFor(1, Limit);
+  base::Duration Span = std::min(Step * Steps, Latest - Earliest);
+  base::TimePoint Return =
+      std::clamp(Bucket.NextReturn, Earliest, Latest - Span);
   Answer.RetryAfter = Return - Now;
-  Bucket.NextReturn =
-      std::min(Return + Answer.RetryStep * static_cast<std::int64_t>(Refused),
-               std::max(Earliest, Now + MaxRetryAfter));
+  Answer.RetryStep = Steps > 0 ? Span / Steps : Step;
+  Bucket.NextReturn = std::min(Return + Span + Step, Latest);
 }
 
 } // namespace
@@ -104,8 +112,10 @@
                          const FleetLimit &Limit, const BucketStart &Start,
                          base::TimePoint Now) {
   eraseExpired(Table, Now);
-  if (auto It = Table.Answers.find(Ask.Id); It != Table.Answers.end())
-    return It->second;
+  if (auto It = Table.Answers.find(Ask.Id); It != Table.Answers.end()) {
+    It->second.SentAt = Now;
+    return It->second.Answer;
+  }
   PermitAnswer Answer{.Id = Ask.Id, .Granted = Ask.Count};
   if (Limit.Rate > 0) {
     double Tokens =
@@ -121,7 +131,7 @@
       scheduleReturn(Bucket, Limit, Ask.Count - Answer.Granted, Now, Answer);
     storeBucket(Table, Ask.Workspace, Bucket, Limit);
   }
-  Table.Answers.emplace(Ask.Id, Answer);
+  Table.Answers.emplace(Ask.Id, RecentAnswer{Answer, Now});
   Table.AnswersByTime.emplace_back(Now, Ask.Id);
   return Answer;
 }
--- a/currantgauge/core/fleet_limits.cc
+++ b/currantgauge/core/fleet_limits.cc
@@ -16,9 +16,13 @@
 namespace currantgauge::core {
 namespace {
 
-// A request waits for its permit for this fraction of its time at most, so that
-// it can still be answered, or sent again by its caller, if there is none.
-constexpr std::int64_t PermitWaitDivisor = 3;
+// A request waits for its permit for these fractions of its target response
+// time and of its time at most, so that it can still be answered, or sent again
+// by its caller, if there is none.
+constexpr std::int64_t AimDivisor = 8;
+constexpr std::int64_t TimeDivisor = 3;
+// The least wait under an aim; covers the first repeats of an ask.
+constexpr base::Duration MinAimWait = base::milliseconds(500);
 constexpr base::Duration UnansweredRetryAfter = base::seconds(1);
 
 std::optional<admission::FleetLimit>
@@ -32,6 +36,57 @@
   return admission::makeFleetLimit(It->second);
 }
 
+base::Duration maxPermitWait(const EntryRequest &Request, base::TimePoint Now) {
+  base::Duration Wait = (Request.Deadline - Now) / TimeDivisor;
+  if (Request.Kind.Aim > base::Duration{})
+    Wait = std::min(Wait, std::max(Request.Kind.Aim / AimDivisor, MinAimWait));
+  return Wait;
+}
+
+// Callers that were refused at the same time return spread over as much time
+// again.
+base::Duration spreadReturn(base::Duration Least, base::Random &Random) {
+  return Least + base::scale(Least, base::uniformUnit(Random));
+}
+
+// hasFleetLimits() returns true if some workspace has a fleet limit.
+bool hasFleetLimits(const config::Configuration &Config) {
+  for (const auto &Bucket : Config.Workspaces.Buckets)
+    if (Bucket && std::any_of(Bucket->Entries.begin(), Bucket->Entries.end(),
+                              [](const auto &Entry) {
+                                return Entry.second.FleetLimit.Value > 0;
+                              }))
+      return true;
+  return false;
+}
+
+// Visits the workspaces once per version of the configuration.
+bool fleetLimitsInUse(State &Node) {
+  admission::FleetLimitState &Limits = Node.FleetLimits;
+  base::ConfigVersion Version = Node.Config.Document.Version;
+  if (Node.Config.Current && Limits.InUseAsOf != Version) {
+    Limits.InUse = hasFleetLimits(*Node.Config.Current);
+    Limits.InUseAsOf = Version;
+  }
+  return Limits.InUse;
+}
+
+// Returns the time until this node, the home, may issue a permit, if that is
+// known to be MaxWait or more. A former home or the next one may issue it
+// before.
+std::optional<base::Duration> findLongWait(const State &Node,
+                                           const base::WorkspaceName &Workspace,
+                                           base::Duration MaxWait) {
+  const admission::FleetRoster &Roster = Node.FleetLimits.Roster;
+  admission::HomeChoice Choice = admission::chooseHome(Roster, Workspace);
+  if (!Choice.IsSelf || !Choice.Former.empty() ||
+      Roster.LeavingSince != base::TimePoint{})
+    return std::nullopt;
+  base::Duration Wait =
+      admission::earliestPermitTime(Roster, Choice, Node.Now) - Node.Now;
+  return Wait >= MaxWait ? std::optional(Wait) : std::nullopt;
+}
+
 Measure measurePermits(admission::PermitEvent Event, double Amount) {
   using admission::PermitEvent;
   switch (Event) {
@@ -98,14 +153,16 @@
 } // namespace
 
 void updateFleetRoster(State &Node, EffectList &Effects) {
-  if (!admission::updateIsDue(Node.FleetLimits.Roster, Node.Now))
+  if (!fleetLimitsInUse(Node) ||
+      !admission::updateIsDue(Node.FleetLimits.Roster, Node.Now))
     return;
   std::vector<admission::MemberView> Views;
   Views.reserve(Node.Membership.Members.size());
   for (const auto &[Name, Member] : Node.Membership.Members)
     Views.push_back({&Name,
                      Member.Record.Phase == membership::MemberPhase::Alive,
-                     Member.PhaseSince, Member.LastMessageAt});
+                     Member.PhaseSince, Member.LastMessageAt,
+                     Member.Record.Phase == membership::MemberPhase::Left});
   admission::updateRoster(Node.FleetLimits.Roster, Views, Node.Now);
   for (const auto &[Sequence, Probe] : Node.Membership.Probes)
     if (Probe.Indirect)
@@ -122,10 +179,19 @@
   if (!Limit || Limit->Rate <= 0)
     return false;
   Request.AwaitsPermit = true;
-  setTimer(Node.Timers,
-           Node.Now + (Request.Deadline - Node.Now) / PermitWaitDivisor,
-           PermitTimeout{Request.Facts.Request});
+  Node.FleetLimits.InUse = true;
   updateFleetRoster(Node, Effects);
+  base::Duration MaxWait = maxPermitWait(Request, Node.Now);
+  if (auto Wait = findLongWait(Node, Workspace, MaxWait)) {
+    Effects.push_back(Measure{Metric::Permits, "unavailable", "entry", 1});
+    endPermitWait(
+        Node, Request.Facts.Request, base::Reason::PeerUnavailable,
+        spreadReturn(std::max(*Wait, UnansweredRetryAfter), Node.Random),
+        Effects);
+    return true;
+  }
+  setTimer(Node.Timers, Node.Now + MaxWait,
+           PermitTimeout{Request.Facts.Request});
   admission::PermitOutput Output;
   admission::requestPermit(Node.FleetLimits, Request.Facts.Request, Workspace,
                            Node.Now, Output);
@@ -140,6 +206,9 @@
 
 void onPermitMessage(State &Node, const membership::PeerMessage &Message,
                      EffectList &Effects) {
+  // A node with an older configuration forwards asks, too.
+  if (Message.Kind == membership::MessageKind::Permits)
+    Node.FleetLimits.InUse = true;
   updateFleetRoster(Node, Effects);
   if (Message.Kind != membership::MessageKind::Permits)
     return;
@@ -180,8 +249,9 @@
   if (It == Node.Entry.Requests.end() || !It->second.AwaitsPermit)
     return;
   Effects.push_back(Measure{Metric::Permits, "timed_out", "entry", 1});
+  cancelPermitWait(Node, It->second);
   endPermitWait(Node, Due.Request, base::Reason::PeerUnavailable,
-                UnansweredRetryAfter, Effects);
+                spreadReturn(UnansweredRetryAfter, Node.Random), Effects);
 }
 
 OperatorTable makeFleetLimitTable(const State &Node) {
