An attempt above queue_bytes neither shuts out others nor is evicted by them

Cause: an oversized attempt that was taken into an empty queue filled the bound in bytes, so that every other attempt, even without a body, was refused as too large or evicted it. Change: the bound doesn't count attempts that alone exceed it. The queue's bytes still contain them, so that what a removal subtracts is what was added, also after a change of the bound. Attempts without a body are never too large. The choice of what is evicted has a file of its own.

--- a/currantgauge/admission/queue.cc
+++ b/currantgauge/admission/queue.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/admission/queue.h"
 
+#include "currantgauge/admission/eviction.h"
 #include "currantgauge/admission/pressure.h"
 #include "currantgauge/admission/rank_share.h"
 
@@ -118,50 +119,6 @@
   return It == Config.Services.end() ? Defaults : It->second;
 }
 
-// EvictionQuery describes a queue that is full for a new attempt, by bytes or
-// by the number of attempts.
-struct EvictionQuery {
-  const config::ServiceSettings &Settings;
-  const QueuedAttempt &NewAttempt;
-  bool ByBytes = false;
-};
-
-bool isAboveShare(const RankQueue &Rank, std::uint32_t Order,
-                  const EvictionQuery &Query) {
-  bool SameRank = Order == Query.NewAttempt.RankOrder;
-  double RankShare = Rank.Share.Value / 100;
-  if (Query.ByBytes)
-    return static_cast<double>(
-               Rank.Bytes.Bytes +
-               (SameRank ? Query.NewAttempt.Facts.BodyBytes.Bytes : 0)) >
-           RankShare * static_cast<double>(Query.Settings.QueueBytes.Bytes);
-  return Rank.Length + (SameRank ? 1 : 0) >
-         RankShare * Query.Settings.QueueLength;
-}
-
-// chooseVictim() picks, in the least urgent rank above its share, the attempt
-// with the latest deadline, of the kind with the most waiting attempts and its
-// workspace with the most.
-// Returns null if the new attempt itself is the one to refuse.
-QueuedAttempt *chooseVictim(ServiceQueue &Queue, const EvictionQuery &Query) {
-  auto Rank = std::find_if(
-      Queue.ByRank.rbegin(), Queue.ByRank.rend(), [&](const auto &Entry) {
-        return isAboveShare(Entry.second, Entry.first, Query);
-      });
-  if (Rank == Queue.ByRank.rend() || Rank->second.Length == 0)
-    return nullptr;
-  const core::AttemptFacts &Facts = Query.NewAttempt.Facts;
-  const base::KindName &Kind = *longestFlow(Rank->second.Schedule);
-  KindQueue &Flows = Rank->second.Kinds.at(Kind);
-  const base::WorkspaceName &Workspace = *longestFlow(Flows.Schedule);
-  bool SameRank = Rank->first == Query.NewAttempt.RankOrder;
-  if (SameRank && Kind == Facts.Kind &&
-      lengthOf(Flows.Schedule, Facts.Workspace) + 1 >=
-          lengthOf(Flows.Schedule, Workspace))
-    return nullptr;
-  return &*Flows.Waiting.at(Workspace).rbegin();
-}
-
 base::Reason makeRoom(ServiceQueue &Queue,
                       const config::ServiceSettings &Settings,
                       const QueuedAttempt &Attempt,
@@ -171,11 +128,12 @@
   // by the limit of a body.
   if (Queue.Length == 0 && Settings.QueueLength > 0)
     return base::Reason::None;
-  if (Size > Settings.QueueBytes)
+  if (isOversized(Attempt, Settings))
     return base::Reason::QueueBytesFull;
   while (true) {
     bool TooLong = Queue.Length >= Settings.QueueLength;
-    bool TooLarge = Queue.Bytes + Size > Settings.QueueBytes;
+    bool TooLarge = Size.Bytes > 0 &&
+                    boundedBytes(Queue, Settings) + Size > Settings.QueueBytes;
     if (!TooLong && !TooLarge)
       return base::Reason::None;
     QueuedAttempt *Victim =
--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -193,6 +193,64 @@
   CHECK(enqueueAttempt(Fixture, Third).Reason == base::Reason::None);
 }
 
+TEST_CASE("an oversized attempt that waits neither shuts out others nor is "
+          "evicted by them") {
+  QueueFixture Fixture = makeFixture(100);
+  Fixture.Config.Services[Service].QueueBytes = base::ByteCount{1000};
+  QueuedAttempt &Huge = addAttempt(Fixture, "normal", "commit", "a");
+  Huge.Facts.BodyBytes = base::ByteCount{5000};
+  REQUIRE(enqueueAttempt(Fixture, Huge).Reason == base::Reason::None);
+  for (auto [Rank, Kind] :
+       {std::pair("normal", "commit"), std::pair("normal", "read"),
+        std::pair("lookup", "read"), std::pair("urgent", "read")})
+    for (std::uint64_t Bytes : {0, 100}) {
+      CAPTURE(Rank);
+      CAPTURE(Kind);
+      QueuedAttempt &Small = addAttempt(Fixture, Rank, Kind, "a");
+      Small.Facts.BodyBytes = base::ByteCount{Bytes};
+      EnqueueResult Result = enqueueAttempt(Fixture, Small);
+      CHECK(Result.Reason == base::Reason::None);
+      CHECK(Result.Victims.empty());
+    }
+  QueuedAttempt &Second = addAttempt(Fixture, "urgent", "commit", "a");
+  Second.Facts.BodyBytes = base::ByteCount{5000};
+  CHECK(enqueueAttempt(Fixture, Second).Reason == base::Reason::QueueBytesFull);
+  CHECK(Huge.is_linked());
+}
+
+TEST_CASE("an oversized attempt that waits isn't evicted for bytes") {
+  QueueFixture Fixture = makeFixture(100);
+  Fixture.Config.Services[Service].QueueBytes = base::ByteCount{1000};
+  QueuedAttempt &Huge = addAttempt(Fixture, "lookup", "commit", "a");
+  Huge.Facts.BodyBytes = base::ByteCount{5000};
+  REQUIRE(enqueueAttempt(Fixture, Huge).Reason == base::Reason::None);
+  QueuedAttempt &Large = addAttempt(Fixture, "lookup", "read", "a");
+  Large.Facts.BodyBytes = base::ByteCount{900};
+  REQUIRE(enqueueAttempt(Fixture, Large).Reason == base::Reason::None);
+  QueuedAttempt &Urgent = addAttempt(Fixture, "urgent", "commit", "a");
+  Urgent.Facts.BodyBytes = base::ByteCount{200};
+  EnqueueResult Result = enqueueAttempt(Fixture, Urgent);
+  CHECK(Result.Reason == base::Reason::None);
+  CHECK(Result.Victims == std::vector{Large.Facts.Attempt});
+  CHECK(Huge.is_linked());
+}
+
+// The bound may change while attempts wait.
+TEST_CASE("the bytes of a queue return to zero when its bound changes") {
+  QueueFixture Fixture = makeFixture(100);
+  Fixture.Config.Services[Service].QueueBytes = base::ByteCount{1000};
+  QueuedAttempt &Huge = addAttempt(Fixture, "normal", "commit", "a");
+  Huge.Facts.BodyBytes = base::ByteCount{5000};
+  REQUIRE(enqueueAttempt(Fixture, Huge).Reason == base::Reason::None);
+  Fixture.Config.Services[Service].QueueBytes = base::ByteCount{10000};
+  QueuedAttempt &Small = addAttempt(Fixture, "normal", "commit", "a");
+  Small.Facts.BodyBytes = base::ByteCount{100};
+  REQUIRE(enqueueAttempt(Fixture, Small).Reason == base::Reason::None);
+  dequeue(Fixture.State, Huge);
+  dequeue(Fixture.State, Small);
+  CHECK(Fixture.State.Queues[Service].Bytes.Bytes == 0);
+}
+
 TEST_CASE("an attempt that can't meet its deadline is refused on arrival") {
   QueueFixture Fixture = makeFixture(1000);
   enqueueAttempt(Fixture, addAttempt(Fixture, "normal", "read", "a"));
