An escaped spelling of keys doesn't pass as an entry without keys

Cause: hasHashedKeys() looked for the text keys only, so that {"ke\x79s": [k]} was stored and sent to other nodes with the plain key. Change: an entry with a backslash must be in canonical form, and a name with an escape that formatEntry() doesn't write is not.

--- a/currantgauge/config/workspace_keys.cc
+++ b/currantgauge/config/workspace_keys.cc
@@ -122,11 +122,26 @@
   return true;
 }
 
+// Returns whether a name has an escape that formatEntry() doesn't write; it may
+// stand for any symbol.
+bool hasForeignEscape(std::string_view Name) {
+  for (std::size_t At = Name.find('\\'); At != std::string_view::npos;
+       At = Name.find('\\', At + 2)) {
+    std::string_view Escape = Name.substr(At + 1, 3);
+    bool IsControl =
+        Escape.starts_with("x0") || Escape.starts_with("x1") || Escape == "x7f";
+    if (!IsControl && !Escape.starts_with('"') && !Escape.starts_with('\\'))
+      return true;
+  }
+  return false;
+}
+
 // Takes a field and its value, such as "rank: normal". Returns false if it
 // isn't written as formatEntry() writes it or holds a key.
 bool takeHashedField(std::string_view &Text) {
   std::string_view Name = takeValue(Text);
-  if (Name.empty() || Name == "\"keys\"" || !takeText(Text, ": "))
+  if (Name.empty() || hasForeignEscape(Name) || Name == "\"keys\"" ||
+      !takeText(Text, ": "))
     return false;
   std::string_view Value = takeValue(Text);
   if (Value.empty())
@@ -170,9 +185,11 @@
 }
 
 // Entries of clients other than the project's own may be in any style of YAML,
-// so one that mentions keys must be in canonical form to be understood.
+// so one that mentions keys, or may do so in escapes, must be in canonical form
+// to be understood.
 bool hasHashedKeys(std::string_view Entry) {
-  if (Entry.find(KeysField) == std::string_view::npos)
+  if (Entry.find(KeysField) == std::string_view::npos &&
+      Entry.find('\\') == std::string_view::npos)
     return true;
   if (!takeText(Entry, "{"))
     return false;
--- a/currantgauge/config/workspace_keys_test.cc
+++ b/currantgauge/config/workspace_keys_test.cc
@@ -99,7 +99,9 @@
         "{\"keys\": topsecret}", "{'keys': topsecret}", "{ keys: topsecret }",
         "{weight: 2,keys: topsecret}", "{weight: \"2\", keys : topsecret}",
         "{? keys : topsecret}", "{!!str keys: topsecret}",
-        "{keys: 'topsecret'}"}) {
+        "{keys: 'topsecret'}", R"({"ke\x79s": [topsecret]})",
+        R"({"\x6beys": "topsecret"})",
+        R"({weight: 2, "ke\u0079s": topsecret})"}) {
     CAPTURE(Entry);
     AssembleRequest Request;
     Request.Text = Ranks + "workspaces:\n  w1: " + std::string(Entry) + "\n";
