A stalled request that can't be refused doesn't block memory for the others

Cause: of requests that stood still, one behind an unanswered request of its connection was chosen to give way, could not, and was counted as memory about to be released until others were refused. Change: only inputs that can yield are chosen and counted; one can yield once the answers before it are written.

--- a/currantgauge/admission/give_way.cc
+++ b/currantgauge/admission/give_way.cc
@@ -13,7 +13,8 @@
 // Returns bytes times microseconds; zero if the input may not give way.
 std::uint64_t burdenOf(const PartialInput &Input, base::TimePoint Now) {
   base::Duration Standstill = Now - Input.ProgressAt;
-  if (Input.AwaitsMemory || Input.GivesWay || Standstill < MinStandstill)
+  if (Input.AwaitsMemory || Input.GivesWay || !Input.CanYield ||
+      Standstill < MinStandstill)
     return 0;
   return Input.Held.Bytes * static_cast<std::uint64_t>(Standstill.Micros);
 }
@@ -21,16 +22,18 @@
 std::uint64_t sumOfReleases(const std::vector<PartialInput> &Inputs) {
   std::uint64_t Sum = 0;
   for (const PartialInput &Input : Inputs)
-    Sum += Input.GivesWay ? Input.Held.Bytes : 0;
+    Sum += Input.GivesWay && Input.CanYield ? Input.Held.Bytes : 0;
   return Sum;
 }
 
 } // namespace
 
+bool hasWaitedTooLong(base::Duration Waited) { return Waited >= MaxMemoryWait; }
+
 ShortageDecision decideShortage(const std::vector<PartialInput> &Inputs,
                                 const MemoryShortage &Shortage,
                                 base::TimePoint Now) {
-  if (Shortage.Waited >= MaxMemoryWait)
+  if (hasWaitedTooLong(Shortage.Waited))
     return {ShortageStep::Refuse, 0};
   if (sumOfReleases(Inputs) >= Shortage.Needed.Bytes)
     return {ShortageStep::Wait, 0};
--- a/currantgauge/admission/give_way.h
+++ b/currantgauge/admission/give_way.h
@@ -22,6 +22,7 @@
   base::TimePoint ProgressAt; // when a part was last received
   bool AwaitsMemory = false;  // the node, not the sender, holds it up
   bool GivesWay = false;      // is about to release what it holds
+  bool CanYield = true;       // false: earlier answers have to be sent first
 };
 
 // MemoryShortage describes a request that can't be received further.
@@ -39,6 +40,10 @@
   std::size_t Victim = 0;
 };
 
+// hasWaitedTooLong() returns whether a request that still has no memory has to
+// be refused, whatever other inputs release.
+bool hasWaitedTooLong(base::Duration Waited);
+
 // decideShortage() chooses among inputs that have stood still for a while the
 // one with the largest product of memory and standstill.
 ShortageDecision decideShortage(const std::vector<PartialInput> &Inputs,
--- a/currantgauge/admission/give_way_test.cc
+++ b/currantgauge/admission/give_way_test.cc
@@ -42,6 +42,18 @@
         ShortageStep::Refuse);
 }
 
+TEST_CASE("an input that can't yield is passed over") {
+  std::vector<PartialInput> Inputs = {inputOf(MiB, base::seconds(10)),
+                                      inputOf(MiB, base::seconds(1))};
+  Inputs[0].CanYield = false;
+  ShortageDecision Decision = decideShortage(Inputs, shortageOf(MiB), Now);
+  CHECK(Decision.Step == ShortageStep::GiveWay);
+  CHECK(Decision.Victim == 1);
+  Inputs[0].GivesWay = true;
+  CHECK(decideShortage(Inputs, shortageOf(MiB), Now).Step ==
+        ShortageStep::GiveWay);
+}
+
 TEST_CASE("no more inputs give way than the shortage needs") {
   std::vector<PartialInput> Inputs = {inputOf(MiB, base::seconds(10)),
                                       inputOf(MiB, base::seconds(9))};
--- a/currantgauge/http/caller_body.cc
+++ b/currantgauge/http/caller_body.cc
@@ -53,15 +53,16 @@
   base::TimePoint Begin = runtime::steadyNow();
   base::ByteCount Needed{Size.Bytes - Source.Hold.Size.Bytes};
   bool Held = false;
-  setAwaitsMemory(Claims, Source.Claim, true);
-  while (!Held && mayWaitForMemory(Claims, *Source.Context.BodyMemory, Needed,
-                                   runtime::steadyNow() - Begin)) {
+  beginMemoryWait(Claims, Source.Claim);
+  while (!Held && !givesWay(Claims, Source.Claim) &&
+         mayWaitForMemory(Claims, *Source.Context.BodyMemory, Needed,
+                          runtime::steadyNow() - Begin)) {
     ErrorCode Ignored;
     Timer.expires_after(MemoryRetryInterval);
     co_await Timer.async_wait(redirectError(Ignored));
     Held = tryHoldInput(Source, Size);
   }
-  setAwaitsMemory(Claims, Source.Claim, false);
+  endMemoryWait(Claims, Source.Claim, runtime::steadyNow() - Begin);
   co_return Held;
 }
 
@@ -75,6 +76,8 @@
       co_return asio::error::no_memory;
     co_await beast::http::async_read_some(Source.Stream, Source.Input, Parser,
                                           redirectError(Error));
+    if (!Error)
+      noteProgress(Source.Context.Inputs, Source.Claim);
   }
   co_return Error;
 }
@@ -103,17 +106,11 @@
   if (!Held)
     Held = co_await waitForMemory(Source, Size);
   if (Held)
-    noteProgress(Source.Context.Inputs, Source.Claim, Source.Hold.Size);
+    noteHeld(Source.Context.Inputs, Source.Claim, Source.Hold.Size);
   co_return Held;
 }
 
-// A length for which there is no memory now is refused before it is read.
 asio::awaitable<ErrorCode> readBody(InputSource Source, RequestParser &Parser) {
-  if (auto Length = Parser.content_length()) {
-    bool Held = co_await holdInput(Source, base::ByteCount{*Length});
-    if (!Held)
-      co_return asio::error::no_memory;
-  }
   ErrorCode Error = co_await readParts(Source, Parser);
   // Releases what was held for growth.
   if (Source.Context.BodyMemory)
--- a/currantgauge/http/caller_body_test.cc
+++ b/currantgauge/http/caller_body_test.cc
@@ -5,11 +5,38 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace currantgauge::http {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Starts one more session of the fixture's node.
+tcp::socket connectCaller(SessionFixture &Fixture) {
+  tcp::acceptor Acceptor(Fixture.Io,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  tcp::socket Caller(Fixture.Io);
+  Caller.connect(Acceptor.local_endpoint());
+  startCallerSession(Acceptor.accept(Fixture.Io), Fixture.Context);
+  Fixture.runUntilIdle();
+  return Caller;
+}
+
+std::string postOf(std::size_t Length, std::size_t Sent) {
+  return "POST /p HTTP/1.1\r\nHost: A.example:80\r\nContent-Length: " +
+         std::to_string(Length) + "\r\n\r\n" + std::string(Sent, 'x');
+}
+
+} // namespace
 
 // Bodies of several callers at once exceeded the memory of the process.
 TEST_CASE("a body without memory for it is refused as not run") {
@@ -103,6 +130,43 @@
   CHECK(Memory.Used == 0);
 }
 
+// The session that had to answer an earlier request was chosen again and again.
+TEST_CASE("a stalled request behind an unanswered one doesn't block memory") {
+  SessionFixture Fixture;
+  runtime::MemoryBudget Memory;
+  Memory.Limit = base::ByteCount{170000};
+  Fixture.Context.BodyMemory = &Memory;
+  Fixture.send(getRequest("/a") + postOf(60000, 50000));
+  tcp::socket Other = connectCaller(Fixture);
+  asio::write(Other, asio::buffer(postOf(60000, 50000)));
+  Fixture.runUntilIdle();
+  REQUIRE(Memory.Used >= 120000);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  tcp::socket Ordinary = connectCaller(Fixture);
+  asio::write(Ordinary, asio::buffer(postOf(60000, 60000)));
+  for (int Round = 0; Round < 20; ++Round)
+    Fixture.runUntilIdle();
+  CHECK(arrivedRequests(Fixture).size() == 2);
+  CHECK(countEvents<core::InputRefused>(Fixture) == 1);
+  CHECK(Other.available() > 0);
+}
+
+TEST_CASE("the announced length of a body isn't held before its bytes") {
+  SessionFixture Fixture;
+  setCallerLimits(Fixture.Context, {{}, base::ByteCount{1000000}, {}, {}});
+  runtime::MemoryBudget Memory;
+  Memory.Limit = base::ByteCount{1000000};
+  Fixture.Context.BodyMemory = &Memory;
+  runtime::MemoryHold Others;
+  REQUIRE(runtime::tryHold(Others, Memory, base::ByteCount{500000}));
+  tcp::socket Caller = connectCaller(Fixture); // under the new limits
+  asio::write(Caller, asio::buffer(postOf(900000, 1000)));
+  Fixture.runUntilIdle();
+  CHECK(countEvents<core::InputRefused>(Fixture) == 0);
+  CHECK(Memory.Used > 500000);
+  CHECK(Memory.Used < 700000);
+}
+
 TEST_CASE("heads that arrive in parts are counted while they do") {
   SessionFixture Fixture;
   runtime::MemoryBudget Memory;
--- a/currantgauge/http/caller_session.cc
+++ b/currantgauge/http/caller_session.cc
@@ -58,6 +58,7 @@
   asio::steady_timer IdleTimer;
   std::chrono::steady_clock::time_point IdleSince;
   asio::steady_timer ReadTimer;
+  InputClaim *Claim = nullptr;    // of the request that is being read
   bool AcceptsRequests = true;    // more requests may be read
   bool Closing = false;           // nothing more is answered
   bool AwaitsRequest = false;     // no byte of the next request was read
@@ -75,22 +76,18 @@
 
 using SessionPtr = boost::intrusive_ptr<Session>;
 
-std::chrono::microseconds idleTimeout(const CallerContext &Context) {
-  return std::chrono::microseconds(Context.IdleMicros);
-}
-
 // Ends the wait for the next request when the connection stays idle. Only the
 // reader closes the connection, since it knows whether a request has arrived.
 // The stream's own timeout would also end the wait while answers are pending.
-// The timeout is read again at the end, since it may have been raised
-// meanwhile.
+// The limit is read again at the end, since it may have been raised meanwhile.
 void waitForIdleTimer(const SessionPtr &Self) {
-  Self->IdleTimer.expires_at(Self->IdleSince + idleTimeout(Self->Context));
+  Self->IdleTimer.expires_at(
+      Self->IdleSince + std::chrono::microseconds(Self->Context.IdleMicros));
   Self->IdleTimer.async_wait([Self](ErrorCode Error) {
     if (Error || !Self->Requests.empty() || !Self->AwaitsRequest)
       return;
     auto Idle = std::chrono::steady_clock::now() - Self->IdleSince;
-    if (Idle < idleTimeout(Self->Context))
+    if (Idle < std::chrono::microseconds(Self->Context.IdleMicros))
       return waitForIdleTimer(Self);
     Self->IdleExpired = true;
     Self->Stream.cancel();
@@ -160,8 +157,11 @@
     if (!KeepAlive)
       co_return finishSession(Self);
     notify(S.RequestAnswered);
-    if (S.Requests.empty())
-      startIdleTimer(Self);
+    if (!S.Requests.empty())
+      continue;
+    startIdleTimer(Self);
+    if (S.Claim)
+      setCanYield(S.Context.Inputs, *S.Claim, true);
   }
 }
 
@@ -257,6 +257,7 @@
   ErrorCode Error;
   co_await beast::http::async_read_header(S.Stream, S.Input, Parser,
                                           redirectError(Error));
+  noteProgress(S.Context.Inputs, Source.Claim);
   if (!Error && beast::iequals(Parser.get()[beast::http::field::expect],
                                "100-continue")) {
     stopReadTimer(S); // its caller may have to wait for earlier answers
@@ -277,6 +278,8 @@
   Parser.body_limit(getBodyLimit(S.Context));
   ErrorCode Error;
   if (S.Input.size() == 0) {
+    if (S.Input.capacity() > ReadBytes)
+      S.Input.shrink_to_fit();
     Error = co_await readFirstBytes(S);
     if (Error)
       co_return Error == asio::error::eof ? Error
@@ -290,6 +293,8 @@
   ++S.StartedReads;
   InputClaim Claim;
   Claim.GiveWay = makeGiveWay(Self);
+  Claim.Input.CanYield = S.Requests.empty();
+  S.Claim = &Claim;
   ClaimScope Scope(S.Context.Inputs, Claim);
   InputSource Source{S.Stream, S.Input, S.Context, Hold, Claim};
   Error = co_await readHead(Self, Source, Parser);
@@ -297,6 +302,7 @@
     Error = co_await readBody(Source, Parser);
   if (Error && givesWay(S.Context.Inputs, Claim))
     Error = asio::error::no_memory;
+  S.Claim = nullptr;
   stopReadTimer(S);
   co_return Error;
 }
