Crowds: the ordinary caller sends 100 KiB, and some whole bodies are served

Cause: a node that refused a whole crowd passed, and the ordinary caller's body of one byte needed hardly any memory. Change: the ordinary caller sends 100 KiB; of a crowd's whole bodies at least one is answered with 200. Crowds and bounds are as before.

--- a/tests/integration/outside_test.cc
+++ b/tests/integration/outside_test.cc
@@ -32,6 +32,7 @@
 constexpr std::size_t MiB = 1024 * KiB;
 constexpr std::size_t BodyLimit = 4 * MiB;
 constexpr std::size_t ShortOfEnd = 64 * KiB;
+constexpr std::size_t OrdinaryBytes = 100 * KiB;
 constexpr std::size_t FieldBytes = 1000;
 const std::string LowLimits = "limits: {memory: 48MiB, body: 4MiB}\n";
 // limits.memory, and what a node that serves nobody has.
@@ -48,6 +49,7 @@
   std::string Start;
   std::string Piece;
   std::size_t PieceBytes = 0;
+  bool IsWhole = false; // the requests end, so that some can be served
 };
 
 struct Caller {
@@ -56,6 +58,8 @@
   bool Ended = false;
 };
 
+std::string makeBytes(std::size_t Size) { return std::string(Size, 'x'); }
+
 std::size_t peakKiB(const NodeProcess &Node) {
   std::ifstream File("/proc/" + std::to_string(processId(Node.Process)) +
                      "/status");
@@ -138,6 +142,20 @@
   CHECK(Peak < PeakLimitKiB);
 }
 
+// Returns how many callers have an answer with status 200.
+std::size_t countServed(std::vector<Caller> &Callers) {
+  const std::string Served = "HTTP/1.1 200";
+  std::size_t Count = 0;
+  for (Caller &Receiver : Callers) {
+    std::string Text(Served.size(), '\0');
+    boost::system::error_code Error;
+    Receiver.Socket.receive(asio::buffer(Text), tcp::socket::message_peek,
+                            Error);
+    Count += !Error && Text == Served ? 1 : 0;
+  }
+  return Count;
+}
+
 // Plays a crowd against the first node. An ordinary caller comes while the
 // crowd is still connected.
 void playCrowd(const TestFleet &Fleet, const Crowd &Kind) {
@@ -146,9 +164,12 @@
   std::vector<Caller> Callers = connectCrowd(Io, Entry, Kind.Callers);
   CHECK(sendCrowd(Callers, Kind, Entry) < DescriptorLimit);
   CHECK(waitUntil([&] {
-    auto Answer = sendRequest(Entry.CallerAddress, "POST", "/commits/9", "x");
+    auto Answer = sendRequest(Entry.CallerAddress, "POST", "/commits/9",
+                              makeBytes(OrdinaryBytes));
     return Answer && Answer->Status == 200;
   }));
+  if (Kind.IsWhole)
+    CHECK(waitUntil([&] { return countServed(Callers) > 0; }));
   for (const NodeProcess &Node : Fleet.Nodes)
     checkNode(Node);
 }
@@ -181,10 +202,8 @@
   return "Field: " + std::string(FieldBytes, 'x') + "\r\n";
 }
 
-std::string makeBytes(std::size_t Size) { return std::string(Size, 'x'); }
-
 Crowd wholeBodies() {
-  return {64, postOf(BodyLimit), makeBytes(BodyLimit), BodyLimit};
+  return {64, postOf(BodyLimit), makeBytes(BodyLimit), BodyLimit, true};
 }
 
 Crowd cutBodies() {
