A learned prior keeps no server suspected without evidence

Cause: with 36 of 40 failures followed by another one the stationary probability was 0.2, above SuspectProbability: a server stayed suspected, or became so again by time alone, until its service had fewer spells. Change: the stationary probability is at most half of SuspectProbability. Run: routing_test, 68 cases pass; the new case fails without the change.

--- a/currantgauge/routing/spell.cc
+++ b/currantgauge/routing/spell.cc
@@ -16,6 +16,9 @@
 // entry costs a round trip, far less than the loss of one that can't be
 // repeated.
 constexpr double SuspectProbability = 0.1;
+// A server must not stay suspected without evidence, however often failures of
+// its service were followed by others.
+constexpr double MaxStationaryProbability = SuspectProbability / 2;
 // Factor on the logarithm of an ambiguous failure's likelihood ratio.
 constexpr double AmbiguousWeight = 0.5;
 // The exchange that ends within this time after a failure tells whether it was
@@ -38,11 +41,11 @@
 
 // computeStationaryProbability() returns the probability of a spell without
 // evidence: the one from which a single failure leads to the share of failures
-// that come with a spell.
+// that come with a spell, up to a bound.
 double computeStationaryProbability(const SpellPrior &Prior) {
   double Share = computeSpellShare(Prior);
   double Odds = Share / (1 - Share) * ErrorShare / SpellFailShare;
-  return Odds / (1 + Odds);
+  return std::min(Odds / (1 + Odds), MaxStationaryProbability);
 }
 
 double applyLikelihoodRatio(double Probability, double Ratio) {
--- a/currantgauge/routing/spell_test.cc
+++ b/currantgauge/routing/spell_test.cc
@@ -101,4 +101,19 @@
         computeSpellProbability(Single, Prior, at(0)) / 2);
 }
 
+TEST_CASE("a prior of many spells keeps no server suspected without evidence") {
+  SpellBelief Suspect;
+  SpellPrior Prior{40, 36};
+  note(Suspect, Prior, 0, true);
+  REQUIRE(isSpellSuspected(Suspect, Prior, at(0)));
+  CHECK(admitsAttempt(Suspect, Prior, Once, at(10000)));
+  SpellBelief Recovered;
+  note(Recovered, Prior, 0, true);
+  for (std::int64_t Millis = 200; Millis <= 2000; Millis += 200)
+    note(Recovered, Prior, Millis, false);
+  Prior = SpellPrior{40, 36};
+  for (std::int64_t Millis = 2000; Millis <= 60000; Millis += 500)
+    CHECK_FALSE(isSpellSuspected(Recovered, Prior, at(Millis)));
+}
+
 } // namespace currantgauge::routing
