The belief about a spell stays a number after many failures

Cause: failures that started at the same time all apply their ratio to the same belief; after some nine of them it rounded to 1, the odds became infinite and the belief NaN for good, so that the server was never suspected again. Change: probabilities stay within 1e-6 of 0 and 1.

--- a/currantgauge/routing/spell.cc
+++ b/currantgauge/routing/spell.cc
@@ -19,6 +19,8 @@
 // A server must not stay suspected without evidence, however often failures of
 // its service were followed by others.
 constexpr double MaxStationaryProbability = SuspectProbability / 2;
+// Keeps the odds finite and the belief able to change.
+constexpr double MinProbability = 1e-6;
 // Factor on the logarithm of an ambiguous failure's likelihood ratio.
 constexpr double AmbiguousWeight = 0.5;
 // The exchange that ends within this time after a failure tells whether it was
@@ -50,7 +52,7 @@
 
 double applyLikelihoodRatio(double Probability, double Ratio) {
   double Odds = Probability / (1 - Probability) * Ratio;
-  return Odds / (1 + Odds);
+  return std::clamp(Odds / (1 + Odds), MinProbability, 1 - MinProbability);
 }
 
 // A success that started before the last failure says nothing about the time
--- a/currantgauge/routing/spell_test.cc
+++ b/currantgauge/routing/spell_test.cc
@@ -116,4 +116,19 @@
     CHECK_FALSE(isSpellSuspected(Recovered, Prior, at(Millis)));
 }
 
+TEST_CASE("failures with one start time leave a belief that can recover") {
+  SpellBelief Belief;
+  SpellPrior Prior;
+  for (std::int64_t Millis = 0; Millis < 20; ++Millis)
+    noteExchange(Belief, Prior, {at(-100), at(Millis), true, false});
+  double Probability = computeSpellProbability(Belief, Prior, at(20));
+  CHECK(Probability > 0.9);
+  CHECK(Probability < 1);
+  CHECK(isSpellSuspected(Belief, Prior, at(1000)));
+  CHECK_FALSE(isSpellSuspected(Belief, Prior, at(10000)));
+  note(Belief, Prior, 10100, false);
+  CHECK(computeSpellProbability(Belief, Prior, at(10100)) < 0.1);
+  CHECK(admitsAttempt(Belief, Prior, Once, at(10100)));
+}
+
 } // namespace currantgauge::routing
