A removed server leaves no breaker and no belief

Cause: removeServer() and removeServersOfOwner() erased the server's record only, so that its breaker and its belief about a spell stayed. Change: both are erased with the record. Run: routing_test, 68 cases pass; the new case fails without the change.

--- a/currantgauge/routing/registry.cc
+++ b/currantgauge/routing/registry.cc
@@ -67,6 +67,12 @@
   ++Record.Revision;
 }
 
+// Another server may use the name later.
+void forgetExchanges(RoutingState &State, const base::BackendName &Name) {
+  State.Breakers.erase(Name);
+  State.Spells.erase(Name);
+}
+
 // Usual times and failure shares change often but matter only to owners, so
 // that routing sets don't depend on them.
 bool changesRouting(const BackendRecord &Old, const BackendRecord &New) {
@@ -132,8 +138,7 @@
   if (IsOwned && matchesAnnouncement(Server.Record, Effective))
     return false;
   if (NewIncarnation) {
-    State.Breakers.erase(Announced.Name);
-    State.Spells.erase(Announced.Name);
+    forgetExchanges(State, Announced.Name);
     Server.ReadySince = Now;
     Server.Record.ColdStart = Announced.ColdStart;
     Server.Replaced = false;
@@ -245,6 +250,7 @@
   markStale(State, It->second.Record.Service);
   State.ByService[It->second.Record.Service].erase(Name);
   State.Owned.erase(Name);
+  forgetExchanges(State, It->first);
   State.Servers.erase(It);
 }
 
@@ -265,6 +271,7 @@
     }
     State.ByService[It->second.Record.Service].erase(It->first);
     markStale(State, It->second.Record.Service);
+    forgetExchanges(State, It->first);
     It = State.Servers.erase(It);
   }
 }
--- a/currantgauge/routing/registry_test.cc
+++ b/currantgauge/routing/registry_test.cc
@@ -111,4 +111,26 @@
   CHECK_FALSE(applyAnnouncement(State, Cold, Start + base::milliseconds(1500)));
 }
 
+TEST_CASE("a removed server leaves no breaker and no belief about a spell") {
+  for (bool WithOwner : {false, true}) {
+    CAPTURE(WithOwner);
+    RoutingState State = makeOwner();
+    applyAnnouncement(State, makeAnnouncement("s", 5, 1), Start);
+    base::BackendName Removed("s");
+    base::BackendName Kept("other");
+    for (const base::BackendName &Name : {Removed, Kept}) {
+      State.Breakers[Name];
+      State.Spells[Name];
+    }
+    if (WithOwner)
+      removeServersOfOwner(State, State.Self);
+    else
+      removeServer(State, Removed);
+    CHECK_FALSE(State.Breakers.contains(Removed));
+    CHECK_FALSE(State.Spells.contains(Removed));
+    CHECK(State.Breakers.contains(Kept));
+    CHECK(State.Spells.contains(Kept));
+  }
+}
+
 } // namespace currantgauge::routing
