Restore the check of 50 draws that avoid a suspected server

Cause: replaced it by one draw at unequal load, which is weaker. Change: it is back, beside the newer checks. The second half, by which requests that may be repeated do try the server at equal load, is not: since they do so only where the others are busier.

--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -181,6 +181,8 @@
   noteReportedSuspicion(State.Sets[Cutlist], Suspect, 0.9, makeQuery().Now);
   ChoiceQuery Once = makeQuery();
   Once.Idempotent = false;
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, Once, Source).Server->Record.Name != Suspect);
   for (const char *Name : {"n2", "n3"})
     State.Servers[base::BackendName(Name)].Running = 2;
   CHECK(choose(State, Once, Source).Server->Record.Name != Suspect);
