A timeout of an attempt that started too late is no evidence of a spell

Cause: an attempt that started with less time than its kind needs runs into its deadline at a healthy server too, which was then suspected. Change: such a timeout is inconclusive for the belief about a spell.

--- a/currantgauge/core/owner_evidence.cc
+++ b/currantgauge/core/owner_evidence.cc
@@ -84,8 +84,18 @@
          Outcome.Reason == base::Reason::BackendTimeout;
 }
 
+// A healthy server would have needed longer, too.
+bool startedTooLate(const admission::QueuedAttempt &Attempt,
+                    const AttemptOutcome &Outcome) {
+  return Outcome.Reason == base::Reason::BackendTimeout &&
+         Attempt.Deadline - Attempt.StartedAt < Attempt.ExpectedTime;
+}
+
 // A server may be silent in a spell instead of failing its requests.
-BreakerSignal classifyForSpell(const AttemptOutcome &Outcome) {
+BreakerSignal classifyForSpell(const admission::QueuedAttempt &Attempt,
+                               const AttemptOutcome &Outcome) {
+  if (startedTooLate(Attempt, Outcome))
+    return BreakerSignal::None;
   return isSilence(Outcome) && !Outcome.RequestAtFault
              ? BreakerSignal::Failure
              : classifyForBreaker(Outcome);
@@ -95,7 +105,7 @@
                  AttemptOutcome &Outcome, EffectList &Effects) {
   routing::SpellBelief &Belief = Node.Routing.Spells[Attempt.Server];
   routing::SpellPrior &Prior = Node.Routing.SpellPriors[Attempt.Facts.Service];
-  BreakerSignal Signal = classifyForSpell(Outcome);
+  BreakerSignal Signal = classifyForSpell(Attempt, Outcome);
   if (Signal == BreakerSignal::None)
     return routing::noteInconclusiveExchange(Belief);
   bool WasSuspected = routing::isSpellSuspected(Belief, Prior, Node.Now);
--- a/currantgauge/core/owner_test.cc
+++ b/currantgauge/core/owner_test.cc
@@ -1,5 +1,6 @@
 #include "currantgauge/core/owner.h"
 
+#include "currantgauge/core/owner_evidence.h"
 #include "currantgauge/core/reduce.h"
 
 #include <doctest/doctest.h>
@@ -255,4 +256,28 @@
   CHECK(all<SendToBackend>(Effects).size() == 1);
 }
 
+TEST_CASE("a timeout of an attempt that started too late for its kind is no "
+          "evidence of a spell") {
+  for (bool TooLate : {false, true}) {
+    CAPTURE(TooLate);
+    State Node = makeNodeWithOneSlot();
+    Node.Routing.UnevenServers = true;
+    Node.Now = base::TimePoint{5000000};
+    admission::QueuedAttempt Attempt;
+    Attempt.Server = base::BackendName("cutlist-1");
+    Attempt.Facts.Service = TestService;
+    Attempt.ExpectedTime = base::milliseconds(300);
+    Attempt.Deadline = Node.Now;
+    Attempt.StartedAt = Node.Now - base::milliseconds(TooLate ? 299 : 300);
+    AttemptOutcome Outcome;
+    Outcome.Reason = base::Reason::BackendTimeout;
+    EffectList Effects;
+    noteExchangeEvidence(Node, Attempt, Outcome, Effects);
+    CHECK(routing::isSpellSuspected(Node.Routing.Spells[Attempt.Server],
+                                    Node.Routing.SpellPriors[TestService],
+                                    Node.Now) == !TooLate);
+    CHECK((Outcome.Suspicion > 0) == !TooLate);
+  }
+}
+
 } // namespace currantgauge::core
