Load is spread only over servers that cost the same otherwise

Cause: the random choice among near costs compared whole costs, so that servers with few slots were spread over other domains, nodes and suspected servers; a record without slots divided by zero and made every server near. Change: costs other than load (domain, node, spell, suspicion, recovery) have to be equal within 0.01; slots count as at least 1. The cost of a queue counts as load. Run: routing_test, 70 cases pass; both new cases fail without the change.

--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -37,6 +37,9 @@
 // Candidates whose costs differ by less than this share of one attempt count as
 // equal: load that is known from reports is older than the difference.
 constexpr double NearCostShare = 0.75;
+// Costs other than load that differ by less are equal: reported suspicions fade
+// but never reach zero.
+constexpr double EqualCostMargin = 0.01;
 
 // Candidate is a server that is eligible for the choice.
 struct Candidate {
@@ -49,6 +52,7 @@
 struct BestCandidate {
   const BackendServer *Server = nullptr;
   double Cost = HUGE_VAL;
+  double FixedCost = 0; // the part of Cost that doesn't follow from load
   bool HasFreeSlot = false;
   std::uint32_t WithFreeSlot = 0; // including this one
 };
@@ -154,11 +158,11 @@
          estimateSuspicion(State, Query, *Option.Status) < MaxFreeSlotSuspicion;
 }
 
-double computeCost(const RoutingState &State, const ChoiceQuery &Query,
-                   const Candidate &Option, double Load) {
+// computeFixedCost() returns the cost that doesn't follow from load.
+double computeFixedCost(const RoutingState &State, const ChoiceQuery &Query,
+                        const Candidate &Option) {
   const BackendServer &Server = *Option.Server;
-  double Cost = Load + computeQueueCost(Query, Server);
-  Cost += computeSpellCost(State, Query, *Option.Status);
+  double Cost = computeSpellCost(State, Query, *Option.Status);
   if (Server.Record.Suspicion >= 1)
     Cost += SuspectCost;
   if (Server.Record.Owner != State.Self) {
@@ -195,11 +199,14 @@
   if (!Option.Server)
     return;
   double Load = estimateLoad(Context.State, Context.Query, Option);
-  double Cost = computeCost(Context.State, Context.Query, Option, Load);
+  double FixedCost = computeFixedCost(Context.State, Context.Query, Option);
+  double Cost =
+      Load + computeQueueCost(Context.Query, *Option.Server) + FixedCost;
   bool Free = hasFreeSlot(Context.State, Context.Query, Option, Load);
   Best.WithFreeSlot += Free ? 1 : 0;
   if (Cost < Best.Cost)
-    Best = BestCandidate{Option.Server, Cost, Free, Best.WithFreeSlot};
+    Best =
+        BestCandidate{Option.Server, Cost, FixedCost, Free, Best.WithFreeSlot};
 }
 
 bool hasOtherWithFreeSlot(const BestCandidate &Best) {
@@ -207,22 +214,28 @@
 }
 
 // spreadOverNear() replaces the best candidate by a random one of those that
-// cost about the same. All entries would send their next requests to the same
-// server otherwise.
+// cost about the same and differ in load alone. All entries would send their
+// next requests to the same server otherwise.
 void spreadOverNear(const SearchContext &Context,
                     const std::vector<base::BackendName> &Names,
                     base::Random &Source, BestCandidate &Best) {
-  double Limit = Best.Cost + NearCostShare / Best.Server->Record.Slots;
+  double Limit = Best.Cost + NearCostShare / std::max<std::uint32_t>(
+                                                 Best.Server->Record.Slots, 1);
+  double BestFixedCost = Best.FixedCost;
   std::uint64_t Found = 0;
   for (const base::BackendName &Name : Names) {
     Candidate Option = findCandidate(Context, Name);
     if (!Option.Server)
       continue;
     double Load = estimateLoad(Context.State, Context.Query, Option);
-    double Cost = computeCost(Context.State, Context.Query, Option, Load);
-    if (Cost <= Limit && base::uniformBelow(Source, ++Found) == 0)
+    double FixedCost = computeFixedCost(Context.State, Context.Query, Option);
+    double Cost =
+        Load + computeQueueCost(Context.Query, *Option.Server) + FixedCost;
+    bool Near =
+        Cost <= Limit && std::abs(FixedCost - BestFixedCost) < EqualCostMargin;
+    if (Near && base::uniformBelow(Source, ++Found) == 0)
       Best =
-          BestCandidate{Option.Server, Cost,
+          BestCandidate{Option.Server, Cost, FixedCost,
                         hasFreeSlot(Context.State, Context.Query, Option, Load),
                         Best.WithFreeSlot};
   }
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -234,4 +234,31 @@
   CHECK(SlotsAt(20) == doctest::Approx(4));
 }
 
+TEST_CASE("load is spread only over servers that cost the same otherwise") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  State.Domain = base::DomainName("rack-1");
+  base::Random Source(1);
+  base::BackendName Near("n1");
+  for (auto &[Name, Server] : State.Servers) {
+    Server.Record.Slots = 2;
+    Server.Record.Domain = base::DomainName(Name == Near ? "rack-1" : "rack-2");
+  }
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Near);
+}
+
+TEST_CASE("a server without slots isn't spread over servers with more work") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  base::Random Source(1);
+  base::BackendName Idle("n1");
+  for (auto &[Name, Server] : State.Servers) {
+    Server.Record.Slots = 0;
+    Server.Running = Name == Idle ? 0 : 5;
+  }
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Idle);
+}
+
 } // namespace currantgauge::routing
