Retry-After follows the time that the caller stated

Cause: retryAfterOf() took the time left of the request, which the limit of the route cuts: a caller that waits longer was told not to come back. Change: where the caller stated its time, what is left of that counts. The new case fails without the change.

--- a/currantgauge/core/shortage.cc
+++ b/currantgauge/core/shortage.cc
@@ -12,6 +12,15 @@
 // Retry-After where no forecast exists.
 constexpr base::Duration DefaultRetryAfter = base::seconds(1);
 
+// computeCallerTimeLeft() returns the time that the caller still waits. The
+// limit of the route applies only where the caller stated none.
+base::Duration computeCallerTimeLeft(const EntryRequest &Request,
+                                     base::TimePoint Now) {
+  if (Request.Facts.TimeLeft <= base::Duration{})
+    return Request.Deadline - Now;
+  return Request.Facts.TimeLeft - (Now - Request.ArrivedAt);
+}
+
 } // namespace
 
 base::Duration queueFullDelay(const State &Node, const AttemptFacts &Attempt) {
@@ -31,7 +40,8 @@
     return Suggested;
   admission::RefusedWork Work{.Aim = Request.Kind.Aim,
                               .Waited = Node.Now - Request.ArrivedAt,
-                              .TimeLeft = Request.Deadline - Node.Now};
+                              .TimeLeft =
+                                  computeCallerTimeLeft(Request, Node.Now)};
   base::Duration Forecast =
       admission::isLoadRefusal(Reason) ? Suggested : base::Duration{};
   return admission::returnDelay(Work, Forecast, base::uniformUnit(Node.Random));
--- a/currantgauge/core/shortage_test.cc
+++ b/currantgauge/core/shortage_test.cc
@@ -159,4 +159,22 @@
                      base::Duration{}) == base::Duration{});
 }
 
+TEST_CASE("Retry-After follows the time that the caller stated, not the limit "
+          "of the route") {
+  State Node = makeNode(true, 1);
+  Node.Now = base::TimePoint{2000000};
+  EntryRequest Request;
+  Request.ArrivedAt = base::TimePoint{1000000};
+  Request.Deadline = base::TimePoint{3000000};
+  constexpr base::Duration Forecast = base::seconds(2);
+  CHECK(retryAfterOf(Node, Request, base::Reason::QueueFull, Forecast) ==
+        base::Duration{});
+  Request.Facts.TimeLeft = base::seconds(31);
+  CHECK(retryAfterOf(Node, Request, base::Reason::QueueFull, Forecast) >
+        Forecast);
+  Request.Facts.TimeLeft = base::seconds(3);
+  CHECK(retryAfterOf(Node, Request, base::Reason::QueueFull, Forecast) ==
+        base::Duration{});
+}
+
 } // namespace currantgauge::core
