Retry-After of a full queue is at least 100 ms

Cause: the time to drain a queue can be near zero while it is full by count, and its callers came back at once. The new case fails without the change.

--- a/currantgauge/core/shortage.cc
+++ b/currantgauge/core/shortage.cc
@@ -6,11 +6,15 @@
 #include "currantgauge/admission/queue.h"
 #include "currantgauge/base/random.h"
 
+#include <algorithm>
+
 namespace currantgauge::core {
 namespace {
 
 // Retry-After where no forecast exists.
 constexpr base::Duration DefaultRetryAfter = base::seconds(1);
+// An estimate near zero would bring the callers back to a queue still full.
+constexpr base::Duration MinQueueFullDelay = base::milliseconds(100);
 
 // computeCallerTimeLeft() returns the time that the caller still waits. The
 // limit of the route applies only where the caller stated none.
@@ -26,9 +30,10 @@
 base::Duration queueFullDelay(const State &Node, const AttemptFacts &Attempt) {
   if (!Node.Self.Policy.ShortageByCost || !Node.Config.Current)
     return DefaultRetryAfter;
-  return admission::drainTime(
-      Node.Admission, Attempt.Service,
-      admission::rankOrder(*Node.Config.Current, Attempt.Rank));
+  return std::max(admission::drainTime(
+                      Node.Admission, Attempt.Service,
+                      admission::rankOrder(*Node.Config.Current, Attempt.Rank)),
+                  MinQueueFullDelay);
 }
 
 // What one server or owner suggests after a random rejection or for its part of
--- a/currantgauge/core/shortage_test.cc
+++ b/currantgauge/core/shortage_test.cc
@@ -159,6 +159,12 @@
                      base::Duration{}) == base::Duration{});
 }
 
+TEST_CASE("Retry-After of a full queue is at least 100 ms") {
+  State Node = makeNode(true, 1);
+  Node.Admission.Queues[Service].OpenSlots = 4;
+  CHECK(queueFullDelay(Node, makeFacts(1)) == base::milliseconds(100));
+}
+
 TEST_CASE("Retry-After follows the time that the caller stated, not the limit "
           "of the route") {
   State Node = makeNode(true, 1);
