An entry without recent reports doesn't presume full servers

Cause: the mean of reported loads had no age. An entry with little traffic presumed that servers were as busy as in its last reports, however old.

--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -95,9 +95,9 @@
                                  Query.Now);
 }
 
-double meanLoad(const RoutingState &State, const base::ServiceName &Service) {
-  auto Set = State.Sets.find(Service);
-  return Set == State.Sets.end() ? 0 : Set->second.MeanReportedLoad;
+double findMeanLoad(const RoutingState &State, const ChoiceQuery &Query) {
+  auto Set = State.Sets.find(Query.Service);
+  return Set == State.Sets.end() ? 0 : computeMeanLoad(Set->second, Query.Now);
 }
 
 // The work of other entries is known only from the load that the owner last
@@ -119,8 +119,7 @@
   double Reported = Server.ReportedLoad * Server.Record.Slots * Kept;
   // A server without news would look idle to all entries at once.
   if (State.UnevenServers)
-    Reported +=
-        meanLoad(State, Query.Service) * Server.Record.Slots * (1 - Kept);
+    Reported += findMeanLoad(State, Query) * Server.Record.Slots * (1 - Kept);
   return std::max(OwnAttempts, Reported);
 }
 
--- a/currantgauge/routing/ejection.h
+++ b/currantgauge/routing/ejection.h
@@ -36,10 +36,19 @@
   base::TimePoint NextUpdate;
   base::TimePoint ServiceSlowUntil; // no new ejection until then
   bool Stale = true;
-  // Moving average of the loads that owners reported (BackendServer).
+  // Moving average of the loads that owners reported (BackendServer), at
+  // LoadReportedAt; see computeMeanLoad().
   double MeanReportedLoad = 0;
+  base::TimePoint LoadReportedAt;
 };
 
+// computeMeanLoad() returns the mean reported load of a service's servers at
+// Now. Without reports it falls to zero within seconds.
+double computeMeanLoad(const RoutingSet &Set, base::TimePoint Now);
+
+// noteReportedLoad() adds an owner's report to the mean.
+void noteReportedLoad(RoutingSet &Set, double Load, base::TimePoint Now);
+
 // StandingChange is a change of a server's standing, for logs and metrics.
 struct StandingChange {
   base::BackendName Server;
--- a/currantgauge/routing/health.cc
+++ b/currantgauge/routing/health.cc
@@ -27,8 +27,6 @@
 // The same for a server whose breaker is closed, but whose last exchange failed
 // (see breaker.h). Other servers may run out of free slots sooner than that.
 constexpr base::Duration DoubtReportDuration = base::milliseconds(500);
-// Weight of a report in the mean load of a service's servers.
-constexpr double LoadSampleWeight = 0.1;
 // Exchanges count as evidence after this time, even if the server announced a
 // longer cold start.
 constexpr base::Duration MaxColdStart = base::minutes(2);
@@ -173,10 +171,6 @@
   return It == State.Servers.end() ? nullptr : &It->second;
 }
 
-void noteReportedLoad(RoutingSet &Set, double Load) {
-  Set.MeanReportedLoad += (Load - Set.MeanReportedLoad) * LoadSampleWeight;
-}
-
 void endTrial(RoutingState &State, const BackendServer &Server,
               base::AttemptId Attempt, TrialResult Result) {
   auto Set = State.Sets.find(Server.Record.Service);
@@ -316,8 +310,8 @@
     It->second.ReportedLoad = Outcome.Load.Busy;
     It->second.LoadReportedAt = Now;
     if (State.UnevenServers)
-      noteReportedLoad(State.Sets[It->second.Record.Service],
-                       Outcome.Load.Busy);
+      noteReportedLoad(State.Sets[It->second.Record.Service], Outcome.Load.Busy,
+                       Now);
   }
   if (Outcome.Reason == base::Reason::BackendSuspect) {
     It->second.AvoidUntil = Now + Outcome.RetryAfter;
--- a/currantgauge/routing/health_test.cc
+++ b/currantgauge/routing/health_test.cc
@@ -68,4 +68,29 @@
   CHECK(Node.record().Times[0].Kind == base::KindName("lookup"));
 }
 
+TEST_CASE("an entry without recent reports doesn't presume full servers") {
+  Owner Entry = makeOwner();
+  Entry.State.UnevenServers = true;
+  Entry.State.Self = base::NodeName("entry");
+  Entry.record().Owner = base::NodeName("owner");
+  base::Random Source(1);
+  core::EffectList Effects;
+  ChoiceQuery Query;
+  Query.Service = Cutlist;
+  auto HasFreeSlot = [&](base::Duration Later) {
+    Query.Now = Entry.Now + Later;
+    return selectServer(Entry.State, Query, {}, Source, Effects).HasFreeSlot;
+  };
+  core::AttemptOutcome Full;
+  Full.Load.Busy = 2;
+  for (int I = 0; I < 50; ++I)
+    noteOwnerReport(Entry.State, Server, Full, Entry.Now);
+  CHECK_FALSE(HasFreeSlot(base::Duration{}));
+  CHECK_FALSE(HasFreeSlot(base::seconds(1)));
+  CHECK(HasFreeSlot(base::seconds(8)));
+  Entry.Now = Entry.Now + base::seconds(8);
+  noteOwnerReport(Entry.State, Server, Full, Entry.Now);
+  CHECK_FALSE(HasFreeSlot(base::seconds(1)));
+}
+
 } // namespace currantgauge::routing
