A last resort is not spread over regions

Cause: servers out of rotation of all regions stand in one list, over which spreadOverNear() spread without regard to the region. Change: near candidates have to be of the same region.

--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -230,8 +230,9 @@
     double FixedCost = computeFixedCost(Context.State, Context.Query, Option);
     double Cost =
         Load + computeQueueCost(Context.Query, *Option.Server) + FixedCost;
-    bool Near =
-        Cost <= Limit && std::abs(FixedCost - BestFixedCost) < EqualCostMargin;
+    bool Near = Cost <= Limit &&
+                Option.Server->Record.Region == Best.Server->Record.Region &&
+                std::abs(FixedCost - BestFixedCost) < EqualCostMargin;
     if (Near && base::uniformBelow(Source, ++Found) == 0)
       Best =
           BestCandidate{Option.Server, Cost, FixedCost,
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -261,4 +261,21 @@
     CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Idle);
 }
 
+TEST_CASE("a last resort is not spread over regions") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  base::Random Source(1);
+  choose(State, makeQuery(), Source);
+  RoutingSet &Set = State.Sets[Cutlist];
+  Set.SameRegion.clear();
+  Set.OtherRegions.clear();
+  for (const auto &[Name, Server] : State.Servers)
+    Set.OutOfRotation.push_back(Name);
+  for (int I = 0; I < 50; ++I) {
+    Choice Chosen = chooseServer(State, makeQuery(), Source);
+    CHECK(Chosen.Reason == ChoiceReason::LastResort);
+    CHECK(Chosen.Server->Record.Region == State.Region);
+  }
+}
+
 } // namespace currantgauge::routing
