Test of callers' keys waits until the home of a limited workspace has settled

Change: this one request is repeated for at most 10 s until it is served. The count of runs by workspace is the same, so refusals are checked not to have run.

--- a/tests/integration/caller_keys_test.cc
+++ b/tests/integration/caller_keys_test.cc
@@ -139,9 +139,15 @@
     const NodeProcess &Node = nodeOf(Machines, Machine);
     CHECK(statusWithKey(Node, "key-depot-1") == 200);
     CHECK(statusWithKey(Node, "key-depot-2") == 200);
-    CHECK(statusOf(Node, "/lists/7",
-                   {{"Currantgauge-Credential", "key-yard-1"},
-                    {"Currantgauge-Tenant", "forged"}}) == 200);
+    // yard has a fleet limit, whose home issues permits only after it has
+    // settled.
+    CHECK(waitUntil(
+        [&] {
+          return statusOf(Node, "/lists/7",
+                          {{"Currantgauge-Credential", "key-yard-1"},
+                           {"Currantgauge-Tenant", "forged"}}) == 200;
+        },
+        std::chrono::seconds(10)));
     CHECK(statusOf(Node, "/open/7",
                    {{"Currantgauge-Credential", "key-unknown"},
                     {"Currantgauge-Tenant", "forged"}}) == 200);
