Queue test captures no structured binding

Cause: the linter's front end refuses a binding that a lambda captures. Change: the test captures the attempt's own fields.

--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -204,9 +204,9 @@
        {std::pair("normal", "commit"), std::pair("normal", "read"),
         std::pair("lookup", "read"), std::pair("urgent", "read")})
     for (std::uint64_t Bytes : {0, 100}) {
-      CAPTURE(Rank);
-      CAPTURE(Kind);
       QueuedAttempt &Small = addAttempt(Fixture, Rank, Kind, "a");
+      CAPTURE(Small.Facts.Rank.Value);
+      CAPTURE(Small.Facts.Kind.Value);
       Small.Facts.BodyBytes = base::ByteCount{Bytes};
       EnqueueResult Result = enqueueAttempt(Fixture, Small);
       CHECK(Result.Reason == base::Reason::None);
