--- a/currantgauge/admission/fleet_limit.h
+++ b/currantgauge/admission/fleet_limit.h
@@ -2,7 +2,7 @@
 // holds its only token bucket; entries ask it for permits and hold their
 // requests meanwhile. docs/design/fleet-limits.md says what a failure leaves.
 //
-//   requestPermit(State, Permit, Now, Output);
+//   requestPermit(State, Request, Workspace, Now, Output);
 //   onPermitAsk(State, Ask, Limit, Now, Output);
 //   onPermitAnswer(State, Answer, Now, Output);
 #ifndef CURRANTGAUGE_ADMISSION_FLEET_LIMIT_H
@@ -49,6 +49,9 @@
   std::uint64_t LastSequence = 0;
   std::map<std::uint64_t, PendingAsk> Asks;
   std::map<base::WorkspaceName, WorkspaceAsks> Workspaces;
+  // Some workspace has a fleet limit, as of a version of the configuration.
+  bool InUse = false;
+  std::optional<base::ConfigVersion> InUseAsOf;
 };
 
 // PermitMessage is a message to another node.
--- a/currantgauge/admission/fleet_roster.cc
+++ b/currantgauge/admission/fleet_roster.cc
@@ -102,6 +102,19 @@
   return Heard > Failed;
 }
 
+// A node that starts during a partition knows the other side as dead only, so
+// that at first all known members count towards the majority.
+void expectKnownMembers(FleetRoster &Roster,
+                        const std::vector<MemberView> &Views,
+                        base::TimePoint Now) {
+  if (Now - Roster.StartedAt >= RosterMemory)
+    return;
+  std::size_t Expected = 1; // this node
+  for (const MemberView &View : Views)
+    Expected += View.HasLeft ? 0 : 1;
+  Roster.MostAliveBefore = std::max(Roster.MostAliveBefore, Expected);
+}
+
 // A node that has met no other one yet may be cut off, unless none is expected.
 bool hasContact(const FleetRoster &Roster, base::TimePoint Now) {
   if (Roster.AliveCount > 1)
@@ -121,6 +134,12 @@
   return true;
 }
 
+// The next home issues permits SettleTime after it learned of the departure.
+bool hasLeft(const FleetRoster &Roster, base::TimePoint Now) {
+  return Roster.LeavingSince != base::TimePoint{} &&
+         Now >= Roster.LeavingSince + SettleTime;
+}
+
 } // namespace
 
 FleetRoster makeRoster(const base::NodeName &Self, bool FirstStart,
@@ -150,6 +169,7 @@
   Roster.UpdatedAt = Now;
   updateMembers(Roster, Views, Now);
   updateMemory(Roster, Now);
+  expectKnownMembers(Roster, Views, Now);
   base::TimePoint LastContactAt;
   for (const RosterMember &Member : Roster.Members)
     LastContactAt = std::max(LastContactAt, Member.HeardAt);
@@ -175,6 +195,11 @@
     It->FailedAt = Now;
 }
 
+void noteLeaving(FleetRoster &Roster, base::TimePoint Now) {
+  if (Roster.LeavingSince == base::TimePoint{})
+    Roster.LeavingSince = Now;
+}
+
 HomeChoice chooseHome(const FleetRoster &Roster,
                       const base::WorkspaceName &Workspace) {
   std::uint64_t Key = hashName(Workspace.Value);
@@ -202,8 +227,10 @@
       Choice.Former = Member.Name;
       Choice.Since = std::max(Choice.Since, Member.Since);
     }
-  Choice.IsFirst =
-      Roster.FirstStart && !Roster.WasInterrupted && Choice.Former.empty();
+  // A node that has heard from no other one may be cut off from the first home.
+  bool HasMetOthers = Roster.LastContactAt != base::TimePoint{};
+  Choice.IsFirst = Roster.FirstStart && !Roster.WasInterrupted &&
+                   Choice.Former.empty() && (isAlone(Roster) || HasMetOthers);
   return Choice;
 }
 
@@ -211,12 +238,22 @@
   return Roster.Members.empty() && !Roster.HasSeeds;
 }
 
+base::TimePoint earliestPermitTime(const FleetRoster &Roster,
+                                   const HomeChoice &Choice,
+                                   base::TimePoint Now) {
+  if (isAlone(Roster))
+    return Now;
+  if (hasLeft(Roster, Now))
+    return base::Never;
+  bool InTouch = Roster.InTouch && hasContact(Roster, Now);
+  return (InTouch ? Choice.Since : Now) + SettleTime;
+}
+
 bool canIssuePermits(const FleetRoster &Roster, const HomeChoice &Choice,
                      base::TimePoint Now) {
   if (isAlone(Roster))
     return true;
-  return Choice.IsSelf && Roster.InTouch && hasContact(Roster, Now) &&
-         Now >= Choice.Since + SettleTime;
+  return Choice.IsSelf && earliestPermitTime(Roster, Choice, Now) <= Now;
 }
 
 } // namespace currantgauge::admission
--- a/currantgauge/routing/choose_test.cc
+++ b/currantgauge/routing/choose_test.cc
@@ -181,6 +181,8 @@
   noteReportedSuspicion(State.Sets[Cutlist], Suspect, 0.9, makeQuery().Now);
   ChoiceQuery Once = makeQuery();
   Once.Idempotent = false;
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, Once, Source).Server->Record.Name != Suspect);
   for (const char *Name : {"n2", "n3"})
     State.Servers[base::BackendName(Name)].Running = 2;
   CHECK(choose(State, Once, Source).Server->Record.Name != Suspect);
@@ -232,4 +234,48 @@
   CHECK(SlotsAt(20) == doctest::Approx(4));
 }
 
+TEST_CASE("load is spread only over servers that cost the same otherwise") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  State.Domain = base::DomainName("rack-1");
+  base::Random Source(1);
+  base::BackendName Near("n1");
+  for (auto &[Name, Server] : State.Servers) {
+    Server.Record.Slots = 2;
+    Server.Record.Domain = base::DomainName(Name == Near ? "rack-1" : "rack-2");
+  }
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Near);
+}
+
+TEST_CASE("a server without slots isn't spread over servers with more work") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  base::Random Source(1);
+  base::BackendName Idle("n1");
+  for (auto &[Name, Server] : State.Servers) {
+    Server.Record.Slots = 0;
+    Server.Running = Name == Idle ? 0 : 5;
+  }
+  for (int I = 0; I < 50; ++I)
+    CHECK(choose(State, makeQuery(), Source).Server->Record.Name == Idle);
+}
+
+TEST_CASE("a last resort is not spread over regions") {
+  RoutingState State = makeTwoRegions();
+  State.UnevenServers = true;
+  base::Random Source(1);
+  choose(State, makeQuery(), Source);
+  RoutingSet &Set = State.Sets[Cutlist];
+  Set.SameRegion.clear();
+  Set.OtherRegions.clear();
+  for (const auto &[Name, Server] : State.Servers)
+    Set.OutOfRotation.push_back(Name);
+  for (int I = 0; I < 50; ++I) {
+    Choice Chosen = chooseServer(State, makeQuery(), Source);
+    CHECK(Chosen.Reason == ChoiceReason::LastResort);
+    CHECK(Chosen.Server->Record.Region == State.Region);
+  }
+}
+
 } // namespace currantgauge::routing
