--- a/currantgauge/admission/queue_test.cc
+++ b/currantgauge/admission/queue_test.cc
@@ -1,6 +1,7 @@
 #include "currantgauge/admission/queue.h"
 
 #include "currantgauge/admission/pressure.h"
+#include "currantgauge/admission/queue_fixture_test.h"
 
 #include <doctest/doctest.h>
 
@@ -10,73 +11,6 @@
 #include <vector>
 
 namespace currantgauge::admission {
-namespace {
-
-constexpr std::uint32_t Slots = 4;
-constexpr base::Duration ServiceTime = base::milliseconds(20);
-const base::ServiceName Service("cutlist");
-
-// QueueFixture is one owner's queue and the attempts that were added to it.
-struct QueueFixture {
-  config::Configuration Config;
-  AdmissionState State;
-  std::map<base::AttemptId, QueuedAttemptPtr> Attempts;
-  std::uint64_t LastSequence = 0;
-  base::TimePoint Now{1000000};
-};
-
-QueueFixture makeFixture(std::uint32_t Length) {
-  QueueFixture Fixture;
-  Fixture.Config.Services[Service].QueueLength = Length;
-  std::uint32_t Order = 0;
-  for (auto [Name, Share] :
-       {std::pair("urgent", 50.0), std::pair("normal", 25.0),
-        std::pair("lookup", 10.0)}) {
-    config::RankSettings &Rank = Fixture.Config.Ranks[base::RankName(Name)];
-    Rank.Order = Order++;
-    Rank.Share = base::Percent{Share};
-  }
-  return Fixture;
-}
-
-QueuedAttempt &addAttempt(QueueFixture &Fixture, const std::string &Rank,
-                          const std::string &Kind, const std::string &Workspace,
-                          base::Duration TimeLeft = base::seconds(60)) {
-  QueuedAttemptPtr Attempt(new QueuedAttempt);
-  Attempt->Facts.Attempt = base::AttemptId{1, ++Fixture.LastSequence};
-  Attempt->Facts.Service = Service;
-  Attempt->Facts.Kind = base::KindName(Kind);
-  Attempt->Facts.Rank = base::RankName(Rank);
-  Attempt->Facts.Workspace = base::WorkspaceName(Workspace);
-  Attempt->RankOrder = Fixture.Config.Ranks.at(Attempt->Facts.Rank).Order;
-  Attempt->ArrivedAt = Fixture.Now;
-  Attempt->Deadline = Fixture.Now + TimeLeft;
-  Fixture.Attempts[Attempt->Facts.Attempt] = Attempt;
-  return *Attempt;
-}
-
-EnqueueResult enqueueAttempt(QueueFixture &Fixture, QueuedAttempt &Attempt) {
-  return enqueue(Fixture.State, Fixture.Config, Attempt, Slots, Fixture.Now);
-}
-
-// serveNext() starts the next attempt, as if a slot had just become free, and
-// ends it after ServiceTime.
-QueuedAttempt *serveNext(QueueFixture &Fixture) {
-  QueuedAttempt *Next =
-      peekNextToRun(Fixture.State, Service, Slots, Fixture.Now);
-  if (!Next)
-    return nullptr;
-  dequeueToRun(Fixture.State, Fixture.Config, *Next, Fixture.Now);
-  Next->StartedAt = Fixture.Now;
-  core::AttemptOutcome Outcome;
-  Outcome.Verdict = base::Verdict::Ran;
-  finishRun(Fixture.State, *Next, Outcome, Fixture.Now + ServiceTime);
-  Fixture.Now = Fixture.Now + ServiceTime / Slots;
-  return Next;
-}
-
-} // namespace
-
 TEST_CASE("a flood of the most urgent rank leaves the others their share") {
   QueueFixture Fixture = makeFixture(100000);
   for (int I = 0; I < 2000; ++I)
@@ -375,35 +309,4 @@
   CHECK(lateReason(Movable, Movable.StartBy) == base::Reason::LongWait);
 }
 
-// A service that is short of room: a call refused for its aim wastes the work
-// of the request that waits for it.
-TEST_CASE("a call waits as long as its request can, other work within its "
-          "aim") {
-  QueueFixture Fixture = makeFixture(1000);
-  Fixture.Config.RequiresKeys = true;
-  Fixture.Config.Kinds[base::KindName("read")].Aim = base::milliseconds(120);
-  auto CountAdmitted = [&](const std::string &Workspace) {
-    QueueFixture Copy = makeFixture(1000);
-    Copy.Config = Fixture.Config;
-    std::uint32_t Admitted = 0;
-    for (int I = 0; I < 500; ++I) {
-      QueuedAttempt &Attempt =
-          addAttempt(Copy, "normal", "read", Workspace, base::seconds(1));
-      Attempt.Facts.TimeLeft = base::seconds(1);
-      if (enqueueAttempt(Copy, Attempt).Reason == base::Reason::None)
-        ++Admitted;
-      if (I < 20)
-        serveNext(Copy);
-    }
-    return Admitted;
-  };
-  std::uint32_t Calls = CountAdmitted("");
-  std::uint32_t Requests = CountAdmitted("w1");
-  CHECK(Calls > 3 * Requests);
-  // 50 a second and slot, 4 slots, 0.7 of the time that the work leaves.
-  CHECK(Calls <= 20 + 140);
-  Fixture.Config.RequiresKeys = false;
-  CHECK(CountAdmitted("") == Requests);
-}
-
 } // namespace currantgauge::admission
--- a/currantgauge/routing/choose.cc
+++ b/currantgauge/routing/choose.cc
@@ -192,20 +192,27 @@
 }
 
 // consider() makes the named server the best one if it is eligible and cheaper.
-void consider(const SearchContext &Context, const base::BackendName &Name,
-              BestCandidate &Best) {
+// assess() returns a server with its cost, none if it isn't eligible.
+BestCandidate assess(const SearchContext &Context,
+                     const base::BackendName &Name) {
   Candidate Option = findCandidate(Context, Name);
   if (!Option.Server)
-    return;
+    return {};
   double Load = estimateLoad(Context.State, Context.Query, Option);
   double FixedCost = computeFixedCost(Context.State, Context.Query, Option);
   double Cost =
       Load + computeQueueCost(Context.Query, *Option.Server) + FixedCost;
-  bool Free = hasFreeSlot(Context.State, Context.Query, Option, Load);
-  Best.WithFreeSlot += Free ? 1 : 0;
-  if (Cost < Best.Cost)
-    Best =
-        BestCandidate{Option.Server, Cost, FixedCost, Free, Best.WithFreeSlot};
+  return {Option.Server, Cost, FixedCost,
+          hasFreeSlot(Context.State, Context.Query, Option, Load)};
+}
+
+void consider(const SearchContext &Context, const base::BackendName &Name,
+              BestCandidate &Best) {
+  BestCandidate Next = assess(Context, Name);
+  Next.WithFreeSlot = Best.WithFreeSlot + (Next.HasFreeSlot ? 1 : 0);
+  if (Next.Cost < Best.Cost)
+    Best = Next;
+  Best.WithFreeSlot = Next.WithFreeSlot;
 }
 
 bool hasOtherWithFreeSlot(const BestCandidate &Best) {
@@ -223,21 +230,16 @@
   double BestFixedCost = Best.FixedCost;
   std::uint64_t Found = 0;
   for (const base::BackendName &Name : Names) {
-    Candidate Option = findCandidate(Context, Name);
-    if (!Option.Server)
+    BestCandidate Next = assess(Context, Name);
+    if (!Next.Server)
+      continue;
+    bool Near = Next.Cost <= Limit &&
+                Next.Server->Record.Region == Best.Server->Record.Region &&
+                std::abs(Next.FixedCost - BestFixedCost) < EqualCostMargin;
+    if (!Near || base::uniformBelow(Source, ++Found) != 0)
       continue;
-    double Load = estimateLoad(Context.State, Context.Query, Option);
-    double FixedCost = computeFixedCost(Context.State, Context.Query, Option);
-    double Cost =
-        Load + computeQueueCost(Context.Query, *Option.Server) + FixedCost;
-    bool Near = Cost <= Limit &&
-                Option.Server->Record.Region == Best.Server->Record.Region &&
-                std::abs(FixedCost - BestFixedCost) < EqualCostMargin;
-    if (Near && base::uniformBelow(Source, ++Found) == 0)
-      Best =
-          BestCandidate{Option.Server, Cost, FixedCost,
-                        hasFreeSlot(Context.State, Context.Query, Option, Load),
-                        Best.WithFreeSlot};
+    Next.WithFreeSlot = Best.WithFreeSlot;
+    Best = Next;
   }
 }
 
